--- /dev/null
+++ b/Makefile
@@ -0,0 +1,12 @@
+.PHONY: build test lint measure slopes fuzz known-red
+
+build:
+	go build -o bin/heatherport ./cmd/heatherport
+
+test:
+	go test -race -count=1 ./...
+
+lint:
+	@test -z "$$(gofmt -l cmd internal)" || { gofmt -l cmd internal; exit 1; }
+	go vet ./...
+	go tool staticcheck ./...
--- /dev/null
+++ b/internal/result/result_test.go
@@ -0,0 +1,17 @@
+package result
+
+import (
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test/must"
+)
+
+func TestCodeOf(t *testing.T) {
+	must.Eq(t, OK, CodeOf(nil))
+	must.Eq(t, Internal, CodeOf(errors.New("plain")))
+	err := errors.Wrap(Errorf(SheetStale, "version %d", 3), "submit")
+	must.Eq(t, SheetStale, CodeOf(err))
+	must.Eq(t, ClassRefused, CodeOf(err).Class())
+	must.StrContains(t, err.Error(), "202 sheet_stale: version 3")
+}
--- /dev/null
+++ b/internal/version/version.go
@@ -0,0 +1,206 @@
+// Package version defines the immutable configuration version that the control
+// goroutine publishes and the traffic goroutines read. A version is the state
+// after applying one entry of the replicated log.
+package version
+
+import (
+	"net/netip"
+	"time"
+)
+
+// ServiceID identifies a service across versions. IDs are never reused.
+type ServiceID uint32
+
+// UpstreamID identifies one incarnation of an upstream. IDs are never reused,
+// so an ID names an identity and not an address.
+type UpstreamID uint32
+
+// MemberID identifies one incarnation of a balancer. IDs are never reused.
+// Zero means none.
+type MemberID uint32
+
+// Protocol is an IP protocol number.
+type Protocol uint8
+
+// The supported protocols.
+const (
+	TCP Protocol = 6
+	UDP Protocol = 17
+)
+
+// String returns "tcp" or "udp".
+func (p Protocol) String() string {
+	switch p {
+	case TCP:
+		return "tcp"
+	case UDP:
+		return "udp"
+	}
+	return "unknown"
+}
+
+// UpstreamState is the state that the sheet declares.
+type UpstreamState uint8
+
+// The states of an upstream.
+const (
+	Active  UpstreamState = iota // receives new connections
+	Joining                      // receives new connections with a slow-start ramp
+	Leaving                      // keeps its connections, receives no new ones
+	Paused                       // as Leaving, and expected back
+)
+
+// String returns the sheet's word for s.
+func (s UpstreamState) String() string {
+	return [...]string{"active", "joining", "leaving", "paused"}[s&3]
+}
+
+// Version is one immutable configuration. Nothing in it may be changed after
+// it is published.
+type Version struct {
+	Index    uint64 // log index of the last applied entry
+	Sheet    SheetRef
+	Services []Service  // ordered by ID
+	Upstream []Upstream // ordered by ID
+	Members  []Member   // ordered by ID
+	Owners   Owners
+
+	services map[ServiceKey]*Service
+	upstream map[UpstreamID]*Upstream
+	members  map[MemberID]*Member
+}
+
+// SheetRef names an accepted sheet.
+type SheetRef struct {
+	Number uint64
+	Digest [32]byte
+}
+
+// ServiceKey is the destination that callers use.
+type ServiceKey struct {
+	Addr     netip.Addr
+	Port     uint16
+	Protocol Protocol
+}
+
+// Service is one service of the sheet.
+type Service struct {
+	ID          ServiceID
+	Name        string
+	Key         ServiceKey
+	IdleTimeout time.Duration
+	Idempotent  bool
+	// Current is the ranking that new connections use.
+	Current Ranking
+	// Base is the ranking that connections without an exception use.
+	Base Ranking
+	// NextBase is the base being prepared: owners replicate as exceptions
+	// all connections that differ from it too. Nil when none is prepared.
+	NextBase Ranking
+}
+
+// Ranking is the weighted set over which buckets rank upstreams by weighted
+// rendezvous hashing. It is ordered by upstream ID.
+type Ranking []Weighted
+
+// Weighted is one upstream in a Ranking.
+type Weighted struct {
+	Upstream UpstreamID
+	Weight   uint32 // slots × 256, scaled down by slow start; never zero
+}
+
+// Upstream is one incarnation of an upstream.
+type Upstream struct {
+	ID          UpstreamID
+	Name        string
+	Incarnation uint64
+	Service     ServiceID
+	Addr        netip.AddrPort // FOU endpoint of the upstream's VM
+	State       UpstreamState
+	Slots       uint32
+	ConnLimit   uint32 // open connections over all balancers
+	Healthy     bool   // false: keeps its connections, receives no new ones
+	Leased      bool   // its announcement lease runs
+	LoadFactor  uint8  // reported load hint, 0 = none … 255 = full
+}
+
+// MemberState is the life-cycle state of a balancer.
+type MemberState uint8
+
+// The states of a member.
+const (
+	MemberJoining MemberState = iota // owns nothing yet
+	MemberActive                     // may own
+	MemberLeaving                    // hands its share over
+)
+
+// Member is one incarnation of a balancer.
+type Member struct {
+	ID          MemberID
+	Name        string
+	Incarnation uint64
+	Domain      string         // failure domain
+	Relay       netip.AddrPort // UDP relay endpoint
+	Link        netip.AddrPort // QUIC control endpoint
+	API         netip.AddrPort // HTTPS endpoint
+	Voter       bool
+	State       MemberState
+}
+
+// Owners says which members own connections.
+type Owners struct {
+	Epoch   uint64     // grows with every change of Current
+	Current []MemberID // ordered
+	// Next is the set being prepared; members replicate exceptions to the
+	// owners and standbys under Next too. Nil when none is prepared.
+	Next []MemberID
+	// Previous is the set that Current replaced; its live members hand
+	// their tenure to the owners under Current.
+	Previous []MemberID
+}
+
+// Seal builds the lookup tables. It is called once, before publication.
+func (v *Version) Seal() *Version {
+	v.services = make(map[ServiceKey]*Service, len(v.Services))
+	for i := range v.Services {
+		v.services[v.Services[i].Key] = &v.Services[i]
+	}
+	v.upstream = make(map[UpstreamID]*Upstream, len(v.Upstream))
+	for i := range v.Upstream {
+		v.upstream[v.Upstream[i].ID] = &v.Upstream[i]
+	}
+	v.members = make(map[MemberID]*Member, len(v.Members))
+	for i := range v.Members {
+		v.members[v.Members[i].ID] = &v.Members[i]
+	}
+	return v
+}
+
+// Service returns the service at key, or nil.
+func (v *Version) Service(key ServiceKey) *Service { return v.services[key] }
+
+// UpstreamByID returns the upstream with the given ID, or nil.
+func (v *Version) UpstreamByID(id UpstreamID) *Upstream { return v.upstream[id] }
+
+// MemberByID returns the member with the given ID, or nil.
+func (v *Version) MemberByID(id MemberID) *Member { return v.members[id] }
+
+// MemberByName returns the newest member called name, or nil.
+func (v *Version) MemberByName(name string) *Member {
+	for i := len(v.Members) - 1; i >= 0; i-- {
+		if v.Members[i].Name == name {
+			return &v.Members[i]
+		}
+	}
+	return nil
+}
+
+// ServiceByName returns the service called name, or nil.
+func (v *Version) ServiceByName(name string) *Service {
+	for i := range v.Services {
+		if v.Services[i].Name == name {
+			return &v.Services[i]
+		}
+	}
+	return nil
+}
