Add the replicated state machine

Cause: sheets, upstreams, members, owners and bases must change in the same order and to the same effect on all replicas. New code 211 incarnation_conflict.

--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -40,16 +40,17 @@
 	BadMessage       Code = 106
 	UnsupportedProto Code = 107
 
-	SheetConflict      Code = 201
-	SheetStale         Code = 202
-	UpstreamNotInSheet Code = 203
-	IncarnationStale   Code = 204
-	VoterChangePending Code = 205
-	MemberUnknown      Code = 206
-	NotFound           Code = 207
-	AddressInUse       Code = 208
-	MemberNameTaken    Code = 209
-	ShuttingDown       Code = 210
+	SheetConflict       Code = 201
+	SheetStale          Code = 202
+	UpstreamNotInSheet  Code = 203
+	IncarnationStale    Code = 204
+	VoterChangePending  Code = 205
+	MemberUnknown       Code = 206
+	NotFound            Code = 207
+	AddressInUse        Code = 208
+	MemberNameTaken     Code = 209
+	ShuttingDown        Code = 210
+	IncarnationConflict Code = 211
 
 	NoLeader      Code = 301
 	NotReady      Code = 302
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -41,6 +41,7 @@
 	{AddressInUse, "address_in_use", "the address belongs to another live upstream", "correct the address"},
 	{MemberNameTaken, "member_name_taken", "another live VM uses this name", "correct the settings"},
 	{ShuttingDown, "shutting_down", "this VM is stopping", "use another VM"},
+	{IncarnationConflict, "incarnation_conflict", "another process announces the same name and incarnation", "stop one of them"},
 
 	{NoLeader, "no_leader", "no leader is known; nothing was changed", "try again"},
 	{NotReady, "not_ready", "this VM holds no version yet", "try again or use another VM"},
--- /dev/null
+++ b/internal/version/state/machine_bench_test.go
@@ -0,0 +1,77 @@
+package state_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"heatherport/internal/result"
+	"heatherport/internal/version/state"
+)
+
+// upstreamsPerService is the size of a service in the benchmarks.
+const upstreamsPerService = 2
+
+func addrOf(i int) string { return fmt.Sprintf("10.%d.%d.%d:5555", i>>16, i>>8&255, i&255) }
+
+// filled returns a replica with n registered upstreams.
+func filled(b *testing.B, n int) *replica {
+	rows := make([]string, 0, 2*n)
+	for i := range n / upstreamsPerService {
+		rows = append(rows, fmt.Sprintf("service,s%d,192.0.%d.%d,tcp,443,10m,no", i, i>>8, i&255))
+	}
+	for i := range n {
+		rows = append(rows, fmt.Sprintf("upstream,s%d,u%d,active,3,2000", i/upstreamsPerService, i))
+	}
+	r := newReplica(b)
+	r.want(result.OK, submit(b, 1, rows...))
+	for i := range n {
+		r.want(result.OK, register(fmt.Sprint("s", i/upstreamsPerService), fmt.Sprint("u", i), addrOf(i+1), 1))
+	}
+	r.Version()
+	return r
+}
+
+// BenchmarkApplyRegister replaces an upstream by a newer incarnation; the
+// version variants publish a version after each command too.
+func BenchmarkApplyRegister(b *testing.B) {
+	for _, n := range []int{100, 1_000, 10_000, 38_000} {
+		r := filled(b, n)
+		for _, publish := range []bool{false, true} {
+			b.Run(fmt.Sprintf("upstreams=%d/version=%t", n, publish), func(b *testing.B) {
+				c := register("s0", "u0", addrOf(1), 1)
+				c.RegisterUpstream.Addr = netip.MustParseAddrPort(addrOf(1))
+				c.RegisterUpstream.Incarnation = r.Index()
+				for b.Loop() {
+					c.RegisterUpstream.Incarnation++
+					o := r.apply(c)
+					must.Eq(b, result.OK, o.Code)
+					if publish {
+						r.Version()
+					}
+				}
+			})
+		}
+	}
+}
+
+func BenchmarkApplyStatus(b *testing.B) {
+	r := filled(b, 38_000)
+	load := uint8(0)
+	id := r.Version().Upstream[0].ID
+	for b.Loop() {
+		load++
+		o := r.apply(status(state.StatusUpdate{ID: id, LoadFactor: new(load)}))
+		must.Eq(b, result.OK, o.Code)
+		r.Version()
+	}
+}
+
+func BenchmarkSnapshot(b *testing.B) {
+	r := filled(b, 38_000)
+	for b.Loop() {
+		b.SetBytes(int64(len(r.Snapshot())))
+	}
+}
--- /dev/null
+++ b/internal/version/state/machine_test.go
@@ -0,0 +1,303 @@
+package state_test
+
+import (
+	"flag"
+	"fmt"
+	"net/netip"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"heatherport/internal/result"
+	"heatherport/internal/version"
+	"heatherport/internal/version/sheet"
+	"heatherport/internal/version/state"
+)
+
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "100", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// submit returns the command that submits the sheet with the given rows.
+func submit(t must.T, number int, rows ...string) state.Command {
+	t.Helper()
+	s, err := sheet.Parse(strings.NewReader(fmt.Sprintf("version,%d\n%s\n", number, strings.Join(rows, "\n"))))
+	must.NoError(t, err)
+	return state.Command{SubmitSheet: &state.SubmitSheet{
+		Number:    s.Number,
+		Digest:    s.Digest(),
+		Canonical: s.Canonical(),
+		Operator:  "planner",
+	}}
+}
+
+func register(service, name, addr string, incarnation uint64) state.Command {
+	return state.Command{RegisterUpstream: &state.RegisterUpstream{
+		Name:        name,
+		Service:     service,
+		Addr:        netip.MustParseAddrPort(addr),
+		Incarnation: incarnation,
+	}}
+}
+
+func status(u state.StatusUpdate) state.Command {
+	return state.Command{UpstreamStatus: &state.UpstreamStatus{Updates: []state.StatusUpdate{u}}}
+}
+
+func join(name, relay string, incarnation uint64) state.Command {
+	return state.Command{JoinMember: &state.JoinMember{
+		Name:        name,
+		Incarnation: incarnation,
+		Relay:       netip.MustParseAddrPort(relay),
+	}}
+}
+
+// replica applies commands at rising indexes.
+type replica struct {
+	t must.T
+	*state.Machine
+}
+
+func newReplica(t must.T) *replica { return &replica{t, state.New()} }
+
+func (r *replica) apply(c state.Command) state.Outcome {
+	return r.Apply(r.Index()+1, c)
+}
+
+func (r *replica) want(code result.Code, c state.Command) state.Outcome {
+	r.t.Helper()
+	o := r.apply(c)
+	must.Eq(r.t, code, o.Code, must.Sprint(o.Detail))
+	return o
+}
+
+const (
+	rowA  = "service,a,192.0.2.1,tcp,443,10m,no"
+	rowB  = "service,b,192.0.2.2,tcp,443,10m,yes"
+	rowA1 = "upstream,a,a1,active,3,2000"
+	rowA2 = "upstream,a,a2,active,2,2000"
+	rowB1 = "upstream,b,b1,active,2,2000"
+)
+
+func TestSheetCompareAndSet(t *testing.T) {
+	r := newReplica(t)
+	five := submit(t, 5, rowA, rowA1)
+	first := r.want(result.OK, five)
+	again := r.want(result.OK, five)
+	must.Eq(t, first.Sheet, again.Sheet)
+	must.Len(t, 0, again.Changes)
+
+	conflict := r.want(result.SheetConflict, submit(t, 5, rowA))
+	must.Eq(t, first.Sheet, conflict.Sheet)
+	must.StrContains(t, conflict.Detail, fmt.Sprintf("%x", first.Sheet.Digest))
+	r.want(result.SheetStale, submit(t, 4, rowA, rowA1))
+
+	forged := submit(t, 6, rowA)
+	forged.SubmitSheet.Digest[0]++
+	r.want(result.BadSheet, forged)
+	forged.SubmitSheet.Canonical = []byte("version,6\n")
+	r.want(result.BadSheet, forged)
+	must.Eq(t, first.Sheet, r.Version().Sheet)
+}
+
+func TestServiceKeepsIDWhileNameAndKeyStay(t *testing.T) {
+	r := newReplica(t)
+	r.want(result.OK, submit(t, 1, rowA, rowB, rowA1))
+	r.want(result.OK, register("a", "a1", "10.0.0.1:5555", 1))
+	before := r.Version()
+	r.want(result.OK, submit(t, 2, strings.Replace(rowA, "10m", "20m", 1), rowB, rowA1))
+	must.Eq(t, before.ServiceByName("a").ID, r.Version().ServiceByName("a").ID)
+
+	// Another address gives a new service; the old one keeps its upstream.
+	r.want(result.OK, submit(t, 3, strings.Replace(rowA, "192.0.2.1", "192.0.2.9", 1), rowB, rowA1))
+	v := r.Version()
+	old := v.ServiceByID(before.ServiceByName("a").ID)
+	must.True(t, old.Retired)
+	must.Len(t, 0, old.Current)
+	must.Len(t, 1, old.Base)
+	must.Eq(t, version.Leaving, v.Upstream[0].State)
+	must.NotNil(t, v.Service(version.ServiceKey{Addr: netip.MustParseAddr("192.0.2.9"), Port: 443, Protocol: version.TCP}))
+
+	// A lapsed lease ends both.
+	r.want(result.OK, status(state.StatusUpdate{ID: v.Upstream[0].ID, Leased: new(false)}))
+	must.Len(t, 0, r.Version().Upstream)
+	must.Nil(t, r.Version().ServiceByID(old.ID))
+}
+
+func TestRenamedServiceTakesKeyAtOnce(t *testing.T) {
+	r := newReplica(t)
+	r.want(result.OK, submit(t, 1, rowA, rowA1))
+	r.want(result.OK, register("a", "a1", "10.0.0.1:5555", 1))
+	r.want(result.OK, submit(t, 2, strings.Replace(rowA, "service,a", "service,z", 1), "upstream,z,a1,active,3,2000"))
+	must.Len(t, 1, r.Version().Services)
+	must.Eq(t, 2, r.Version().Services[0].ID)
+	must.Len(t, 0, r.Version().Upstream)
+}
+
+func TestRegister(t *testing.T) {
+	r := newReplica(t)
+	r.want(result.OK, submit(t, 1, rowA, rowB, rowA1, rowA2, rowB1))
+	r.want(result.UpstreamNotInSheet, register("a", "x", "10.0.0.1:5555", 1))
+	r.want(result.UpstreamNotInSheet, register("b", "a1", "10.0.0.1:5555", 1))
+	r.want(result.BadAnnouncement, register("a", "a1", "0.0.0.0:5555", 1))
+	first := r.want(result.OK, register("a", "a1", "10.0.0.1:5555", 2))
+	again := r.want(result.OK, register("a", "a1", "10.0.0.1:5555", 2))
+	must.Eq(t, first.Upstream, again.Upstream)
+	must.Len(t, 0, again.Changes)
+	r.want(result.IncarnationStale, register("a", "a1", "10.0.0.1:5555", 1))
+	r.want(result.IncarnationConflict, register("a", "a1", "10.0.0.7:5555", 2))
+	r.want(result.AddressInUse, register("b", "b1", "[::ffff:10.0.0.1]:5555", 1))
+
+	// A lapsed identity loses its address to another service's upstream.
+	r.want(result.OK, status(state.StatusUpdate{ID: first.Upstream, Leased: new(false)}))
+	taken := r.want(result.OK, register("b", "b1", "10.0.0.1:5555", 1))
+	must.Nil(t, r.Version().UpstreamByID(first.Upstream))
+	must.NotEq(t, first.Upstream, taken.Upstream)
+	r.want(result.IncarnationStale, register("a", "a1", "10.0.0.3:5555", 1))
+
+	newer := r.want(result.OK, register("b", "b1", "10.0.0.1:5555", 2))
+	must.Nil(t, r.Version().UpstreamByID(taken.Upstream))
+	must.Greater(t, taken.Upstream, newer.Upstream)
+}
+
+func TestBaseFollowsCurrentInTwoSteps(t *testing.T) {
+	r := newReplica(t)
+	r.want(result.OK, submit(t, 1, rowA, rowA1, rowA2))
+	one := r.want(result.OK, register("a", "a1", "10.0.0.1:5555", 1)).Upstream
+	base := version.Ranking{{Upstream: one, Weight: 192}}
+	must.Eq(t, base, r.Version().Services[0].Base)
+	two := r.want(result.OK, register("a", "a2", "10.0.0.2:5555", 1)).Upstream
+	r.want(result.OK, status(state.StatusUpdate{ID: one, Ramp: new(version.RampFull)}))
+	current := version.Ranking{{Upstream: one, Weight: 768}, {Upstream: two, Weight: 128}}
+	must.Eq(t, current, r.Version().Services[0].Current)
+	must.Eq(t, base, r.Version().Services[0].Base)
+
+	id := r.Version().Services[0].ID
+	o := r.want(result.OK, state.Command{PrepareBase: &state.PrepareBase{Service: id}})
+	must.Eq(t, current, r.Version().Services[0].NextBase)
+	r.want(result.NotFound, state.Command{AdvanceBase: &state.AdvanceBase{Service: id, Prepared: o.Index - 1}})
+	r.want(result.OK, state.Command{RemoveUpstream: &state.RemoveUpstream{ID: two}})
+	r.want(result.OK, state.Command{AdvanceBase: &state.AdvanceBase{Service: id, Prepared: o.Index}})
+	must.Eq(t, current, r.Version().Services[0].Base)
+	must.Eq(t, current[:1], r.Version().Services[0].Current)
+
+	r.want(result.OK, status(state.StatusUpdate{ID: one, Healthy: new(false)}))
+	must.Len(t, 0, r.Version().Services[0].Current)
+	r.want(result.NotFound, state.Command{PrepareBase: &state.PrepareBase{Service: id}})
+}
+
+func TestOwnersInTwoSteps(t *testing.T) {
+	r := newReplica(t)
+	a := r.want(result.OK, join("lb-a", "10.1.0.1:7000", 1)).Member
+	b := r.want(result.OK, join("lb-b", "10.1.0.2:7000", 1)).Member
+	r.want(result.MemberNameTaken, join("lb-a", "10.1.0.9:7000", 2))
+	r.want(result.AddressInUse, join("lb-c", "10.1.0.1:7000", 1))
+	prepare := state.Command{PrepareOwners: &state.PrepareOwners{}}
+	o := r.want(result.OK, prepare)
+	r.want(result.OK, prepare)
+	must.Eq(t, o.Index, r.Version().Owners.PreparedAt)
+	activate := state.Command{ActivateOwners: &state.ActivateOwners{Prepared: o.Index}}
+	r.want(result.OK, activate)
+	r.want(result.NotFound, activate)
+	must.Eq(t, []version.MemberID{a, b}, r.Version().Owners.Current)
+	must.Eq(t, version.MemberActive, r.Version().MemberByID(a).State)
+
+	// A death changes the owners at once and spoils what was prepared.
+	c := r.want(result.OK, join("lb-c", "10.1.0.3:7000", 1)).Member
+	o = r.want(result.OK, prepare)
+	dead := r.want(result.OK, state.Command{RemoveMember: &state.RemoveMember{ID: b}})
+	owners := r.Version().Owners
+	must.Eq(t, []version.MemberID{a}, owners.Current)
+	must.Eq(t, []version.MemberID{a, b}, owners.Previous)
+	must.Eq(t, []version.MemberID{a, c}, owners.Next)
+	must.Eq(t, 2, owners.Epoch)
+	r.want(result.NotFound, state.Command{ActivateOwners: &state.ActivateOwners{Prepared: o.Index}})
+	r.want(result.OK, state.Command{ActivateOwners: &state.ActivateOwners{Prepared: dead.Index}})
+
+	r.want(result.OK, state.Command{LeaveMember: &state.LeaveMember{ID: a}})
+	r.want(result.OK, prepare)
+	must.Eq(t, []version.MemberID{c}, r.Version().Owners.Next)
+}
+
+func TestLoadReportOnlyLowersWeight(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		u := version.Upstream{
+			Slots:      rapid.Uint32Range(1, sheet.MaxSlots).Draw(t, "slots"),
+			Ramp:       rapid.Uint8Range(1, version.RampFull).Draw(t, "ramp"),
+			LoadFactor: rapid.Uint8().Draw(t, "load"),
+		}
+		idle := u
+		idle.LoadFactor = 0
+		must.Between(t, idle.Weight()/2, u.Weight(), idle.Weight())
+	})
+}
+
+func TestVersionIsNotChangedLater(t *testing.T) {
+	r := newReplica(t)
+	r.want(result.OK, submit(t, 1, rowA, rowA1, rowA2))
+	r.want(result.OK, register("a", "a1", "10.0.0.1:5555", 1))
+	v := r.Version()
+	before := fmt.Sprintf("%+v", *v)
+	r.want(result.OK, register("a", "a2", "10.0.0.2:5555", 1))
+	r.want(result.OK, submit(t, 2, rowB, rowB1))
+	r.Version()
+	must.Eq(t, before, fmt.Sprintf("%+v", *v))
+}
+
+func TestRestoreRefusesDamage(t *testing.T) {
+	r := newReplica(t)
+	r.want(result.OK, submit(t, 1, rowA, rowA1, rowA2))
+	r.want(result.OK, register("a", "a1", "10.0.0.1:5555", 1))
+	r.want(result.OK, join("lb-a", "10.1.0.1:7000", 1))
+	data := r.Snapshot()
+	digest := r.Digest()
+	for i := range data {
+		damaged := slices.Clone(data)
+		damaged[i] ^= 1
+		m := state.New()
+		if err := m.Restore(damaged); err != nil {
+			must.Eq(t, result.StorageCorrupt, result.CodeOf(err))
+		} else {
+			// Another encoding of the very same state, such as undefined for null.
+			must.Eq(t, string(data), string(m.Snapshot()), must.Sprintf("byte %d", i))
+		}
+		must.Error(t, state.New().Restore(data[:i]))
+	}
+	must.NoError(t, r.Restore(data))
+	must.Eq(t, digest, r.Digest())
+}
+
+func FuzzDecodeCommand(f *testing.F) {
+	for _, c := range []state.Command{
+		submit(f, 1, rowA, rowA1),
+		register("a", "a1", "10.0.0.1:5555", 1),
+		status(state.StatusUpdate{ID: 1, Leased: new(false), Ramp: new(uint8(200))}),
+		join("lb-a", "10.1.0.1:7000", 1),
+		{AdvanceBase: &state.AdvanceBase{Service: 1}},
+	} {
+		data, err := state.EncodeCommand(c)
+		must.NoError(f, err)
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		c, err := state.DecodeCommand(data)
+		if err != nil {
+			must.Eq(t, result.BadMessage, result.CodeOf(err))
+			return
+		}
+		r := newReplica(t)
+		r.want(result.OK, submit(t, 1, rowA, rowA1, rowA2))
+		r.apply(c)
+		r.apply(c)
+		r.Version()
+	})
+}
--- /dev/null
+++ b/internal/version/state/member.go
@@ -0,0 +1,194 @@
+package state
+
+import (
+	"fmt"
+	"slices"
+
+	"heatherport/internal/result"
+	"heatherport/internal/version"
+	"heatherport/internal/version/sheet"
+)
+
+func (m *Machine) joinMember(c *JoinMember) Outcome {
+	if !sheet.ValidName(c.Name) {
+		return refuse(result.BadMessage, "name %q is not valid", c.Name)
+	}
+	relay, ok := endpoint(c.Relay)
+	if !ok {
+		return refuse(result.BadMessage, "relay %s is not a unicast address and port", c.Relay)
+	}
+	for _, other := range m.members {
+		if other.Relay == relay && other.Name != c.Name {
+			return refuse(result.AddressInUse, "relay %s belongs to %q", relay, other.Name)
+		}
+	}
+	var o Outcome
+	if old := m.memberNames[c.Name]; old != nil {
+		switch {
+		case c.Incarnation < old.Incarnation:
+			return refuse(result.IncarnationStale, "incarnation %d of %q, %d is known", c.Incarnation, c.Name, old.Incarnation)
+		case old.Relay != relay:
+			return refuse(result.MemberNameTaken, "%q is at %s", c.Name, old.Relay)
+		case c.Incarnation == old.Incarnation:
+			return Outcome{Member: old.ID}
+		}
+		m.dropMember(&o, old, CauseReplaced)
+	}
+	o.Member = m.addMember(&o, c)
+	return o
+}
+
+func (m *Machine) addMember(o *Outcome, c *JoinMember) version.MemberID {
+	m.counters.member++
+	relay, _ := endpoint(c.Relay)
+	b := &member{Member: version.Member{
+		ID:          m.counters.member,
+		Name:        c.Name,
+		Incarnation: c.Incarnation,
+		Domain:      c.Domain,
+		Relay:       relay,
+		Link:        c.Link,
+		API:         c.API,
+		Voter:       c.Voter,
+	}}
+	m.members = append(m.members, b)
+	m.memberNames[b.Name] = b
+	m.touchMember(b)
+	o.add(Change{Kind: MemberJoined, Subject: b.Name, After: describeMember(&b.Member), Cause: CauseRequested})
+	return b.ID
+}
+
+func (m *Machine) leaveMember(c *LeaveMember) Outcome {
+	b := m.memberByID(c.ID)
+	if b == nil {
+		return refuse(result.MemberUnknown, "no member has ID %d", c.ID)
+	}
+	var o Outcome
+	m.setMemberState(&o, b, version.MemberLeaving, CauseRequested)
+	return o
+}
+
+func (m *Machine) setMemberState(o *Outcome, b *member, s version.MemberState, cause Cause) {
+	if b.State == s {
+		return
+	}
+	before := describeMember(&b.Member)
+	b.State = s
+	m.touchMember(b)
+	o.add(Change{Kind: MemberChanged, Subject: b.Name, Before: before, After: describeMember(&b.Member), Cause: cause})
+}
+
+func (m *Machine) removeMember(c *RemoveMember) Outcome {
+	b := m.memberByID(c.ID)
+	if b == nil {
+		return refuse(result.MemberUnknown, "no member has ID %d", c.ID)
+	}
+	var o Outcome
+	m.dropMember(&o, b, c.Cause)
+	return o
+}
+
+// dropMember removes a balancer. If it owned connections, the owners change at
+// once, without preparation.
+func (m *Machine) dropMember(o *Outcome, b *member, cause Cause) {
+	b.removed = true
+	m.touchMember(b)
+	m.members = slices.DeleteFunc(m.members, func(other *member) bool { return other == b })
+	delete(m.memberNames, b.Name)
+	o.add(Change{Kind: MemberRemoved, Subject: b.Name, Before: describeMember(&b.Member), Cause: cause})
+	if slices.Contains(m.owners.Current, b.ID) {
+		m.replaceOwners(o, without(m.owners.Current, b.ID), cause)
+	}
+	if slices.Contains(m.owners.Next, b.ID) {
+		m.setNextOwners(o, without(m.owners.Next, b.ID), cause)
+	}
+}
+
+// prepareOwners sets the next owners to all members that are not leaving.
+func (m *Machine) prepareOwners() Outcome {
+	var o Outcome
+	next := make([]version.MemberID, 0, len(m.members))
+	for _, b := range m.members {
+		if b.State != version.MemberLeaving {
+			next = append(next, b.ID)
+		}
+	}
+	if m.owners.Next == nil || !slices.Equal(next, m.owners.Next) {
+		m.setNextOwners(&o, next, CauseNone)
+	}
+	return o
+}
+
+// setNextOwners prepares next, or nothing if next are the owners already.
+func (m *Machine) setNextOwners(o *Outcome, next []version.MemberID, cause Cause) {
+	before := m.owners.Next
+	m.owners.Next = next
+	m.owners.PreparedAt = m.index
+	if len(next) == 0 || slices.Equal(next, m.owners.Current) {
+		m.owners.Next = nil
+		m.owners.PreparedAt = 0
+	}
+	if before == nil && m.owners.Next == nil {
+		return
+	}
+	o.add(Change{
+		Kind:    OwnersPrepared,
+		Subject: "owners",
+		Before:  m.memberList(before),
+		After:   m.memberList(m.owners.Next),
+		Cause:   cause,
+	})
+}
+
+func (m *Machine) activateOwners(c *ActivateOwners) Outcome {
+	if m.owners.Next == nil || m.owners.PreparedAt != c.Prepared {
+		return refuse(result.NotFound, "no owners were prepared at index %d", c.Prepared)
+	}
+	var o Outcome
+	next := m.owners.Next
+	m.owners.Next = nil
+	m.owners.PreparedAt = 0
+	m.replaceOwners(&o, next, c.Cause)
+	for _, id := range next {
+		if b := m.memberByID(id); b != nil && b.State == version.MemberJoining {
+			m.setMemberState(&o, b, version.MemberActive, c.Cause)
+		}
+	}
+	return o
+}
+
+func (m *Machine) replaceOwners(o *Outcome, current []version.MemberID, cause Cause) {
+	before := m.owners.Current
+	m.owners.Epoch++
+	m.owners.Previous = before
+	m.owners.Current = current
+	o.add(Change{
+		Kind:    OwnersActivated,
+		Subject: "owners",
+		Before:  m.memberList(before),
+		After:   m.memberList(current),
+		Cause:   cause,
+	})
+}
+
+// memberList names the members ids for the audit trail.
+func (m *Machine) memberList(ids []version.MemberID) string {
+	names := make([]string, len(ids))
+	for i, id := range ids {
+		names[i] = fmt.Sprint(id)
+		if b := m.memberByID(id); b != nil {
+			names[i] = b.Name
+		}
+	}
+	return fmt.Sprint(names)
+}
+
+// without returns a copy of ids that lacks id.
+func without(ids []version.MemberID, id version.MemberID) []version.MemberID {
+	return slices.DeleteFunc(slices.Clone(ids), func(other version.MemberID) bool { return other == id })
+}
+
+func describeMember(b *version.Member) string {
+	return fmt.Sprintf("id %d incarnation %d domain %s relay %s voter %t %s",
+		b.ID, b.Incarnation, b.Domain, b.Relay, b.Voter, b.State)
+}
--- a/internal/version/version.go
+++ b/internal/version/version.go
@@ -4,7 +4,10 @@
 package version
 
 import (
+	"cmp"
+	"math"
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -65,9 +68,9 @@
 	Members  []Member   // ordered by ID
 	Owners   Owners
 
-	services map[ServiceKey]*Service
-	upstream map[UpstreamID]*Upstream
-	members  map[MemberID]*Member
+	services map[ServiceKey]int32 // positions in Services
+	upstream map[UpstreamID]int32 // positions in Upstream
+	members  map[MemberID]int32   // positions in Members
 }
 
 // SheetRef names an accepted sheet.
@@ -97,6 +100,11 @@
 	// NextBase is the base being prepared: owners replicate as exceptions
 	// all connections that differ from it too. Nil when none is prepared.
 	NextBase Ranking
+	// PreparedAt is the index of the entry that set NextBase.
+	PreparedAt uint64
+	// Retired says that the sheet in force no longer lists the service; it
+	// stays until its last upstream has gone.
+	Retired bool
 }
 
 // Ranking is the weighted set over which buckets rank upstreams by weighted
@@ -122,6 +130,28 @@
 	Healthy     bool   // false: keeps its connections, receives no new ones
 	Leased      bool   // its announcement lease runs
 	LoadFactor  uint8  // reported load hint, 0 = none … 255 = full
+	Ramp        uint8  // slow-start step, from 1 to RampFull
+	Listed      bool   // the sheet in force lists it for its service
+}
+
+// RampFull is the slow-start step of an upstream that takes its whole share.
+const RampFull uint8 = 4
+
+// WeightPerSlot is the weight of one slot of an idle upstream at RampFull.
+const WeightPerSlot = 256
+
+// Eligible reports whether u may receive new connections.
+func (u *Upstream) Eligible() bool {
+	return u.Healthy && u.Leased && (u.State == Active || u.State == Joining)
+}
+
+// Weight returns the weight of u in a Ranking: its slots scaled by slow start
+// and lowered by reported load to no less than half.
+func (u *Upstream) Weight() uint32 {
+	w := uint64(u.Slots) * WeightPerSlot
+	w = w * uint64(min(u.Ramp, RampFull)) / uint64(RampFull)
+	w -= w * uint64(u.LoadFactor) / (2 * math.MaxUint8)
+	return uint32(max(w, 1))
 }
 
 // MemberState is the life-cycle state of a balancer.
@@ -134,6 +164,11 @@
 	MemberLeaving                    // hands its share over
 )
 
+// String returns the name of s.
+func (s MemberState) String() string {
+	return [...]string{"joining", "active", "leaving", "unknown"}[s&3]
+}
+
 // Member is one incarnation of a balancer.
 type Member struct {
 	ID          MemberID
@@ -154,36 +189,84 @@
 	// Next is the set being prepared; members replicate exceptions to the
 	// owners and standbys under Next too. Nil when none is prepared.
 	Next []MemberID
+	// PreparedAt is the index of the entry that set Next.
+	PreparedAt uint64
 	// Previous is the set that Current replaced; its live members hand
 	// their tenure to the owners under Current.
 	Previous []MemberID
 }
 
 // Seal builds the lookup tables. It is called once, before publication.
-func (v *Version) Seal() *Version {
-	v.services = make(map[ServiceKey]*Service, len(v.Services))
-	for i := range v.Services {
-		v.services[v.Services[i].Key] = &v.Services[i]
+func (v *Version) Seal() *Version { return v.SealFrom(nil) }
+
+// SealFrom is Seal, but shares the lookup tables of prev that still hold. prev
+// is an earlier sealed version, or nil.
+func (v *Version) SealFrom(prev *Version) *Version {
+	if prev == nil {
+		prev = &Version{}
 	}
-	v.upstream = make(map[UpstreamID]*Upstream, len(v.Upstream))
-	for i := range v.Upstream {
-		v.upstream[v.Upstream[i].ID] = &v.Upstream[i]
+	v.services = prev.services
+	if prev.services == nil || !slices.EqualFunc(v.Services, prev.Services, sameServiceKey) {
+		v.services = make(map[ServiceKey]int32, len(v.Services))
+		for i := range v.Services {
+			v.services[v.Services[i].Key] = int32(i)
+		}
 	}
-	v.members = make(map[MemberID]*Member, len(v.Members))
-	for i := range v.Members {
-		v.members[v.Members[i].ID] = &v.Members[i]
+	v.upstream = prev.upstream
+	if prev.upstream == nil || !slices.EqualFunc(v.Upstream, prev.Upstream, sameUpstreamID) {
+		v.upstream = make(map[UpstreamID]int32, len(v.Upstream))
+		for i := range v.Upstream {
+			v.upstream[v.Upstream[i].ID] = int32(i)
+		}
+	}
+	v.members = prev.members
+	if prev.members == nil || !slices.EqualFunc(v.Members, prev.Members, sameMemberID) {
+		v.members = make(map[MemberID]int32, len(v.Members))
+		for i := range v.Members {
+			v.members[v.Members[i].ID] = int32(i)
+		}
 	}
 	return v
 }
 
+func sameServiceKey(a, b Service) bool  { return a.Key == b.Key }
+func sameUpstreamID(a, b Upstream) bool { return a.ID == b.ID }
+func sameMemberID(a, b Member) bool     { return a.ID == b.ID }
+
 // Service returns the service at key, or nil.
-func (v *Version) Service(key ServiceKey) *Service { return v.services[key] }
+func (v *Version) Service(key ServiceKey) *Service {
+	if i, ok := v.services[key]; ok {
+		return &v.Services[i]
+	}
+	return nil
+}
+
+// ServiceByID returns the service with the given ID, or nil.
+func (v *Version) ServiceByID(id ServiceID) *Service {
+	i, ok := slices.BinarySearchFunc(v.Services, id, func(s Service, id ServiceID) int {
+		return cmp.Compare(s.ID, id)
+	})
+	if !ok {
+		return nil
+	}
+	return &v.Services[i]
+}
 
 // UpstreamByID returns the upstream with the given ID, or nil.
-func (v *Version) UpstreamByID(id UpstreamID) *Upstream { return v.upstream[id] }
+func (v *Version) UpstreamByID(id UpstreamID) *Upstream {
+	if i, ok := v.upstream[id]; ok {
+		return &v.Upstream[i]
+	}
+	return nil
+}
 
 // MemberByID returns the member with the given ID, or nil.
-func (v *Version) MemberByID(id MemberID) *Member { return v.members[id] }
+func (v *Version) MemberByID(id MemberID) *Member {
+	if i, ok := v.members[id]; ok {
+		return &v.Members[i]
+	}
+	return nil
+}
 
 // MemberByName returns the newest member called name, or nil.
 func (v *Version) MemberByName(name string) *Member {
