--- a/internal/version/state/sheet.go
+++ b/internal/version/state/sheet.go
@@ -50,7 +50,7 @@
 	})
 	m.sheet = SheetRecord{
 		Ref:       version.SheetRef{Number: c.Number, Digest: c.Digest},
-		Canonical: c.Canonical,
+		Canonical: s.Canonical(),
 		Operator:  c.Operator,
 		At:        c.At,
 	}
--- a/internal/version/state/snapshot.go
+++ b/internal/version/state/snapshot.go
@@ -193,7 +193,6 @@
 }
 
 func (m *Machine) loadSheet(canonical []byte) error {
-	m.sheet.Canonical = canonical
 	if m.sheet.Ref.Number == 0 {
 		return nil
 	}
@@ -204,6 +203,7 @@
 	if s.Ref() != m.sheet.Ref {
 		return result.Errorf(result.StorageCorrupt, "the sheet in a snapshot does not match its digest")
 	}
+	m.sheet.Canonical = s.Canonical()
 	m.loadRows(s)
 	return nil
 }
