Add the leader's policy for leases, health, owners and bases

Cause: somebody must turn heartbeats, announcements, probes and load reports into commands, without haste and without mass ejection. Change: internal/version/roster, a step function: member and announcement leases, two-step owner and base changes with a bounded wait, health by quorum of observers with doubling hold-down and a floor, slow start, smoothed load, pending guards and a command rate, Explain for operators. The rapid test first failed on renewals that a removed member passed on and the leader dropped; renewals now count whoever passes them on. Measured: nothing yet. Conclusion: the policy is usable; its cost at the target size is to be measured.

--- /dev/null
+++ b/internal/version/roster/base.go
@@ -0,0 +1,111 @@
+package roster
+
+import (
+	"slices"
+	"time"
+
+	"heatherport/internal/version"
+	"heatherport/internal/version/state"
+)
+
+// Timing of base changes.
+const (
+	// BaseQuiet is how long the current ranking must stand before it may
+	// become the base.
+	BaseQuiet = 2 * time.Second
+	// BaseMaxWait is how long slow start and further changes may put a
+	// change of the base off.
+	BaseMaxWait = 30 * time.Second
+)
+
+// serviceView is what the leader knows of a service.
+type serviceView struct {
+	current      version.Ranking
+	currentSince time.Duration
+	diverged     bool // the current ranking differs from the base
+	divergedAt   time.Duration
+	preparedAt   stamp
+
+	// Counted anew in each tick.
+	open    int // upstreams that may receive new connections if healthy
+	ejected int // of these, the unhealthy ones
+	ramping int // of these, the healthy ones in slow start
+}
+
+func (r *Roster) syncServices() {
+	for i := range r.version.Services {
+		s := &r.version.Services[i]
+		view := r.services[s.ID]
+		if view == nil {
+			view = &serviceView{}
+			r.services[s.ID] = view
+		}
+		view.sync(r.now, s)
+	}
+	if len(r.services) == len(r.version.Services) {
+		return
+	}
+	for id := range r.services {
+		if r.version.ServiceByID(id) == nil {
+			delete(r.services, id)
+		}
+	}
+}
+
+func (s *serviceView) sync(now time.Duration, service *version.Service) {
+	if !sameRanking(s.current, service.Current) {
+		s.current = service.Current
+		s.currentSince = now
+	}
+	diverged := !sameRanking(service.Current, service.Base)
+	if diverged && !s.diverged {
+		s.divergedAt = now
+	}
+	s.diverged = diverged
+}
+
+// sameRanking is slices.Equal, fast for rankings that share their memory.
+func sameRanking(a, b version.Ranking) bool {
+	if len(a) == len(b) && len(a) > 0 && &a[0] == &b[0] {
+		return true
+	}
+	return slices.Equal(a, b)
+}
+
+// changeBases prepares the base of services whose current ranking has come to
+// rest, and advances it once all members have settled.
+func (r *Roster) changeBases() {
+	for i := range r.version.Services {
+		s := &r.version.Services[i]
+		if s.NextBase != nil {
+			r.advanceBase(s)
+			continue
+		}
+		if view := r.services[s.ID]; view.diverged {
+			r.prepareBase(s, view)
+		}
+	}
+}
+
+func (r *Roster) prepareBase(s *version.Service, view *serviceView) {
+	quiet := r.now-view.currentSince >= BaseQuiet && view.ramping == 0
+	overdue := r.now-view.divergedAt >= BaseMaxWait
+	if len(s.Current) == 0 || !quiet && !overdue {
+		return
+	}
+	key := pendingKey{kind: proposePrepareBase, subject: uint32(s.ID)}
+	r.propose(key, state.Command{PrepareBase: &state.PrepareBase{Service: s.ID}})
+}
+
+func (r *Roster) advanceBase(s *version.Service) {
+	since := r.services[s.ID].preparedAt.see(r.now, s.PreparedAt)
+	cause, ok := r.settled(s.PreparedAt, since)
+	if !ok {
+		return
+	}
+	c := state.AdvanceBase{Service: s.ID, Prepared: s.PreparedAt, Cause: cause}
+	key := pendingKey{kind: proposeAdvanceBase, subject: uint32(s.ID), arg: s.PreparedAt}
+	if r.propose(key, state.Command{AdvanceBase: &c}) {
+		r.countWait(cause)
+	}
+}
--- /dev/null
+++ b/internal/version/roster/member.go
@@ -0,0 +1,168 @@
+package roster
+
+import (
+	"time"
+
+	"heatherport/internal/result"
+	"heatherport/internal/version"
+	"heatherport/internal/version/state"
+)
+
+// memberView is what the leader knows of a member.
+type memberView struct {
+	leaseUntil time.Duration
+	applied    uint64
+	settled    uint64
+	seenAt     uint64 // index of the version that first showed the member
+}
+
+// Heartbeat renews the lease of the sender and takes over its report. Renewals
+// of upstreams count whoever passes them on; the rest only from a member.
+func (r *Roster) Heartbeat(now time.Duration, hb *Heartbeat) HeartbeatReply {
+	if !r.Leading() {
+		return HeartbeatReply{Code: result.NoLeader}
+	}
+	for i := range hb.Renewals {
+		r.renew(now, &hb.Renewals[i])
+	}
+	reply := HeartbeatReply{Code: r.checkMember(hb), Index: r.version.Index}
+	if reply.Code != result.OK {
+		r.stats.UnknownMembers++
+		return reply
+	}
+	m := r.members[hb.Member]
+	m.leaseUntil = max(m.leaseUntil, now+MemberLease)
+	m.applied = max(m.applied, hb.Applied)
+	m.settled = max(m.settled, hb.Settled)
+	for i := range hb.Observations {
+		r.observe(now, hb.Member, &hb.Observations[i])
+	}
+	reply.Lease = MemberLease
+	return reply
+}
+
+func (r *Roster) checkMember(hb *Heartbeat) result.Code {
+	b := r.version.MemberByID(hb.Member)
+	if b == nil && hb.Applied > r.version.Index {
+		return result.NotInForceYet
+	}
+	if b == nil || b.Name != hb.Name || b.Incarnation != hb.Incarnation {
+		return result.MemberUnknown
+	}
+	return result.OK
+}
+
+// syncMembers gives each new member a full lease.
+func (r *Roster) syncMembers() {
+	for i := range r.version.Members {
+		id := r.version.Members[i].ID
+		if r.members[id] == nil {
+			r.members[id] = &memberView{leaseUntil: r.now + MemberLease, seenAt: r.version.Index}
+		}
+	}
+	for id := range r.members {
+		if r.version.MemberByID(id) == nil {
+			delete(r.members, id)
+		}
+	}
+}
+
+func (r *Roster) memberLeased(id version.MemberID) bool {
+	m := r.members[id]
+	return m != nil && m.leaseUntil > r.now
+}
+
+// lapseMembers removes the members whose lease ran out.
+func (r *Roster) lapseMembers() {
+	for i := range r.version.Members {
+		id := r.version.Members[i].ID
+		if r.memberLeased(id) {
+			continue
+		}
+		c := state.RemoveMember{ID: id, Cause: state.CauseLeaseLapsed}
+		if r.propose(pendingKey{kind: proposeRemoveMember, subject: uint32(id)}, state.Command{RemoveMember: &c}) {
+			r.stats.MembersLapsed++
+		}
+	}
+}
+
+// changeOwners prepares owners when members that have caught up join or when
+// owners leave, and activates them once all members have settled.
+func (r *Roster) changeOwners() {
+	owners := &r.version.Owners
+	if owners.Next == nil {
+		if r.ownersOutdated() {
+			key := pendingKey{kind: proposePrepareOwners, arg: owners.Epoch}
+			r.propose(key, state.Command{PrepareOwners: &state.PrepareOwners{}})
+		}
+		return
+	}
+	since := r.ownersAt.see(r.now, owners.PreparedAt)
+	cause, ok := r.settled(owners.PreparedAt, since)
+	if !ok {
+		return
+	}
+	c := state.ActivateOwners{Prepared: owners.PreparedAt, Cause: cause}
+	key := pendingKey{kind: proposeActivateOwners, arg: owners.PreparedAt}
+	if r.propose(key, state.Command{ActivateOwners: &c}) {
+		r.countWait(cause)
+	}
+}
+
+func (r *Roster) ownersOutdated() bool {
+	owner := make(map[version.MemberID]bool, len(r.version.Owners.Current))
+	for _, id := range r.version.Owners.Current {
+		owner[id] = true
+	}
+	for i := range r.version.Members {
+		b := &r.version.Members[i]
+		switch {
+		case b.State == version.MemberLeaving:
+			if owner[b.ID] && r.otherOwner(b.ID) {
+				return true
+			}
+		case !owner[b.ID] && r.caughtUp(b.ID):
+			return true
+		}
+	}
+	return false
+}
+
+// otherOwner reports whether a member besides id could own connections.
+func (r *Roster) otherOwner(id version.MemberID) bool {
+	for i := range r.version.Members {
+		b := &r.version.Members[i]
+		if b.ID != id && b.State != version.MemberLeaving {
+			return true
+		}
+	}
+	return false
+}
+
+// caughtUp reports whether a member has applied the version that it joined at.
+func (r *Roster) caughtUp(id version.MemberID) bool {
+	m := r.members[id]
+	return m != nil && r.memberLeased(id) && m.applied >= m.seenAt
+}
+
+// settled reports whether all members with a lease have settled the version at
+// index, or have been waited for long enough since the given time.
+func (r *Roster) settled(index uint64, since time.Duration) (state.Cause, bool) {
+	waiting := false
+	for id, m := range r.members {
+		if r.memberLeased(id) && m.settled < index {
+			waiting = true
+			break
+		}
+	}
+	if !waiting {
+		return state.CauseSettled, true
+	}
+	return state.CauseWaitExceeded, r.now-since >= SettleWait
+}
+
+func (r *Roster) countWait(cause state.Cause) {
+	if cause == state.CauseWaitExceeded {
+		r.stats.WaitsExceeded++
+	}
+}
--- /dev/null
+++ b/internal/version/roster/roster_test.go
@@ -0,0 +1,347 @@
+package roster_test
+
+import (
+	"flag"
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"heatherport/internal/result"
+	"heatherport/internal/version"
+	"heatherport/internal/version/roster"
+	"heatherport/internal/version/sheet"
+	"heatherport/internal/version/state"
+)
+
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "100", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// tick is the time between two ticks of the tests.
+const tick = 250 * time.Millisecond
+
+// leader is a roster whose commands take effect at once.
+type leader struct {
+	t        must.T
+	machine  *state.Machine
+	roster   *roster.Roster
+	now      time.Duration
+	members  []version.MemberID // that send heartbeats
+	silent   map[string]bool    // upstreams that do not renew
+	failing  map[version.UpstreamID]bool
+	load     uint8
+	unsettle bool // heartbeats report nothing as settled
+	log      []state.Command
+	onApply  func(state.Command)
+}
+
+// newLeader returns a leader with members and one service with upstreams.
+func newLeader(t must.T, members, upstreams int) *leader {
+	l := &leader{
+		t:       t,
+		machine: state.New(),
+		roster:  roster.New(),
+		silent:  make(map[string]bool),
+		failing: make(map[version.UpstreamID]bool),
+		onApply: func(state.Command) {},
+	}
+	rows := []string{"version,1", "service,a,192.0.2.1,tcp,443,1m,no"}
+	for i := range upstreams {
+		rows = append(rows, fmt.Sprintf("upstream,a,u%d,active,2,100", i))
+	}
+	s, err := sheet.Parse(strings.NewReader(strings.Join(rows, "\n")))
+	must.NoError(t, err)
+	l.apply(state.Command{SubmitSheet: &state.SubmitSheet{Number: 1, Digest: s.Digest(), Canonical: s.Canonical()}})
+	l.roster.Reset(l.now, l.machine.Version())
+	for i := range upstreams {
+		l.announce(i)
+	}
+	for i := range members {
+		l.members = append(l.members, l.join(i))
+	}
+	return l
+}
+
+func (l *leader) apply(c state.Command) state.Outcome {
+	l.t.Helper()
+	o := l.machine.Apply(l.machine.Index()+1, c)
+	must.Eq(l.t, result.OK, o.Code, must.Sprint(o.Detail))
+	return o
+}
+
+func (l *leader) join(i int) version.MemberID {
+	return l.apply(state.Command{JoinMember: &state.JoinMember{
+		Name:  fmt.Sprint("lb", i),
+		Relay: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}), 7000),
+	}}).Member
+}
+
+func (l *leader) announce(i int) roster.AnnounceReply {
+	reply := l.roster.Announce(l.now, l.machine, &roster.Announcement{
+		Name:    fmt.Sprint("u", i),
+		Service: "a",
+		Addr:    netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 5555),
+	})
+	must.Eq(l.t, result.OK, reply.Code)
+	if reply.Command != nil {
+		l.apply(*reply.Command)
+	}
+	return reply
+}
+
+func (l *leader) heartbeat(id version.MemberID) result.Code {
+	v := l.machine.Version()
+	hb := &roster.Heartbeat{Member: id, Applied: v.Index, Settled: v.Index}
+	if b := v.MemberByID(id); b != nil {
+		hb.Name = b.Name
+	}
+	if l.unsettle {
+		hb.Settled = 0
+	}
+	for i := range v.Upstream {
+		u := &v.Upstream[i]
+		o := roster.Observation{Upstream: u.ID, Passed: 9}
+		if l.failing[u.ID] {
+			o.Passed, o.Failed = 0, 3
+		}
+		hb.Observations = append(hb.Observations, o)
+		if !l.silent[u.Name] {
+			hb.Renewals = append(hb.Renewals, roster.Renewal{Name: u.Name, LoadFactor: l.load})
+		}
+	}
+	return l.roster.Heartbeat(l.now, hb).Code
+}
+
+// run lets d pass, with heartbeats and a tick in each step.
+func (l *leader) run(d time.Duration) {
+	for end := l.now + d; l.now < end; {
+		l.now += tick
+		for _, id := range l.members {
+			l.heartbeat(id)
+		}
+		l.step()
+	}
+}
+
+// step makes one tick and applies its commands.
+func (l *leader) step() {
+	for _, c := range l.roster.Tick(l.now, l.machine.Version()) {
+		l.log = append(l.log, c)
+		l.onApply(c)
+		l.machine.Apply(l.machine.Index()+1, c)
+	}
+}
+
+func (l *leader) service() *version.Service  { return &l.machine.Version().Services[0] }
+func (l *leader) owners() []version.MemberID { return l.machine.Version().Owners.Current }
+func (l *leader) upstream(i int) *version.Upstream {
+	return &l.machine.Version().Upstream[i]
+}
+
+// unhealthy returns the number of upstreams that are out on health.
+func (l *leader) unhealthy() int {
+	n := 0
+	for _, u := range l.machine.Version().Upstream {
+		if !u.Healthy {
+			n++
+		}
+	}
+	return n
+}
+
+func TestBootstrap(t *testing.T) {
+	l := newLeader(t, 8, 15)
+	l.run(time.Second)
+	must.Eq(t, l.members, l.owners())
+	l.run(30 * time.Second)
+	must.Len(t, 15, l.service().Base)
+	must.Eq(t, l.service().Current, l.service().Base)
+	for _, w := range l.service().Current {
+		must.Eq(t, 2*version.WeightPerSlot, w.Weight)
+	}
+	quiet := len(l.log)
+	l.run(time.Minute)
+	must.Len(t, quiet, l.log, must.Sprint("a system at rest proposes nothing"))
+	must.Len(t, 0, l.roster.Explain(l.upstream(0).ID).Findings)
+}
+
+func TestDeadMemberIsRemovedAfterLease(t *testing.T) {
+	l := newLeader(t, 3, 1)
+	l.run(5 * time.Second)
+	l.members = l.members[:2]
+	l.run(roster.MemberLease - tick)
+	must.Len(t, 3, l.owners())
+	l.run(2 * tick)
+	must.Eq(t, l.members, l.owners())
+	must.Eq(t, 1, l.roster.Stats().MembersLapsed)
+}
+
+func TestLeavingMemberIsReplacedOnceSettled(t *testing.T) {
+	l := newLeader(t, 3, 1)
+	l.run(5 * time.Second)
+	l.unsettle = true
+	l.apply(state.Command{LeaveMember: &state.LeaveMember{ID: l.members[0]}})
+	// Heartbeats that report nothing as settled do not lower what was.
+	l.run(roster.SettleWait - tick)
+	must.Len(t, 3, l.owners())
+	must.Len(t, 2, l.machine.Version().Owners.Next)
+	l.run(4 * tick)
+	must.Eq(t, l.members[1:], l.owners())
+	must.Eq(t, 1, l.roster.Stats().WaitsExceeded)
+}
+
+func TestResetGivesFullLeases(t *testing.T) {
+	l := newLeader(t, 3, 3)
+	l.run(5 * time.Second)
+	l.now += time.Hour
+	l.roster.Reset(l.now, l.machine.Version())
+	for range int(roster.MemberLease/tick) - 1 {
+		l.now += tick
+		l.step()
+	}
+	must.Len(t, 3, l.owners())
+	l.roster.Stop()
+	l.now += time.Hour
+	must.Len(t, 0, l.roster.Tick(l.now, l.machine.Version()))
+	must.Eq(t, result.NoLeader, l.roster.Heartbeat(l.now, &roster.Heartbeat{}).Code)
+}
+
+func TestTickGapExtendsLeases(t *testing.T) {
+	l := newLeader(t, 3, 3)
+	l.run(5 * time.Second)
+	l.now += time.Minute
+	l.step()
+	must.Len(t, 3, l.owners())
+	must.Eq(t, 1, l.roster.Stats().TickGaps)
+}
+
+func TestAnnouncementLease(t *testing.T) {
+	l := newLeader(t, 3, 3)
+	l.run(20 * time.Second)
+	l.silent["u0"] = true
+	l.run(roster.AnnounceLease + tick)
+	must.False(t, l.upstream(0).Leased)
+	must.Len(t, 2, l.service().Current)
+	must.Eq(t, roster.ReasonLeaseLapsed, l.roster.Explain(l.upstream(0).ID).Findings[0].Reason)
+
+	l.silent["u0"] = false
+	l.run(2 * tick)
+	must.True(t, l.upstream(0).Leased)
+	must.Eq(t, 1, l.upstream(0).Ramp)
+
+	// Gone: no lease for the idle timeout, and probes fail.
+	l.silent["u0"] = true
+	l.failing[l.upstream(0).ID] = true
+	l.run(roster.AnnounceLease + time.Minute)
+	must.Len(t, 3, l.machine.Version().Upstream)
+	l.run(time.Second)
+	must.Len(t, 2, l.machine.Version().Upstream)
+}
+
+func TestEjectionHoldsDownAndDoubles(t *testing.T) {
+	l := newLeader(t, 3, 6)
+	l.run(20 * time.Second)
+	id := l.upstream(0).ID
+	for _, hold := range []time.Duration{1, 2, 4} {
+		l.failing[id] = true
+		l.run(2 * tick)
+		must.Eq(t, 1, l.unhealthy())
+		must.Eq(t, roster.ReasonUnhealthy, l.roster.Explain(id).Findings[0].Reason)
+		must.Len(t, 3, l.roster.Explain(id).Findings[0].Observers)
+		l.failing[id] = false
+		l.run(hold*roster.MinHoldDown - 2*tick)
+		must.Eq(t, 1, l.unhealthy())
+		must.Eq(t, roster.ReasonHoldDown, l.roster.Explain(id).Findings[0].Reason)
+		l.run(4 * tick)
+		must.Eq(t, 0, l.unhealthy())
+	}
+}
+
+func TestFloorAgainstMassEjection(t *testing.T) {
+	for upstreams, want := range map[int]int{1: 0, 2: 0, 3: 1, 4: 1, 15: 5} {
+		l := newLeader(t, 3, upstreams)
+		l.run(20 * time.Second)
+		for i := range upstreams {
+			l.failing[l.upstream(i).ID] = true
+		}
+		l.run(10 * time.Second)
+		must.Eq(t, want, l.unhealthy(), must.Sprint(upstreams, " upstreams"))
+		must.Eq(t, uint64(upstreams-want), l.roster.Stats().FloorKept)
+		kept := l.roster.Explain(l.upstream(upstreams - 1).ID)
+		must.Eq(t, roster.ReasonFloor, kept.Findings[0].Reason)
+	}
+}
+
+func TestOneObserverDoesNotEject(t *testing.T) {
+	l := newLeader(t, 5, 3)
+	l.run(20 * time.Second)
+	id := l.upstream(0).ID
+	liar := l.members[0]
+	b := l.machine.Version().MemberByID(liar)
+	for range 20 {
+		l.run(tick)
+		l.roster.Heartbeat(l.now, &roster.Heartbeat{
+			Member:       liar,
+			Name:         b.Name,
+			Observations: []roster.Observation{{Upstream: id, Failed: 99, Retransmissions: 99}},
+		})
+		l.step()
+	}
+	must.Eq(t, 0, l.unhealthy())
+}
+
+func TestLoadReportsAreSmoothedAndBounded(t *testing.T) {
+	l := newLeader(t, 3, 3)
+	l.run(20 * time.Second)
+	full := l.service().Current[0].Weight
+	l.load = 255
+	start := len(l.log)
+	l.run(time.Minute)
+	must.LessEq(t, 6, len(l.log)-start-2)
+	must.GreaterEq(t, full/2, l.service().Current[0].Weight)
+	must.Less(t, full*6/10, l.service().Current[0].Weight)
+	l.load = 0
+	l.run(time.Minute)
+	must.Eq(t, full, l.service().Current[0].Weight)
+}
+
+func TestHeartbeatOfUnknownMember(t *testing.T) {
+	l := newLeader(t, 1, 1)
+	l.run(tick)
+	must.Eq(t, result.MemberUnknown, l.roster.Heartbeat(l.now, &roster.Heartbeat{Member: 9, Name: "lb9"}).Code)
+	must.Eq(t, result.MemberUnknown, l.roster.Heartbeat(l.now, &roster.Heartbeat{Member: 1, Name: "lb0", Incarnation: 7}).Code)
+	must.Eq(t, result.NotInForceYet, l.roster.Heartbeat(l.now, &roster.Heartbeat{Member: 9, Name: "lb9", Applied: 1 << 40}).Code)
+}
+
+func TestPendingCommandIsNotRepeated(t *testing.T) {
+	l := newLeader(t, 3, 3)
+	l.run(20 * time.Second)
+	l.failing[l.upstream(0).ID] = true
+	l.members = l.members[:2]
+	v := l.machine.Version()
+	seen := make(map[string]time.Duration)
+	for range 40 {
+		l.now += tick
+		for _, id := range l.members {
+			l.heartbeat(id)
+		}
+		for _, c := range l.roster.Tick(l.now, v) {
+			data, err := state.EncodeCommand(c)
+			must.NoError(t, err)
+			last, again := seen[string(data)]
+			must.True(t, !again || l.now-last >= roster.PendingTimeout)
+			seen[string(data)] = l.now
+		}
+	}
+	must.MapLen(t, 2, seen)
+}
