Keep connections of upstreams that a sheet drops

Cause: on review, an upstream that a new sheet drops would have had its announcements refused, so its lease would have lapsed after 10 s with its connections; its last incarnation was forgotten as well, so a late older one could have replaced it. While many bases are being prepared, each looked at all members anew. Change: an announcement of a registered, unlisted identity renews it; its incarnation is kept while it is registered; the settled index is counted once in a tick; load is passed on every 30 s at most, since each change moves the base. The package comment says how a service moves to another address. Tested: TestUnlistedUpstreamStaysWhileItAnnounces; the oracle also holds that incarnations never go back; -race, vet, staticcheck: pass.

--- a/internal/version/roster/member.go
+++ b/internal/version/roster/member.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"math"
 	"time"
 
 	"heatherport/internal/result"
@@ -145,17 +146,20 @@
 	return m != nil && r.memberLeased(id) && m.applied >= m.seenAt
 }
 
-// settled reports whether all members with a lease have settled the version at
-// index, or have been waited for long enough since the given time.
-func (r *Roster) settled(index uint64, since time.Duration) (state.Cause, bool) {
-	waiting := false
+// countSettled finds the index that all members with a lease have settled.
+func (r *Roster) countSettled() {
+	r.settledIndex = math.MaxUint64
 	for id, m := range r.members {
-		if r.memberLeased(id) && m.settled < index {
-			waiting = true
-			break
+		if r.memberLeased(id) {
+			r.settledIndex = min(r.settledIndex, m.settled)
 		}
 	}
-	if !waiting {
+}
+
+// settled reports whether all members with a lease have settled the version at
+// index, or have been waited for long enough since the given time.
+func (r *Roster) settled(index uint64, since time.Duration) (state.Cause, bool) {
+	if r.settledIndex >= index {
 		return state.CauseSettled, true
 	}
 	return state.CauseWaitExceeded, r.now-since >= SettleWait
--- a/internal/version/roster/roster.go
+++ b/internal/version/roster/roster.go
@@ -46,6 +46,8 @@
 	names     map[string]*upstreamView
 	services  map[version.ServiceID]*serviceView
 	ownersAt  stamp // when the owners being prepared were first seen
+	// settledIndex is the index that all members with a lease have settled.
+	settledIndex uint64
 
 	pending map[pendingKey]time.Duration
 	tokens  float64
@@ -137,6 +139,7 @@
 	r.sync(v)
 	r.out = nil
 	r.lapseMembers()
+	r.countSettled()
 	r.changeOwners()
 	r.changeUpstreams()
 	r.changeBases()
--- a/internal/version/roster/upstream.go
+++ b/internal/version/roster/upstream.go
@@ -20,7 +20,7 @@
 	// LoadStep is the change of the smoothed load that is passed on.
 	LoadStep = 32
 	// LoadInterval is the least time between changes passed on.
-	LoadInterval = 10 * time.Second
+	LoadInterval = 30 * time.Second
 )
 
 // upstreamView is what the leader knows of an upstream.
--- a/internal/version/state/machine.go
+++ b/internal/version/state/machine.go
@@ -2,6 +2,14 @@
 // log go in, versions and audit records come out. It reads no clock and draws
 // no random numbers, so that all replicas that apply the same commands hold
 // the same state.
+//
+// A service is the same as long as its name and its address, port and protocol
+// stay. A sheet that drops or moves a service retires the old one: it receives
+// no new connections, and its upstreams stay with it, under the same identity,
+// as long as they announce themselves. An upstream belongs to one service at a
+// time; it moves to another one with its next incarnation. An operator who
+// moves a service therefore lists it at the new address with new upstreams
+// first, and drops the old one later.
 package state
 
 import (
--- a/internal/version/state/machine_rapid_test.go
+++ b/internal/version/state/machine_rapid_test.go
@@ -24,8 +24,9 @@
 	upstreams map[version.UpstreamID]string // identities ever seen
 	services  map[version.ServiceID]string
 	members   map[version.MemberID]string
-	live      map[uint32]bool // upstream IDs in the last version
-	gone      map[uint32]bool // upstream IDs that have left it
+	live      map[uint32]bool   // upstream IDs in the last version
+	gone      map[uint32]bool   // upstream IDs that have left it
+	newest    map[string]uint64 // incarnations in the last version
 }
 
 func newWorld(t must.T) *world {
@@ -157,6 +158,7 @@
 func (w *world) checkUpstreams(t *rapid.T, v *version.Version) {
 	addrs := make(map[netip.AddrPort]bool)
 	now := make(map[uint32]bool)
+	newest := make(map[string]uint64)
 	for _, u := range v.Upstream {
 		must.False(t, addrs[u.Addr], must.Sprintf("address %s names two identities", u.Addr))
 		addrs[u.Addr] = true
@@ -164,7 +166,10 @@
 		remember(t, w.upstreams, u.ID, fmt.Sprintf("%s %d %s %d", u.Name, u.Incarnation, u.Addr, u.Service))
 		must.False(t, w.gone[uint32(u.ID)], must.Sprint("an ID came back"))
 		now[uint32(u.ID)] = true
+		must.GreaterEq(t, w.newest[u.Name], u.Incarnation)
+		newest[u.Name] = u.Incarnation
 	}
+	w.newest = newest
 	for id := range w.live {
 		if !now[id] {
 			w.gone[id] = true
--- a/internal/version/state/machine_test.go
+++ b/internal/version/state/machine_test.go
@@ -169,6 +169,26 @@
 	must.Greater(t, taken.Upstream, newer.Upstream)
 }
 
+func TestUnlistedUpstreamStaysWhileItAnnounces(t *testing.T) {
+	r := newReplica(t)
+	r.want(result.OK, submit(t, 1, rowA, rowA1, rowA2))
+	id := r.want(result.OK, register("a", "a1", "10.0.0.1:5555", 5)).Upstream
+	r.want(result.OK, submit(t, 2, rowA, rowA2))
+	again := r.want(result.OK, register("a", "a1", "10.0.0.1:5555", 5))
+	must.Eq(t, id, again.Upstream)
+	must.Eq(t, version.Leaving, r.Version().UpstreamByID(id).State)
+	r.want(result.UpstreamNotInSheet, register("a", "a1", "10.0.0.1:5555", 6))
+
+	// The incarnation is remembered, and the identity comes back.
+	r.want(result.OK, submit(t, 3, rowA, rowA1, rowA2))
+	r.want(result.IncarnationStale, register("a", "a1", "10.0.0.1:5555", 4))
+	must.Len(t, 1, r.Version().Services[0].Current)
+
+	r.want(result.OK, submit(t, 4, rowA, rowA2))
+	r.want(result.OK, status(state.StatusUpdate{ID: id, Leased: new(false)}))
+	must.Nil(t, r.Version().UpstreamByID(id))
+}
+
 func TestBaseFollowsCurrentInTwoSteps(t *testing.T) {
 	r := newReplica(t)
 	r.want(result.OK, submit(t, 1, rowA, rowA1, rowA2))
--- a/internal/version/state/sheet.go
+++ b/internal/version/state/sheet.go
@@ -61,14 +61,14 @@
 }
 
 // loadRows indexes the upstream rows of s and forgets the incarnations of
-// names that it does not list.
+// names that it does not list and that are not registered.
 func (m *Machine) loadRows(s *sheet.Sheet) {
 	m.rows = make(map[string]sheet.Upstream, len(s.Upstreams))
 	for _, row := range s.Upstreams {
 		m.rows[row.Name] = row
 	}
 	for name := range m.incarnations.last {
-		if _, ok := m.rows[name]; !ok {
+		if _, ok := m.rows[name]; !ok && m.names[name] == nil {
 			m.incarnations.drop(name)
 		}
 	}
--- a/internal/version/state/upstream.go
+++ b/internal/version/state/upstream.go
@@ -34,6 +34,11 @@
 		return r, refuse(result.BadAnnouncement, "addr %s is not a unicast address and port", c.Addr)
 	}
 	r.addr = addr
+	r.older = m.names[c.Name]
+	if u := r.older; u != nil && !u.Listed && u.announcedAs(c, addr) {
+		r.same = u
+		return r, Outcome{Upstream: u.ID}
+	}
 	if r.row, ok = m.rows[c.Name]; !ok || r.row.Service != c.Service {
 		return r, refuse(result.UpstreamNotInSheet, "sheet %d lists no upstream %q of service %q",
 			m.sheet.Ref.Number, c.Name, c.Service)
@@ -42,7 +47,6 @@
 	if last := m.incarnations.last[c.Name]; c.Incarnation < last {
 		return r, refuse(result.IncarnationStale, "incarnation %d of %q, %d is known", c.Incarnation, c.Name, last)
 	}
-	r.older = m.names[c.Name]
 	if u := r.older; u != nil && u.Incarnation == c.Incarnation && u.service == r.service {
 		if u.Addr != addr {
 			return r, refuse(result.IncarnationConflict, "incarnation %d of %q is at %s", c.Incarnation, c.Name, u.Addr)
@@ -60,6 +64,11 @@
 	return r, Outcome{}
 }
 
+// announcedAs reports whether c announces the identity u again.
+func (u *upstream) announcedAs(c *RegisterUpstream, addr netip.AddrPort) bool {
+	return u.Incarnation == c.Incarnation && u.service.Name == c.Service && u.Addr == addr
+}
+
 // endpoint returns a in its plain form and whether packets can be sent to it.
 func endpoint(a netip.AddrPort) (netip.AddrPort, bool) {
 	addr := a.Addr().Unmap()
@@ -95,7 +104,9 @@
 	}
 	u.announced = c.Slots
 	u.LoadFactor = c.LoadFactor
-	u.applyRow(m.rows[u.Name])
+	if u.Listed {
+		u.applyRow(m.rows[u.Name])
+	}
 	m.recordUpstream(o, u, before, CauseAnnounced)
 }
 
