Hold the ejection floor in the state machine; survive lost commands

Cause: commands of an earlier leader may take effect late, so the leader alone cannot promise the floor against mass ejection. Change: a status that marks an upstream unhealthy is applied only within the floor; the roster gives a full lease whenever the version shows a lease anew. version.go gains Upstream.Open, MaxEjectedShare and MayEject. Tested: the rapid test also holds that a service with three open upstreams keeps an eligible one, and that all becomes whole after faults end; a table test for the floor in the state machine. Conclusion: the floor holds whoever leads.

--- a/internal/version/roster/health.go
+++ b/internal/version/roster/health.go
@@ -29,9 +29,6 @@
 	MembersForMinObservers = 3
 	// MaxObservers bounds the observers that are kept for each upstream.
 	MaxObservers = 16
-	// MaxEjectedShare is the divisor of the share of a service's upstreams
-	// that may be ejected on health alone: a third.
-	MaxEjectedShare = 3
 	// MinHoldDown is how long an ejected upstream stays out at least. It
 	// doubles with each ejection within FlapWindow, up to MaxHoldDown.
 	MinHoldDown = 5 * time.Second
@@ -148,7 +145,7 @@
 		return
 	}
 	failing := r.unhealthy(r.poll(u))
-	if failing && u.open() && !r.mayEject(u.service) {
+	if failing && u.Open() && !version.MayEject(u.service.open, u.service.ejected) {
 		r.keep(u)
 		return
 	}
@@ -156,7 +153,7 @@
 	if !failing || u.sent.healthy.pending(r.now, bit(false)) {
 		return
 	}
-	if u.open() {
+	if u.Open() {
 		u.service.ejected++
 	}
 	u.health.eject(r.now)
@@ -164,11 +161,7 @@
 	r.update(u, state.StatusUpdate{Healthy: new(false), Cause: state.CauseProbesFailed})
 }
 
-// mayEject is the floor against mass ejection.
-func (r *Roster) mayEject(s *serviceView) bool {
-	return MaxEjectedShare*(s.ejected+1) <= s.open
-}
-
+// keep notes that the floor against mass ejection keeps u.
 func (r *Roster) keep(u *upstreamView) {
 	if !u.health.kept {
 		u.health.kept = true
@@ -198,7 +191,7 @@
 // is over and a majority sees it pass, or nobody observes it, or the service
 // has no other upstream left.
 func (r *Roster) mayReadmit(u *upstreamView) bool {
-	if u.open() && u.service.ejected == u.service.open {
+	if u.Open() && u.service.ejected == u.service.open {
 		return true
 	}
 	if r.now-u.health.since < max(u.health.holdDown, MinHoldDown) {
--- a/internal/version/roster/roster_rapid_test.go
+++ b/internal/version/roster/roster_rapid_test.go
@@ -26,41 +26,23 @@
 		memberAt:   make(map[version.MemberID]time.Duration),
 		upstreamAt: make(map[version.UpstreamID]time.Duration),
 	}
-	o.onApply = func(c state.Command) { o.check(t, c) }
+	o.proposed = func(c state.Command) { o.check(t, c) }
 	return o
 }
 
-// check fails on a command that comes too early or ejects too many.
+// check fails on a command that comes too early.
 func (o *oracle) check(t *rapid.T, c state.Command) {
 	if c.RemoveMember != nil {
 		must.GreaterEq(t, roster.MemberLease, o.now-o.memberAt[c.RemoveMember.ID])
 	}
-	if c.UpstreamStatus != nil {
-		o.checkUpdates(t, c.UpstreamStatus.Updates)
+	if c.UpstreamStatus == nil {
+		return
 	}
-}
-
-func (o *oracle) checkUpdates(t *rapid.T, updates []state.StatusUpdate) {
-	v := o.machine.Version()
-	open, out := 0, 0
-	for _, u := range v.Upstream {
-		if u.Leased {
-			open++
-			if !u.Healthy {
-				out++
-			}
-		}
-	}
-	ejected := 0
-	for _, c := range updates {
+	for _, c := range c.UpstreamStatus.Updates {
 		if c.Leased != nil && !*c.Leased {
 			must.GreaterEq(t, roster.AnnounceLease, o.now-o.upstreamAt[c.ID])
 		}
-		if c.Healthy != nil && !*c.Healthy && v.UpstreamByID(c.ID).Leased {
-			ejected++
-		}
 	}
-	must.True(t, ejected == 0 || roster.MaxEjectedShare*(out+ejected) <= open)
 }
 
 // beat sends the heartbeat of one member.
@@ -120,9 +102,24 @@
 	}
 }
 
-// invariants hold in every state: reports lower a weight to no less than half.
+// lose drops the commands in flight, as a change of the leader may, and delays
+// later ones.
+func (o *oracle) lose(t *rapid.T) {
+	o.queue = nil
+	o.delay = time.Duration(rapid.IntRange(0, 20).Draw(t, "delay")) * tick
+}
+
+// invariants hold in every state: reports lower a weight to no less than half,
+// and a service with a lease keeps an eligible upstream.
 func (o *oracle) invariants(t *rapid.T) {
 	v := o.machine.Version()
+	open := 0
+	for i := range v.Upstream {
+		if v.Upstream[i].Open() {
+			open++
+		}
+	}
+	must.True(t, open < 3 || len(v.Services[0].Current) > 0 || o.unhealthy() == len(v.Upstream))
 	for _, s := range v.Services {
 		for _, w := range s.Current {
 			u := v.UpstreamByID(w.Upstream)
@@ -147,7 +144,36 @@
 			"break":   o.breakUpstream,
 			"reset":   o.reset,
 			"rejoin":  o.rejoin,
+			"lose":    o.lose,
 			"":        o.invariants,
 		})
+		o.converge(t)
 	})
 }
+
+// converge ends all faults and checks that the state becomes whole again.
+func (o *oracle) converge(t *rapid.T) {
+	clear(o.failing)
+	clear(o.silent)
+	o.load = 0
+	o.delay = tick
+	for range int(2 * roster.MaxHoldDown / time.Second) {
+		o.now += time.Second
+		for i, id := range o.members {
+			if o.machine.Version().MemberByID(id) == nil {
+				o.members[i] = o.join(i)
+			}
+		}
+		o.beatAll(t)
+		o.step()
+	}
+	v := o.machine.Version()
+	must.Len(t, len(o.members), v.Owners.Current)
+	must.Nil(t, v.Owners.Next)
+	must.Eq(t, v.Services[0].Current, v.Services[0].Base)
+	for _, u := range v.Upstream {
+		must.True(t, u.Eligible())
+		must.Eq(t, version.RampFull, u.Ramp)
+		must.Zero(t, u.LoadFactor)
+	}
+}
--- a/internal/version/roster/roster_test.go
+++ b/internal/version/roster/roster_test.go
@@ -30,7 +30,7 @@
 // tick is the time between two ticks of the tests.
 const tick = 250 * time.Millisecond
 
-// leader is a roster whose commands take effect at once.
+// leader is a roster whose commands take effect after a delay.
 type leader struct {
 	t        must.T
 	machine  *state.Machine
@@ -40,20 +40,28 @@
 	silent   map[string]bool    // upstreams that do not renew
 	failing  map[version.UpstreamID]bool
 	load     uint8
-	unsettle bool // heartbeats report nothing as settled
+	unsettle bool          // heartbeats report nothing as settled
+	delay    time.Duration // until a command takes effect
+	queue    []queued
 	log      []state.Command
-	onApply  func(state.Command)
+	proposed func(state.Command)
+}
+
+// queued is a command that takes effect later.
+type queued struct {
+	at      time.Duration
+	command state.Command
 }
 
 // newLeader returns a leader with members and one service with upstreams.
 func newLeader(t must.T, members, upstreams int) *leader {
 	l := &leader{
-		t:       t,
-		machine: state.New(),
-		roster:  roster.New(),
-		silent:  make(map[string]bool),
-		failing: make(map[version.UpstreamID]bool),
-		onApply: func(state.Command) {},
+		t:        t,
+		machine:  state.New(),
+		roster:   roster.New(),
+		silent:   make(map[string]bool),
+		failing:  make(map[version.UpstreamID]bool),
+		proposed: func(state.Command) {},
 	}
 	rows := []string{"version,1", "service,a,192.0.2.1,tcp,443,1m,no"}
 	for i := range upstreams {
@@ -133,12 +141,16 @@
 	}
 }
 
-// step makes one tick and applies its commands.
+// step makes one tick and applies the commands that are due.
 func (l *leader) step() {
 	for _, c := range l.roster.Tick(l.now, l.machine.Version()) {
 		l.log = append(l.log, c)
-		l.onApply(c)
-		l.machine.Apply(l.machine.Index()+1, c)
+		l.proposed(c)
+		l.queue = append(l.queue, queued{l.now + l.delay, c})
+	}
+	for len(l.queue) > 0 && l.queue[0].at <= l.now {
+		l.machine.Apply(l.machine.Index()+1, l.queue[0].command)
+		l.queue = l.queue[1:]
 	}
 }
 
--- a/internal/version/roster/upstream.go
+++ b/internal/version/roster/upstream.go
@@ -159,6 +159,9 @@
 	if u.Leased && !latest.Leased {
 		u.lapsedAt = now
 	}
+	if !u.Leased && latest.Leased {
+		u.leaseUntil = max(u.leaseUntil, now+AnnounceLease)
+	}
 	if u.Healthy != latest.Healthy {
 		u.health.since = now
 	}
@@ -188,7 +191,7 @@
 		s.open, s.ejected, s.ramping = 0, 0, 0
 	}
 	for _, u := range r.upstreams {
-		if !u.open() {
+		if !u.Open() {
 			continue
 		}
 		u.service.open++
@@ -200,11 +203,6 @@
 	}
 }
 
-// open reports whether u may receive new connections if it is healthy.
-func (u *upstreamView) open() bool {
-	return u.Leased && (u.State == version.Active || u.State == version.Joining)
-}
-
 // update adds a status update of u.
 func (r *Roster) update(u *upstreamView, c state.StatusUpdate) {
 	c.ID = u.ID
--- a/internal/version/state/machine_test.go
+++ b/internal/version/state/machine_test.go
@@ -210,11 +210,30 @@
 	must.Eq(t, current, r.Version().Services[0].Base)
 	must.Eq(t, current[:1], r.Version().Services[0].Current)
 
-	r.want(result.OK, status(state.StatusUpdate{ID: one, Healthy: new(false)}))
+	r.want(result.OK, status(state.StatusUpdate{ID: one, Leased: new(false)}))
 	must.Len(t, 0, r.Version().Services[0].Current)
 	r.want(result.NotFound, state.Command{PrepareBase: &state.PrepareBase{Service: id}})
 }
 
+func TestFloorAgainstMassEjection(t *testing.T) {
+	for upstreams, want := range map[int]int{1: 0, 2: 0, 3: 1, 5: 1, 6: 2} {
+		r := newReplica(t)
+		rows := []string{rowA}
+		for i := range upstreams {
+			rows = append(rows, fmt.Sprintf("upstream,a,u%d,active,2,100", i))
+		}
+		r.want(result.OK, submit(t, 1, rows...))
+		for i := range upstreams {
+			o := r.want(result.OK, register("a", fmt.Sprint("u", i), fmt.Sprintf("10.0.0.%d:5555", i+1), 1))
+			r.want(result.OK, status(state.StatusUpdate{ID: o.Upstream, Ramp: new(version.RampFull)}))
+		}
+		for _, u := range r.Version().Upstream {
+			r.want(result.OK, status(state.StatusUpdate{ID: u.ID, Healthy: new(false)}))
+		}
+		must.Len(t, upstreams-want, r.Version().Services[0].Current)
+	}
+}
+
 func TestOwnersInTwoSteps(t *testing.T) {
 	r := newReplica(t)
 	a := r.want(result.OK, join("lb-a", "10.1.0.1:7000", 1)).Member
--- a/internal/version/state/upstream.go
+++ b/internal/version/state/upstream.go
@@ -184,13 +184,34 @@
 		u.LoadFactor = *c.LoadFactor
 	}
 	setStatus(&u.Leased, c.Leased, &u.Ramp)
-	setStatus(&u.Healthy, c.Healthy, &u.Ramp)
+	if c.Healthy == nil || *c.Healthy || u.mayEject() {
+		setStatus(&u.Healthy, c.Healthy, &u.Ramp)
+	}
 	m.recordUpstream(o, u, before, c.Cause)
 	if !u.Leased && !u.Listed {
 		m.dropUpstream(o, u, c.Cause)
 	}
 }
 
+// mayEject is the floor against mass ejection. The leader observes it too, but
+// commands of an earlier leader may still be in the log.
+func (u *upstream) mayEject() bool {
+	if !u.Open() {
+		return true
+	}
+	open, ejected := 0, 0
+	for _, other := range u.service.upstreams {
+		if !other.Open() {
+			continue
+		}
+		open++
+		if !other.Healthy && other != u {
+			ejected++
+		}
+	}
+	return version.MayEject(open, ejected)
+}
+
 // setStatus sets flag to want, if given. An upstream that comes back goes
 // through slow start.
 func setStatus(flag, want *bool, ramp *uint8) {
--- a/internal/version/version.go
+++ b/internal/version/version.go
@@ -140,11 +140,22 @@
 // WeightPerSlot is the weight of one slot of an idle upstream at RampFull.
 const WeightPerSlot = 256
 
-// Eligible reports whether u may receive new connections.
-func (u *Upstream) Eligible() bool {
-	return u.Healthy && u.Leased && (u.State == Active || u.State == Joining)
+// Open reports whether u may receive new connections if it is healthy.
+func (u *Upstream) Open() bool {
+	return u.Leased && (u.State == Active || u.State == Joining)
 }
 
+// Eligible reports whether u may receive new connections.
+func (u *Upstream) Eligible() bool { return u.Healthy && u.Open() }
+
+// MaxEjectedShare is the divisor of the share of a service's open upstreams
+// that may be out on health alone: a third.
+const MaxEjectedShare = 3
+
+// MayEject reports whether one more of a service's open upstreams may be
+// marked unhealthy when ejected of them are already.
+func MayEject(open, ejected int) bool { return MaxEjectedShare*(ejected+1) <= open }
+
 // Weight returns the weight of u in a Ranking: its slots scaled by slow start
 // and lowered by reported load to no less than half.
 func (u *Upstream) Weight() uint32 {
