Test the edges of the roster and the state machine

Change: tests for quorum, evidence, freshness, readmission, last-resort readmission, the timing of base changes, joiners, renewals of other incarnations, announced slots, slow start, replayed indexes.

--- a/internal/version/roster/roster_test.go
+++ b/internal/version/roster/roster_test.go
@@ -39,10 +39,13 @@
 	members  []version.MemberID // that send heartbeats
 	silent   map[string]bool    // upstreams that do not renew
 	failing  map[version.UpstreamID]bool
+	sees     map[version.MemberID]roster.Observation // of the first upstream, in place of failing
+	blind    bool                                    // heartbeats hold no observations
 	load     uint8
 	unsettle bool          // heartbeats report nothing as settled
 	delay    time.Duration // until a command takes effect
 	queue    []queued
+	each     func() // called before each tick of run
 	log      []state.Command
 	proposed func(state.Command)
 }
@@ -61,6 +64,8 @@
 		roster:   roster.New(),
 		silent:   make(map[string]bool),
 		failing:  make(map[version.UpstreamID]bool),
+		sees:     make(map[version.MemberID]roster.Observation),
+		each:     func() {},
 		proposed: func(state.Command) {},
 	}
 	rows := []string{"version,1", "service,a,192.0.2.1,tcp,443,1m,no"}
@@ -118,11 +123,9 @@
 	}
 	for i := range v.Upstream {
 		u := &v.Upstream[i]
-		o := roster.Observation{Upstream: u.ID, Passed: 9}
-		if l.failing[u.ID] {
-			o.Passed, o.Failed = 0, 3
+		if o, ok := l.observation(id, i, u.ID); ok {
+			hb.Observations = append(hb.Observations, o)
 		}
-		hb.Observations = append(hb.Observations, o)
 		if !l.silent[u.Name] {
 			hb.Renewals = append(hb.Renewals, roster.Renewal{Name: u.Name, LoadFactor: l.load})
 		}
@@ -130,6 +133,17 @@
 	return l.roster.Heartbeat(l.now, hb).Code
 }
 
+func (l *leader) observation(id version.MemberID, i int, u version.UpstreamID) (roster.Observation, bool) {
+	if o, ok := l.sees[id]; ok && i == 0 {
+		o.Upstream = u
+		return o, true
+	}
+	if l.failing[u] {
+		return roster.Observation{Upstream: u, Failed: roster.FailuresToEject}, !l.blind
+	}
+	return roster.Observation{Upstream: u, Passed: roster.PassesToReadmit}, !l.blind
+}
+
 // run lets d pass, with heartbeats and a tick in each step.
 func (l *leader) run(d time.Duration) {
 	for end := l.now + d; l.now < end; {
@@ -137,6 +151,7 @@
 		for _, id := range l.members {
 			l.heartbeat(id)
 		}
+		l.each()
 		l.step()
 	}
 }
@@ -294,22 +309,171 @@
 	}
 }
 
-func TestOneObserverDoesNotEject(t *testing.T) {
-	l := newLeader(t, 5, 3)
+func TestQuorumOfObservers(t *testing.T) {
+	fails := roster.Observation{Failed: 3}
+	twice := roster.Observation{Failed: 2}
+	slow := roster.Observation{Failed: 2, Retransmissions: 5}
+	syns := roster.Observation{Failed: 1, Retransmissions: 99}
+	passes := roster.Observation{Passed: 1}
+	cases := []struct {
+		name string
+		sees []roster.Observation
+		want int
+	}{
+		{"all of two", []roster.Observation{fails, fails}, 1},
+		{"half of two", []roster.Observation{fails, passes}, 0},
+		{"majority", []roster.Observation{fails, fails, passes}, 1},
+		{"half", []roster.Observation{fails, fails, passes, passes}, 0},
+		{"one liar", []roster.Observation{fails, passes, passes, passes, passes}, 0},
+		{"too few failures", []roster.Observation{twice, twice, twice}, 0},
+		{"evidence", []roster.Observation{slow, slow, slow}, 1},
+		{"evidence alone", []roster.Observation{syns, syns, syns}, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l := newLeader(t, len(c.sees), 3)
+			l.run(20 * time.Second)
+			for i, o := range c.sees {
+				l.sees[l.members[i]] = o
+			}
+			l.run(5 * time.Second)
+			must.Eq(t, c.want, l.unhealthy())
+		})
+	}
+}
+
+func TestSoleFreshObserverDoesNotEject(t *testing.T) {
+	l := newLeader(t, 3, 3)
+	l.run(20 * time.Second)
+	l.blind = true
+	l.sees[l.members[0]] = roster.Observation{Failed: 9}
+	l.run(5 * time.Second)
+	must.Eq(t, 0, l.unhealthy())
+
+	// Two fresh observers outvote what the third saw long ago.
+	l.sees[l.members[1]] = roster.Observation{Failed: 9}
+	l.run(tick)
+	must.Eq(t, 1, l.unhealthy())
+}
+
+func TestReadmissionTakesMajority(t *testing.T) {
+	l := newLeader(t, 3, 3)
 	l.run(20 * time.Second)
 	id := l.upstream(0).ID
-	liar := l.members[0]
-	b := l.machine.Version().MemberByID(liar)
-	for range 20 {
+	l.failing[id] = true
+	l.run(time.Second)
+	l.sees[l.members[0]] = roster.Observation{Passed: 99}
+	l.run(time.Minute)
+	must.Eq(t, 1, l.unhealthy())
+	l.sees[l.members[1]] = roster.Observation{Passed: roster.PassesToReadmit - 1}
+	l.run(time.Minute)
+	must.Eq(t, 1, l.unhealthy())
+	l.sees[l.members[1]] = roster.Observation{Passed: roster.PassesToReadmit}
+	l.run(2 * tick)
+	must.Eq(t, 0, l.unhealthy())
+}
+
+func TestUnobservedUpstreamIsReadmitted(t *testing.T) {
+	l := newLeader(t, 3, 3)
+	l.run(20 * time.Second)
+	l.failing[l.upstream(0).ID] = true
+	l.run(time.Second)
+	l.blind = true
+	l.run(roster.UnobservedReadmit - time.Second)
+	must.Eq(t, 1, l.unhealthy())
+	l.run(2 * time.Second)
+	must.Eq(t, 0, l.unhealthy())
+}
+
+func TestLastUpstreamIsReadmitted(t *testing.T) {
+	l := newLeader(t, 3, 3)
+	l.run(20 * time.Second)
+	l.failing[l.upstream(0).ID] = true
+	l.run(time.Second)
+	l.silent["u1"], l.silent["u2"] = true, true
+	l.run(roster.AnnounceLease + 2*tick)
+	must.Eq(t, l.upstream(0).ID, l.service().Current[0].Upstream)
+}
+
+func TestBaseWaitsForRest(t *testing.T) {
+	l := newLeader(t, 3, 6)
+	l.run(time.Minute)
+	prepared := func() time.Duration {
+		start, at := l.now, time.Duration(0)
+		l.proposed = func(c state.Command) {
+			if c.PrepareBase != nil && at == 0 {
+				at = l.now - start
+			}
+		}
+		l.run(time.Minute)
+		return at
+	}
+	leave := func(i int) {
+		l.apply(state.Command{RemoveUpstream: &state.RemoveUpstream{ID: l.upstream(i).ID}})
+	}
+	leave(5)
+	must.Between(t, roster.BaseQuiet, prepared(), roster.BaseQuiet+2*tick)
+
+	// Slow start puts the change off until it is over.
+	l.announce(5)
+	ramp := time.Duration(version.RampFull-1) * roster.RampStep
+	must.Between(t, ramp+roster.BaseQuiet, prepared(), ramp+roster.BaseQuiet+6*tick)
+
+	// Changes without end put it off no longer than BaseMaxWait.
+	leave(5)
+	flip := uint8(0)
+	l.each = func() {
+		flip++
+		l.apply(state.Command{UpstreamStatus: &state.UpstreamStatus{Updates: []state.StatusUpdate{
+			{ID: l.upstream(0).ID, LoadFactor: new(flip%100 + 100)},
+		}}})
+	}
+	must.Between(t, roster.BaseMaxWait, prepared(), roster.BaseMaxWait+2*tick)
+}
+
+func TestJoinerOwnsNothingBeforeItCatchesUp(t *testing.T) {
+	l := newLeader(t, 3, 1)
+	l.run(5 * time.Second)
+	id := l.join(3)
+	hb := &roster.Heartbeat{Member: id, Name: "lb3"}
+	for range 8 {
 		l.run(tick)
-		l.roster.Heartbeat(l.now, &roster.Heartbeat{
-			Member:       liar,
-			Name:         b.Name,
-			Observations: []roster.Observation{{Upstream: id, Failed: 99, Retransmissions: 99}},
-		})
-		l.step()
+		l.roster.Heartbeat(l.now, hb)
 	}
-	must.Eq(t, 0, l.unhealthy())
+	must.Len(t, 3, l.owners())
+	must.Nil(t, l.machine.Version().Owners.Next)
+	l.members = append(l.members, id)
+	l.run(4 * tick)
+	must.Len(t, 4, l.owners())
+}
+
+func TestUpstreamInReachIsNotRemoved(t *testing.T) {
+	l := newLeader(t, 3, 3)
+	l.run(20 * time.Second)
+	l.silent["u0"] = true
+	l.run(10 * time.Minute)
+	must.Len(t, 3, l.machine.Version().Upstream)
+	must.Len(t, 2, l.service().Current)
+}
+
+func TestRenewalOfOtherIncarnationDoesNotCount(t *testing.T) {
+	l := newLeader(t, 1, 2)
+	l.run(20 * time.Second)
+	l.silent["u0"] = true
+	l.each = func() {
+		l.roster.Heartbeat(l.now, &roster.Heartbeat{Renewals: []roster.Renewal{{Name: "u0", Incarnation: 7}}})
+	}
+	l.run(roster.AnnounceLease + tick)
+	must.False(t, l.upstream(0).Leased)
+}
+
+func TestSmallLoadIsForgotten(t *testing.T) {
+	l := newLeader(t, 1, 1)
+	l.apply(state.Command{UpstreamStatus: &state.UpstreamStatus{Updates: []state.StatusUpdate{
+		{ID: l.upstream(0).ID, LoadFactor: new(uint8(roster.LoadStep / 2))},
+	}}})
+	l.run(2 * roster.LoadInterval)
+	must.Zero(t, l.upstream(0).LoadFactor)
 }
 
 func TestLoadReportsAreSmoothedAndBounded(t *testing.T) {
--- a/internal/version/state/machine_test.go
+++ b/internal/version/state/machine_test.go
@@ -169,6 +169,69 @@
 	must.Greater(t, taken.Upstream, newer.Upstream)
 }
 
+func TestSlotsAndSlowStart(t *testing.T) {
+	r := newReplica(t)
+	r.want(result.OK, submit(t, 1, rowA, rowA1, rowA2))
+	c := register("a", "a1", "10.0.0.1:5555", 1)
+	id := r.want(result.OK, c).Upstream
+	weight := func() uint32 { return r.Version().UpstreamByID(id).Weight() }
+	ramped := status(state.StatusUpdate{ID: id, Ramp: new(version.RampFull)})
+	r.want(result.OK, ramped)
+	must.Eq(t, 3*version.WeightPerSlot, weight())
+
+	// Announced slots only lower those of the sheet, also after a restore.
+	for announced, want := range map[uint32]uint32{0: 3, 2: 2, 9: 3} {
+		c.RegisterUpstream.Slots = announced
+		r.want(result.OK, c)
+		must.Eq(t, want*version.WeightPerSlot, weight())
+	}
+	c.RegisterUpstream.Slots = 1
+	r.want(result.OK, c)
+	must.NoError(t, r.Restore(r.Snapshot()))
+	r.want(result.OK, submit(t, 2, rowA, rowA1, rowA2))
+	must.Eq(t, version.WeightPerSlot, weight())
+
+	// Whatever brings an upstream back starts it slowly.
+	full := weight()
+	back := map[string][]state.Command{
+		"lease": {
+			status(state.StatusUpdate{ID: id, Leased: new(false)}),
+			status(state.StatusUpdate{ID: id, Leased: new(true)}),
+		},
+		"announcement": {status(state.StatusUpdate{ID: id, Leased: new(false)}), c},
+		"sheet": {
+			submit(t, 3, rowA, strings.Replace(rowA1, "active", "paused", 1)),
+			submit(t, 4, rowA, rowA1),
+		},
+	}
+	for _, name := range []string{"lease", "announcement", "sheet"} {
+		r.want(result.OK, ramped)
+		must.Eq(t, full, weight(), must.Sprint(name))
+		for _, c := range back[name] {
+			r.want(result.OK, c)
+		}
+		must.Eq(t, full/uint32(version.RampFull), weight(), must.Sprint(name))
+		must.True(t, r.Version().UpstreamByID(id).Eligible(), must.Sprint(name))
+	}
+
+	// A sheet that drops an upstream without a lease removes it.
+	r.want(result.OK, status(state.StatusUpdate{ID: id, Leased: new(false)}))
+	r.want(result.OK, submit(t, 5, rowA))
+	must.Nil(t, r.Version().UpstreamByID(id))
+}
+
+func TestAppliedIndexIsNotAppliedAgain(t *testing.T) {
+	r := newReplica(t)
+	r.want(result.OK, submit(t, 1, rowA, rowA1))
+	digest := r.Digest()
+	o := r.Apply(r.Index(), submit(t, 2, rowB))
+	must.Eq(t, result.Internal, o.Code)
+	must.Eq(t, digest, r.Digest())
+	two := state.Command{PrepareOwners: &state.PrepareOwners{}, LeaveMember: &state.LeaveMember{}}
+	r.want(result.BadMessage, two)
+	r.want(result.OK, state.Command{})
+}
+
 func TestUnlistedUpstreamStaysWhileItAnnounces(t *testing.T) {
 	r := newReplica(t)
 	r.want(result.OK, submit(t, 1, rowA, rowA1, rowA2))
@@ -208,6 +271,7 @@
 	r.want(result.OK, state.Command{RemoveUpstream: &state.RemoveUpstream{ID: two}})
 	r.want(result.OK, state.Command{AdvanceBase: &state.AdvanceBase{Service: id, Prepared: o.Index}})
 	must.Eq(t, current, r.Version().Services[0].Base)
+	must.Nil(t, r.Version().Services[0].NextBase)
 	must.Eq(t, current[:1], r.Version().Services[0].Current)
 
 	r.want(result.OK, status(state.StatusUpdate{ID: one, Leased: new(false)}))
@@ -237,7 +301,9 @@
 func TestOwnersInTwoSteps(t *testing.T) {
 	r := newReplica(t)
 	a := r.want(result.OK, join("lb-a", "10.1.0.1:7000", 1)).Member
-	b := r.want(result.OK, join("lb-b", "10.1.0.2:7000", 1)).Member
+	b := r.want(result.OK, join("lb-b", "10.1.0.2:7000", 2)).Member
+	must.Eq(t, b, r.want(result.OK, join("lb-b", "10.1.0.2:7000", 2)).Member)
+	r.want(result.IncarnationStale, join("lb-b", "10.1.0.2:7000", 1))
 	r.want(result.MemberNameTaken, join("lb-a", "10.1.0.9:7000", 2))
 	r.want(result.AddressInUse, join("lb-c", "10.1.0.1:7000", 1))
 	prepare := state.Command{PrepareOwners: &state.PrepareOwners{}}
