--- a/internal/version/roster/roster_test.go
+++ b/internal/version/roster/roster_test.go
@@ -467,6 +467,31 @@
 	must.False(t, l.upstream(0).Leased)
 }
 
+func TestChangingLoadCausesFewCommands(t *testing.T) {
+	l := newLeader(t, 1, 1)
+	l.run(time.Minute)
+	changes := 0
+	l.proposed = func(c state.Command) {
+		if c.UpstreamStatus != nil {
+			changes++
+		}
+	}
+	l.load = 255
+	l.run(tick)
+	l.load = 0
+	l.run(roster.LoadInterval - tick)
+	// One report among many moves the load by a quarter.
+	must.Eq(t, 1, changes)
+	must.Eq(t, 64, l.upstream(0).LoadFactor)
+	l.each = func() {
+		if l.now%(2*time.Second) == 0 {
+			l.load = 255 - l.load
+		}
+	}
+	l.run(10 * roster.LoadInterval)
+	must.Between(t, 2, changes, 11)
+}
+
 func TestSmallLoadIsForgotten(t *testing.T) {
 	l := newLeader(t, 1, 1)
 	l.apply(state.Command{UpstreamStatus: &state.UpstreamStatus{Updates: []state.StatusUpdate{
