--- a/internal/version/roster/member.go
+++ b/internal/version/roster/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"heatherport/internal/result"
@@ -170,3 +171,26 @@
 		r.stats.WaitsExceeded++
 	}
 }
+
+// Unapplied returns the members with a lease that have not reported the
+// version at index as applied, in order of their IDs.
+func (r *Roster) Unapplied(index uint64) []version.MemberID {
+	return r.behind(func(m *memberView) bool { return m.applied < index })
+}
+
+// Unsettled returns the members with a lease that have not reported the
+// version at index as settled, in order of their IDs.
+func (r *Roster) Unsettled(index uint64) []version.MemberID {
+	return r.behind(func(m *memberView) bool { return m.settled < index })
+}
+
+func (r *Roster) behind(is func(*memberView) bool) []version.MemberID {
+	var out []version.MemberID
+	for id, m := range r.members {
+		if r.memberLeased(id) && is(m) {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
--- a/internal/version/roster/roster_test.go
+++ b/internal/version/roster/roster_test.go
@@ -222,6 +222,8 @@
 	l.run(roster.SettleWait - tick)
 	must.Len(t, 3, l.owners())
 	must.Len(t, 2, l.machine.Version().Owners.Next)
+	must.Len(t, 0, l.roster.Unapplied(l.machine.Index()))
+	must.Eq(t, l.members, l.roster.Unsettled(l.machine.Version().Owners.PreparedAt))
 	l.run(4 * tick)
 	must.Eq(t, l.members[1:], l.owners())
 	must.Eq(t, 1, l.roster.Stats().WaitsExceeded)
