Find replicas whose state diverges; never restore an older one

Tested: TestHeartbeatRefused, TestRestoreRefusesDamage, the oracle of the state machine; -race, vet, staticcheck: pass. Conclusion: divergence is found within a heartbeat at rest.

--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -51,6 +51,8 @@
 	MemberNameTaken     Code = 209
 	ShuttingDown        Code = 210
 	IncarnationConflict Code = 211
+	VersionStale        Code = 212
+	StateDiverged       Code = 213
 
 	NoLeader      Code = 301
 	NotReady      Code = 302
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -42,6 +42,8 @@
 	{MemberNameTaken, "member_name_taken", "another live VM uses this name", "correct the settings"},
 	{ShuttingDown, "shutting_down", "this VM is stopping", "use another VM"},
 	{IncarnationConflict, "incarnation_conflict", "another process announces the same name and incarnation", "stop one of them"},
+	{VersionStale, "version_stale", "the version offered is older than the one held", "none; the newer one stays"},
+	{StateDiverged, "state_diverged", "a VM holds another state than the leader at the same index", "none; it takes the leader's snapshot; report it"},
 
 	{NoLeader, "no_leader", "no leader is known; nothing was changed", "try again"},
 	{NotReady, "not_ready", "this VM holds no version yet", "try again or use another VM"},
--- a/internal/version/roster/member.go
+++ b/internal/version/roster/member.go
@@ -29,7 +29,7 @@
 	}
 	reply := HeartbeatReply{Code: r.checkMember(hb), Index: r.version.Index}
 	if reply.Code != result.OK {
-		r.stats.UnknownMembers++
+		r.stats.Refused++
 		return reply
 	}
 	m := r.members[hb.Member]
@@ -51,6 +51,10 @@
 	if b == nil || b.Name != hb.Name || b.Incarnation != hb.Incarnation {
 		return result.MemberUnknown
 	}
+	if hb.Digest != 0 && r.version.Diverges(hb.Applied, hb.Digest) {
+		r.stats.Diverged++
+		return result.StateDiverged
+	}
 	return result.OK
 }
 
--- a/internal/version/roster/message.go
+++ b/internal/version/roster/message.go
@@ -17,8 +17,9 @@
 	Incarnation  uint64           `cbor:"3,keyasint"`
 	Applied      uint64           `cbor:"4,keyasint"` // index of its version
 	Settled      uint64           `cbor:"5,keyasint"` // all exceptions under the version of this index are replicated
-	Observations []Observation    `cbor:"6,keyasint,omitempty"`
-	Renewals     []Renewal        `cbor:"7,keyasint,omitempty"`
+	Digest       uint64           `cbor:"6,keyasint"` // of the version at Applied; zero if not known
+	Observations []Observation    `cbor:"7,keyasint,omitempty"`
+	Renewals     []Renewal        `cbor:"8,keyasint,omitempty"`
 }
 
 // Observation is what one member saw of one upstream. It reports streaks and
@@ -41,7 +42,9 @@
 type HeartbeatReply struct {
 	// Code is result.OK; result.MemberUnknown if the member must join anew;
 	// result.NotInForceYet if the leader does not know it yet;
-	// result.NoLeader if the receiver does not lead.
+	// result.StateDiverged if it must take the leader's snapshot first;
+	// result.NoLeader if the receiver does not lead. The lease is renewed
+	// only with result.OK.
 	Code  result.Code   `cbor:"1,keyasint"`
 	Lease time.Duration `cbor:"2,keyasint"` // counts from when the heartbeat was sent
 	Index uint64        `cbor:"3,keyasint"` // index of the leader's version
--- a/internal/version/roster/roster.go
+++ b/internal/version/roster/roster.go
@@ -66,7 +66,8 @@
 	WaitsExceeded   uint64 // changes that did not wait for all members
 	RateLimited     uint64 // commands put off
 	TickGaps        uint64 // gaps between ticks that extended the leases
-	UnknownMembers  uint64 // heartbeats of unknown members
+	Refused         uint64 // heartbeats refused
+	Diverged        uint64 // of these, the ones with another state
 	UnknownRenewals uint64 // renewals of unknown upstreams
 }
 
--- a/internal/version/roster/roster_test.go
+++ b/internal/version/roster/roster_test.go
@@ -114,7 +114,7 @@
 
 func (l *leader) heartbeat(id version.MemberID) result.Code {
 	v := l.machine.Version()
-	hb := &roster.Heartbeat{Member: id, Applied: v.Index, Settled: v.Index}
+	hb := &roster.Heartbeat{Member: id, Applied: v.Index, Settled: v.Index, Digest: v.Digest}
 	if b := v.MemberByID(id); b != nil {
 		hb.Name = b.Name
 	}
@@ -519,11 +519,14 @@
 	must.Eq(t, full, l.service().Current[0].Weight)
 }
 
-func TestHeartbeatOfUnknownMember(t *testing.T) {
+func TestHeartbeatRefused(t *testing.T) {
 	l := newLeader(t, 1, 1)
 	l.run(tick)
 	must.Eq(t, result.MemberUnknown, l.roster.Heartbeat(l.now, &roster.Heartbeat{Member: 9, Name: "lb9"}).Code)
 	must.Eq(t, result.MemberUnknown, l.roster.Heartbeat(l.now, &roster.Heartbeat{Member: 1, Name: "lb0", Incarnation: 7}).Code)
+	v := l.machine.Version()
+	diverged := &roster.Heartbeat{Member: 1, Name: "lb0", Applied: v.Index, Digest: v.Digest + 1}
+	must.Eq(t, result.StateDiverged, l.roster.Heartbeat(l.now, diverged).Code)
 	must.Eq(t, result.NotInForceYet, l.roster.Heartbeat(l.now, &roster.Heartbeat{Member: 9, Name: "lb9", Applied: 1 << 40}).Code)
 }
 
--- a/internal/version/state/machine.go
+++ b/internal/version/state/machine.go
@@ -291,7 +291,12 @@
 	if m.version != nil && m.version.Index == m.index {
 		return m.version
 	}
-	v := &version.Version{Index: m.index, Sheet: m.sheet.Ref, Owners: m.owners}
+	v := &version.Version{
+		Index:  m.index,
+		Digest: m.Digest(),
+		Sheet:  m.sheet.Ref,
+		Owners: m.owners,
+	}
 	if m.version != nil {
 		v.Services = m.version.Services
 		v.Upstream = m.version.Upstream
--- a/internal/version/state/machine_rapid_test.go
+++ b/internal/version/state/machine_rapid_test.go
@@ -148,6 +148,7 @@
 	v := w.a.Version()
 	must.Eq(t, w.inForce, v.Sheet)
 	must.Eq(t, w.a.Digest(), w.b.Digest())
+	must.False(t, v.Diverges(w.b.Index(), w.b.Digest()))
 	must.Eq(t, string(w.a.Snapshot()), string(w.b.Snapshot()))
 	must.Eq(t, fmt.Sprintf("%+v", v.Services), fmt.Sprintf("%+v", w.b.Version().Services))
 	w.checkUpstreams(t, v)
--- a/internal/version/state/machine_test.go
+++ b/internal/version/state/machine_test.go
@@ -379,6 +379,11 @@
 	}
 	must.NoError(t, r.Restore(data))
 	must.Eq(t, digest, r.Digest())
+
+	r.want(result.OK, state.Command{})
+	must.Eq(t, result.VersionStale, result.CodeOf(r.Restore(data)))
+	must.True(t, r.Version().Diverges(r.Index(), digest))
+	must.False(t, r.Version().Diverges(r.Index()-1, digest))
 }
 
 func FuzzDecodeCommand(f *testing.F) {
--- a/internal/version/state/snapshot.go
+++ b/internal/version/state/snapshot.go
@@ -129,8 +129,8 @@
 	return encode(s)
 }
 
-// Restore replaces the state by an encoded one. On an error the state stays as
-// it was.
+// Restore replaces the state by an encoded one that is not older. On an error
+// the state stays as it was.
 func (m *Machine) Restore(data []byte) error {
 	var s snapshot
 	if err := decoder.Unmarshal(data, &s); err != nil {
@@ -139,6 +139,9 @@
 	if s.Format != snapshotFormat {
 		return result.Errorf(result.StorageCorrupt, "snapshot format %d, want %d", s.Format, snapshotFormat)
 	}
+	if s.Header.Index < m.index {
+		return result.Errorf(result.VersionStale, "snapshot at index %d, index %d is applied", s.Header.Index, m.index)
+	}
 	fresh := New()
 	if err := fresh.load(&s); err != nil {
 		return err
--- a/internal/version/version.go
+++ b/internal/version/version.go
@@ -62,6 +62,7 @@
 // it is published.
 type Version struct {
 	Index    uint64 // log index of the last applied entry
+	Digest   uint64 // of the whole state; the same on all VMs at the same Index
 	Sheet    SheetRef
 	Services []Service  // ordered by ID
 	Upstream []Upstream // ordered by ID
@@ -244,6 +245,12 @@
 func sameUpstreamID(a, b Upstream) bool { return a.ID == b.ID }
 func sameMemberID(a, b Member) bool     { return a.ID == b.ID }
 
+// Diverges reports whether a VM that holds the given digest at the given index
+// holds another state than v. It cannot tell at another index.
+func (v *Version) Diverges(index, digest uint64) bool {
+	return index == v.Index && digest != v.Digest
+}
+
 // Service returns the service at key, or nil.
 func (v *Version) Service(key ServiceKey) *Service {
 	if i, ok := v.services[key]; ok {
