Add the data path: packet decoding, relay messages, forwarder

Cause: balancers must move a caller's packet unchanged to an upstream or to the connection's owner, and drop what is not valid by numbered cause.

Change: package wire decodes bare IPv4 and IPv6 packets with gopacket's DecodingLayerParser and builds TCP resets and ICMP port unreachable messages. Package relay encodes relayed packets, refreshes and hints with a keyed BLAKE2s tag; a Keyring accepts two keys during a rotation. Package forward reads and writes in batches over SO_REUSEPORT sockets and carries out the decisions of an Engine.

Tested: go test -race on the three packages passes. Decode and the relay codec do not allocate (TestDecodeDoesNotAllocate, TestCodecDoesNotAllocate).

--- /dev/null
+++ b/internal/request/forward/counters.go
@@ -0,0 +1,124 @@
+package forward
+
+import (
+	"sync/atomic"
+
+	"heatherport/internal/result"
+)
+
+// counter is an index into counts.
+type counter int
+
+const (
+	packetsIn counter = iota
+	bytesIn
+	packetsOut
+	bytesOut
+	relaysIn
+	relaysOut
+	refreshesIn
+	refreshesOut
+	hintsIn
+	hintsOut
+	refusals
+	readErrors
+	firstCode // counters from here on are per result code
+)
+
+const (
+	numCodes  = 100 // codes of a class
+	numCounts = int(firstCode) + numCodes
+)
+
+const cacheLineSize = 64 // bytes
+
+// counts are the counts of one batch. They are kept apart from the shared
+// counters so that a packet costs no atomic operation.
+type counts [numCounts]uint32
+
+func (c *counts) add(i counter, n int) { c[i] += uint32(n) }
+
+// addCode counts a packet that is dropped or refused. Codes that are not of
+// the packet class count as Internal.
+func (c *counts) addCode(code result.Code) { c[codeCounter(code)]++ }
+
+func codeCounter(code result.Code) counter {
+	if code.Class() != result.ClassPacket {
+		return firstCode
+	}
+	return firstCode + counter(code%numCodes)
+}
+
+// sharedCounts are the counters of one receiver.
+type sharedCounts struct {
+	_ [cacheLineSize]byte
+	n [numCounts]atomic.Uint64
+	_ [cacheLineSize]byte
+}
+
+// take adds the counts of c and clears them.
+func (s *sharedCounts) take(c *counts) {
+	for i, n := range c {
+		if n != 0 {
+			s.n[i].Add(uint64(n))
+		}
+	}
+	*c = counts{}
+}
+
+// Counters are the totals of a Forwarder since its start.
+type Counters struct {
+	PacketsIn    uint64 // from the fabric
+	BytesIn      uint64 // from the fabric, without UDP headers
+	PacketsOut   uint64 // to upstreams
+	BytesOut     uint64 // to upstreams, without UDP headers
+	RelaysIn     uint64
+	RelaysOut    uint64
+	RefreshesIn  uint64
+	RefreshesOut uint64
+	HintsIn      uint64
+	HintsOut     uint64
+	Refusals     uint64 // answers to callers
+	ReadErrors   uint64
+	// Codes counts by cause the packets that were dropped or refused. A
+	// cause without packets is absent.
+	Codes map[result.Code]uint64
+}
+
+func snapshot(receivers []*receiver) Counters {
+	var sum [numCounts]uint64
+	for _, r := range receivers {
+		for i := range sum {
+			sum[i] += r.shared.n[i].Load()
+		}
+	}
+	return Counters{
+		PacketsIn:    sum[packetsIn],
+		BytesIn:      sum[bytesIn],
+		PacketsOut:   sum[packetsOut],
+		BytesOut:     sum[bytesOut],
+		RelaysIn:     sum[relaysIn],
+		RelaysOut:    sum[relaysOut],
+		RefreshesIn:  sum[refreshesIn],
+		RefreshesOut: sum[refreshesOut],
+		HintsIn:      sum[hintsIn],
+		HintsOut:     sum[hintsOut],
+		Refusals:     sum[refusals],
+		ReadErrors:   sum[readErrors],
+		Codes:        codeCounts(sum[firstCode:]),
+	}
+}
+
+func codeCounts(n []uint64) map[result.Code]uint64 {
+	m := make(map[result.Code]uint64)
+	for i, count := range n {
+		switch {
+		case count == 0:
+		case i == 0:
+			m[result.Internal] = count
+		default:
+			m[result.Code(int(result.ClassPacket)*numCodes+i)] = count
+		}
+	}
+	return m
+}
--- /dev/null
+++ b/internal/request/forward/forward.go
@@ -0,0 +1,119 @@
+package forward
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"heatherport/internal/request/relay"
+	"heatherport/internal/result"
+)
+
+// drainLimit bounds how long Stop handles packets that keep coming.
+const drainLimit = time.Second
+
+// Forwarder owns the sockets and goroutines that move packets.
+type Forwarder struct {
+	cfg    Config
+	engine Engine
+	ring   *relay.Keyring
+	clock  func() time.Duration
+
+	fabric    []*socket
+	relays    []*socket
+	receivers []*receiver
+	running   sync.WaitGroup
+	stopping  atomic.Bool
+	stopOnce  sync.Once
+	cancel    context.CancelFunc
+}
+
+// New returns a Forwarder that listens on the addresses of cfg but reads no
+// packet before Start. The clock is monotonic.
+func New(ctx context.Context, cfg Config, engine Engine, ring *relay.Keyring, clock func() time.Duration) (*Forwarder, error) {
+	cfg = cfg.withDefaults()
+	if err := cfg.check(); err != nil {
+		return nil, err
+	}
+	f := &Forwarder{cfg: cfg, engine: engine, ring: ring, clock: clock}
+	if err := f.listen(ctx); err != nil {
+		return nil, err
+	}
+	for i := range f.fabric {
+		f.receivers = append(f.receivers,
+			newReceiver(f, f.fabric[i], f.fabric[i], f.relays[i]),
+			newReceiver(f, f.relays[i], f.fabric[i], f.relays[i]))
+	}
+	return f, nil
+}
+
+func (f *Forwarder) listen(ctx context.Context) error {
+	var err error
+	f.fabric, err = listen(ctx, f.cfg.FabricAddr, f.cfg.Receivers, &f.cfg)
+	if err != nil {
+		return err
+	}
+	f.relays, err = listen(ctx, f.cfg.RelayAddr, f.cfg.Receivers, &f.cfg)
+	if err != nil {
+		closeAll(f.fabric)
+	}
+	return err
+}
+
+// FabricAddr returns the address that receives callers' packets.
+func (f *Forwarder) FabricAddr() netip.AddrPort { return f.fabric[0].addr() }
+
+// RelayAddr returns the address that receives other balancers' messages.
+func (f *Forwarder) RelayAddr() netip.AddrPort { return f.relays[0].addr() }
+
+// Counters returns the totals since the start.
+func (f *Forwarder) Counters() Counters { return snapshot(f.receivers) }
+
+// Start starts the receivers. They run until Stop; ctx bounds only the start.
+func (f *Forwarder) Start(ctx context.Context) error {
+	if f.stopping.Load() {
+		return result.Errorf(result.ShuttingDown, "forwarder is stopped")
+	}
+	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	f.cancel = cancel
+	for _, r := range f.receivers {
+		f.running.Go(func() { r.run(run) })
+	}
+	return nil
+}
+
+// Stop handles the packets that already wait at the sockets, and closes them.
+// The sockets are closed at once when ctx ends or packets keep coming.
+func (f *Forwarder) Stop(ctx context.Context) error {
+	f.stopOnce.Do(func() { f.stop(ctx) })
+	return nil
+}
+
+func (f *Forwarder) stop(ctx context.Context) {
+	f.stopping.Store(true)
+	for _, r := range f.receivers {
+		r.in.UDPConn.SetReadDeadline(time.Now().Add(drainQuiet))
+	}
+	drained := make(chan struct{})
+	go func() {
+		f.running.Wait()
+		close(drained)
+	}()
+	select {
+	case <-drained:
+	case <-time.After(drainLimit):
+	case <-ctx.Done():
+	}
+	f.close()
+	<-drained
+}
+
+func (f *Forwarder) close() {
+	if f.cancel != nil {
+		f.cancel()
+	}
+	closeAll(f.fabric)
+	closeAll(f.relays)
+}
--- /dev/null
+++ b/internal/request/forward/socket.go
@@ -0,0 +1,96 @@
+package forward
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"syscall"
+
+	"golang.org/x/net/ipv4"
+	"golang.org/x/net/ipv6"
+	"golang.org/x/sys/unix"
+
+	"heatherport/internal/result"
+)
+
+// batchConn reads and writes several datagrams by one system call.
+type batchConn interface {
+	ReadBatch(ms []ipv4.Message, flags int) (int, error)
+	WriteBatch(ms []ipv4.Message, flags int) (int, error)
+}
+
+// socket is a UDP socket that shares its address with others.
+type socket struct {
+	*net.UDPConn
+	batchConn
+}
+
+// listen opens n sockets on addr.
+func listen(ctx context.Context, addr netip.AddrPort, n int, cfg *Config) ([]*socket, error) {
+	sockets := make([]*socket, 0, n)
+	for range n {
+		s, err := listenOne(ctx, addr, cfg)
+		if err != nil {
+			closeAll(sockets)
+			return nil, err
+		}
+		sockets = append(sockets, s)
+		addr = s.addr() // the others share a port that the system chose
+	}
+	return sockets, nil
+}
+
+func listenOne(ctx context.Context, addr netip.AddrPort, cfg *Config) (*socket, error) {
+	lc := net.ListenConfig{Control: reusePort}
+	network := "udp"
+	if addr.Addr().Is4() {
+		network = "udp4"
+	}
+	c, err := lc.ListenPacket(ctx, network, addr.String())
+	if err != nil {
+		return nil, result.Wrapf(err, result.BadSettings, "listen on %s", addr)
+	}
+	conn := c.(*net.UDPConn)
+	if err := setBuffers(conn, cfg); err != nil {
+		conn.Close()
+		return nil, result.Wrapf(err, result.BadSettings, "socket buffers of %s", addr)
+	}
+	s := &socket{UDPConn: conn, batchConn: ipv6.NewPacketConn(conn)}
+	if network == "udp4" {
+		s.batchConn = ipv4.NewPacketConn(conn)
+	}
+	return s, nil
+}
+
+func reusePort(_, _ string, c syscall.RawConn) error {
+	var operr error
+	err := c.Control(func(fd uintptr) {
+		operr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+	})
+	if err != nil {
+		return err
+	}
+	return operr
+}
+
+func setBuffers(c *net.UDPConn, cfg *Config) error {
+	if cfg.ReadBuffer > 0 {
+		if err := c.SetReadBuffer(cfg.ReadBuffer); err != nil {
+			return err
+		}
+	}
+	if cfg.WriteBuffer > 0 {
+		return c.SetWriteBuffer(cfg.WriteBuffer)
+	}
+	return nil
+}
+
+func (s *socket) addr() netip.AddrPort {
+	return s.UDPConn.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+func closeAll(sockets []*socket) {
+	for _, s := range sockets {
+		s.UDPConn.Close()
+	}
+}
--- /dev/null
+++ b/internal/request/relay/relay_test.go
@@ -0,0 +1,192 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"heatherport/internal/connection"
+	"heatherport/internal/connection/flow"
+	"heatherport/internal/result"
+	"heatherport/internal/version"
+)
+
+func testKey(id uint32) Key {
+	k := Key{ID: id}
+	k.Secret[0] = byte(id)
+	return k
+}
+
+func at(now *time.Duration) func() time.Duration {
+	return func() time.Duration { return *now }
+}
+
+func testCodec(ids ...uint32) *Codec {
+	now := time.Duration(0)
+	return NewCodec(NewKeyring(testKey(ids[0])), at(&now))
+}
+
+var (
+	testRelay = connection.Relay{From: 3, Hops: 2, Flags: connection.RelayTenure, Origin: 4, Upstream: 5, Epoch: 6}
+	testFlow  = flow.Key{Src: [16]byte{1}, Dst: [16]byte{2}, SrcPort: 3, DstPort: 4, Protocol: version.TCP}
+)
+
+func sealed(c *Codec, packet string) []byte {
+	b := append(make([]byte, HeaderSize), packet...)
+	c.SealPacket(b, &testRelay)
+	return b
+}
+
+func TestRoundTrip(t *testing.T) {
+	c := testCodec(1)
+	var m Message
+
+	must.Eq(t, result.OK, c.Open(sealed(c, "packet"), &m))
+	must.Eq(t, TypePacket, m.Type)
+	must.Eq(t, testRelay, m.Header)
+	must.Eq(t, "packet", string(m.Body))
+
+	p := connection.Packet{Key: testFlow, Seq: 9, Marks: connection.MarkFin | connection.MarkLater}
+	must.Eq(t, result.OK, c.Open(c.SealRefresh(make([]byte, SmallSize), &testRelay, &p), &m))
+	must.Eq(t, TypeRefresh, m.Type)
+	must.Eq(t, testRelay, m.Header)
+	must.Eq(t, p, m.Packet)
+
+	h := connection.Hint{From: 7, Key: testFlow, Upstream: 8, ISN: 9, Marks: connection.MarkOpen}
+	must.Eq(t, result.OK, c.Open(c.SealHint(make([]byte, SmallSize), &h), &m))
+	must.Eq(t, TypeHint, m.Type)
+	must.Eq(t, h, m.Hint())
+}
+
+func TestOpenRefuses(t *testing.T) {
+	c := testCodec(1)
+	reseal := func(b []byte, change func(b []byte)) []byte {
+		change(b)
+		c.sign(b)
+		return b
+	}
+	hint := func() []byte { return c.SealHint(make([]byte, SmallSize), &connection.Hint{From: 1, Key: testFlow}) }
+	flipped := func(i int) []byte {
+		b := sealed(c, "packet")
+		b[i] ^= 1
+		return b
+	}
+	tests := []struct {
+		name string
+		b    []byte
+		code result.Code
+	}{
+		{"empty", nil, result.DropRelayMalformed},
+		{"short", sealed(c, "")[:HeaderSize-1], result.DropRelayMalformed},
+		{"other format version", flipped(offsetVersion), result.DropRelayMalformed},
+		{"changed header", flipped(offsetEpoch), result.DropRelayAuth},
+		{"changed tag", flipped(offsetTag), result.DropRelayAuth},
+		{"changed body", flipped(HeaderSize), result.DropRelayAuth},
+		{"other key", sealed(testCodec(2), "packet"), result.DropRelayAuth},
+		{"no packet", sealed(c, ""), result.DropRelayMalformed},
+		{"unknown type", reseal(sealed(c, "p"), func(b []byte) { b[offsetType] = 9 }), result.DropRelayMalformed},
+		{"unknown flag", reseal(sealed(c, "p"), func(b []byte) { b[offsetFlags] = 0x80 }), result.DropRelayMalformed},
+		{"no sender", reseal(sealed(c, "p"), func(b []byte) { clear(b[offsetFrom:offsetOrigin]) }), result.DropRelayMalformed},
+		{"too many hops", reseal(sealed(c, "p"), func(b []byte) { b[offsetHops] = 200 }), result.DropRelayHops},
+		{"long hint", reseal(append(hint(), 0), func([]byte) {}), result.DropRelayMalformed},
+		{"unknown mark", reseal(hint(), func(b []byte) { b[SmallSize-1] = 0x80 }), result.DropRelayMalformed},
+		{"unknown protocol", reseal(hint(), func(b []byte) { b[HeaderSize+36] = 1 }), result.DropRelayMalformed},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			var m Message
+			must.Eq(t, tc.code, c.Open(tc.b, &m))
+		})
+	}
+}
+
+func TestRotation(t *testing.T) {
+	const promote, end = 10 * time.Second, 20 * time.Second
+	now := time.Duration(0)
+	ring := NewKeyring(testKey(1))
+	c := NewCodec(ring, at(&now))
+	old, next := testCodec(1), testCodec(2)
+	accepts := func(from *Codec) bool {
+		var m Message
+		return c.Open(sealed(from, "packet"), &m) == result.OK
+	}
+	signedBy := func(id uint32) bool {
+		var m Message
+		return testCodec(id).Open(sealed(c, "packet"), &m) == result.OK
+	}
+
+	must.False(t, accepts(next))
+	must.Eq(t, result.BadArguments, result.CodeOf(ring.Rotate(testKey(1), promote, end)))
+	must.Eq(t, result.BadArguments, result.CodeOf(ring.Rotate(testKey(2), end, promote)))
+	must.NoError(t, ring.Rotate(testKey(2), promote, end))
+	must.Eq(t, 2, ring.CurrentID())
+	must.True(t, accepts(old))
+	must.True(t, accepts(next))
+	must.True(t, signedBy(1))
+
+	now = promote
+	must.True(t, accepts(old))
+	must.True(t, accepts(next))
+	must.True(t, signedBy(2))
+
+	now = end
+	must.False(t, accepts(old))
+	must.True(t, accepts(next))
+}
+
+func TestCodecDoesNotAllocate(t *testing.T) {
+	c := testCodec(1)
+	b := sealed(c, "packet")
+	small := make([]byte, SmallSize)
+	var m Message
+	must.Zero(t, testing.AllocsPerRun(100, func() {
+		c.SealPacket(b, &testRelay)
+		c.Open(b, &m)
+		c.Open(c.SealRefresh(small, &testRelay, &m.Packet), &m)
+	}))
+}
+
+// FuzzDecodeRelay opens arbitrary messages, as they are and with a valid tag.
+func FuzzDecodeRelay(f *testing.F) {
+	c := testCodec(1)
+	f.Add(sealed(c, "packet"))
+	f.Add(c.SealRefresh(make([]byte, SmallSize), &testRelay, &connection.Packet{Key: testFlow}))
+	f.Add(c.SealHint(make([]byte, SmallSize), &connection.Hint{From: 1, Key: testFlow}))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var m Message
+		if code := c.Open(b, &m); code != result.OK {
+			must.Eq(t, result.ClassPacket, code.Class())
+		}
+		if len(b) < HeaderSize {
+			return
+		}
+		c.sign(b)
+		if c.Open(b, &m) != result.OK {
+			return
+		}
+		again := make([]byte, len(b))
+		switch m.Type {
+		case TypePacket:
+			copy(again[HeaderSize:], m.Body)
+			c.SealPacket(again, &m.Header)
+		case TypeRefresh:
+			again = c.SealRefresh(again, &m.Header, &m.Packet)
+		default:
+			return // a hint leaves out the fields that it does not use
+		}
+		must.Eq(t, b, again)
+	})
+}
+
+func BenchmarkRelay(b *testing.B) {
+	c := testCodec(1)
+	message := sealed(c, string(make([]byte, 1400)))
+	var m Message
+	b.SetBytes(int64(len(message)))
+	b.ReportAllocs()
+	for b.Loop() {
+		c.SealPacket(message, &testRelay)
+		c.Open(message, &m)
+	}
+}
--- /dev/null
+++ b/internal/request/wire/wire.go
@@ -0,0 +1,309 @@
+// Package wire decodes the bare IP packet that a Foo-over-UDP datagram carries
+// and builds the answers that refuse one.
+package wire
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/gopacket"
+	"github.com/google/gopacket/layers"
+
+	"heatherport/internal/connection"
+	"heatherport/internal/result"
+	"heatherport/internal/version"
+)
+
+// Sizes of headers, in bytes.
+const (
+	ipv4HeaderSize = 20
+	ipv6HeaderSize = 40
+	udpHeaderSize  = 8
+)
+
+// QUIC packet headers (RFC 9000, section 17, and RFC 9369).
+const (
+	quicLongHeader   = 0x80
+	quicFixedBit     = 0x40
+	quicVersion1     = 0x00000001
+	quicVersion2     = 0x6b3343cf
+	quicMinShortSize = 21 // bytes of the shortest packet with a short header
+)
+
+// Types of QUIC long headers that start a connection, by version.
+const (
+	quicInitialV1 = 0
+	quicInitialV2 = 1
+	// quicHandshake follows quicInitial by two in either version.
+	quicHandshakeOffset = 2
+)
+
+// Decoder decodes packets. It reuses its buffers and serves one goroutine.
+type Decoder struct {
+	ip4     layers.IPv4
+	ip6     layers.IPv6
+	tcp     layers.TCP
+	udp     layers.UDP
+	ipv4    *gopacket.DecodingLayerParser
+	ipv6    *gopacket.DecodingLayerParser
+	decoded []gopacket.LayerType
+}
+
+// NewDecoder returns a Decoder.
+func NewDecoder() *Decoder {
+	d := &Decoder{decoded: make([]gopacket.LayerType, 0, 4)}
+	d.ipv4 = newParser(layers.LayerTypeIPv4, &d.ip4, &d.tcp, &d.udp)
+	d.ipv6 = newParser(layers.LayerTypeIPv6, &d.ip6, &d.tcp, &d.udp)
+	return d
+}
+
+func newParser(first gopacket.LayerType, known ...gopacket.DecodingLayer) *gopacket.DecodingLayerParser {
+	p := gopacket.NewDecodingLayerParser(first)
+	p.SetDecodingLayerContainer(gopacket.DecodingLayerArray(nil))
+	for _, l := range known {
+		p.AddDecodingLayer(l)
+	}
+	p.IgnoreUnsupported = true
+	return p
+}
+
+// Decode decodes the bare IP packet b into p. It returns result.OK, or the
+// cause for dropping b; p is then not valid. IPv6 extension headers are not
+// supported: a fragment header yields DropFragment, others DropProtocol.
+func (d *Decoder) Decode(b []byte, p *connection.Packet) result.Code {
+	if len(b) == 0 {
+		return result.DropTruncated
+	}
+	*p = connection.Packet{}
+	switch b[0] >> 4 {
+	case 4:
+		return d.decode4(b, p)
+	case 6:
+		return d.decode6(b, p)
+	}
+	return result.DropMalformed
+}
+
+func (d *Decoder) decode4(b []byte, p *connection.Packet) result.Code {
+	if code := check4(b); code != result.OK {
+		return code
+	}
+	if code := d.parse(d.ipv4, b); code != result.OK {
+		return code
+	}
+	p.Key.Src = mapped(d.ip4.SrcIP)
+	p.Key.Dst = mapped(d.ip4.DstIP)
+	return d.transport(version.Protocol(d.ip4.Protocol), p)
+}
+
+// check4 refuses the IPv4 headers that gopacket accepts or for which it would
+// not name the cause.
+func check4(b []byte) result.Code {
+	if len(b) < ipv4HeaderSize {
+		return result.DropTruncated
+	}
+	header := int(b[0]&0x0f) * 4
+	total := int(binary.BigEndian.Uint16(b[2:4]))
+	if header < ipv4HeaderSize || total < header {
+		return result.DropMalformed
+	}
+	if total > len(b) {
+		return result.DropTruncated
+	}
+	if checksum(b[:header]) != 0 {
+		return result.DropMalformed
+	}
+	const moreFragmentsAndOffset = 0x3fff
+	if binary.BigEndian.Uint16(b[6:8])&moreFragmentsAndOffset != 0 {
+		return result.DropFragment
+	}
+	return supported(b[9])
+}
+
+func (d *Decoder) decode6(b []byte, p *connection.Packet) result.Code {
+	if code := check6(b); code != result.OK {
+		return code
+	}
+	if code := d.parse(d.ipv6, b); code != result.OK {
+		return code
+	}
+	copy(p.Key.Src[:], d.ip6.SrcIP)
+	copy(p.Key.Dst[:], d.ip6.DstIP)
+	return d.transport(version.Protocol(d.ip6.NextHeader), p)
+}
+
+func check6(b []byte) result.Code {
+	if len(b) < ipv6HeaderSize {
+		return result.DropTruncated
+	}
+	payload := int(binary.BigEndian.Uint16(b[4:6]))
+	if payload > len(b)-ipv6HeaderSize {
+		return result.DropTruncated
+	}
+	next := b[6]
+	if next == byte(layers.IPProtocolIPv6Fragment) {
+		return result.DropFragment
+	}
+	return supported(next)
+}
+
+func supported(protocol byte) result.Code {
+	switch version.Protocol(protocol) {
+	case version.TCP, version.UDP:
+		return result.OK
+	}
+	return result.DropProtocol
+}
+
+func (d *Decoder) parse(parser *gopacket.DecodingLayerParser, b []byte) result.Code {
+	err := parser.DecodeLayers(b, &d.decoded)
+	switch {
+	case parser.Truncated:
+		return result.DropTruncated
+	case err != nil:
+		return result.DropMalformed
+	case len(d.decoded) < 2:
+		return result.DropMalformed
+	}
+	return result.OK
+}
+
+func (d *Decoder) transport(protocol version.Protocol, p *connection.Packet) result.Code {
+	p.Key.Protocol = protocol
+	if protocol == version.TCP {
+		return d.tcpPacket(p)
+	}
+	return d.udpPacket(p)
+}
+
+func (d *Decoder) tcpPacket(p *connection.Packet) result.Code {
+	t := &d.tcp
+	p.Key.SrcPort = uint16(t.SrcPort)
+	p.Key.DstPort = uint16(t.DstPort)
+	p.Seq = t.Seq
+	if t.SYN && (t.FIN || t.RST) {
+		return result.DropMalformed
+	}
+	if t.SYN && !t.ACK {
+		p.Marks |= connection.MarkOpen
+	} else {
+		p.Marks |= connection.MarkLater
+	}
+	if t.FIN {
+		p.Marks |= connection.MarkFin
+	}
+	if t.RST {
+		p.Marks |= connection.MarkReset
+	}
+	return checkPorts(p)
+}
+
+func (d *Decoder) udpPacket(p *connection.Packet) result.Code {
+	if d.udp.Length < udpHeaderSize {
+		return result.DropMalformed
+	}
+	p.Key.SrcPort = uint16(d.udp.SrcPort)
+	p.Key.DstPort = uint16(d.udp.DstPort)
+	p.Marks, p.Seq = quicMarks(d.udp.Payload)
+	return checkPorts(p)
+}
+
+func checkPorts(p *connection.Packet) result.Code {
+	if p.Key.SrcPort == 0 || p.Key.DstPort == 0 {
+		return result.DropMalformed
+	}
+	return result.OK
+}
+
+// quicMarks returns the marks of a UDP payload. Of an Initial it also returns
+// a hash of the source connection ID, which a client keeps through the
+// handshake, as the counterpart of the ISN of TCP. A payload that starts as a
+// QUIC short header does and is long enough to be one counts as one.
+func quicMarks(b []byte) (connection.Marks, uint32) {
+	if len(b) == 0 || b[0]&quicFixedBit == 0 {
+		return 0, 0
+	}
+	if b[0]&quicLongHeader != 0 {
+		return quicLongMarks(b)
+	}
+	if len(b) < quicMinShortSize {
+		return 0, 0
+	}
+	return connection.MarkLater, 0
+}
+
+func quicLongMarks(b []byte) (connection.Marks, uint32) {
+	source, ok := quicSourceID(b)
+	if !ok {
+		return 0, 0
+	}
+	initial, ok := quicInitialType(binary.BigEndian.Uint32(b[1:5]))
+	if !ok {
+		return 0, 0
+	}
+	switch (b[0] >> 4) & 3 {
+	case initial:
+		return connection.MarkOpen, uint32(xxhash.Sum64(source))
+	case initial + quicHandshakeOffset:
+		return connection.MarkLater, 0
+	}
+	return 0, 0
+}
+
+func quicInitialType(v uint32) (byte, bool) {
+	switch v {
+	case quicVersion1:
+		return quicInitialV1, true
+	case quicVersion2:
+		return quicInitialV2, true
+	}
+	return 0, false
+}
+
+// quicSourceID returns the source connection ID of a long header.
+func quicSourceID(b []byte) ([]byte, bool) {
+	const fixedSize = 6 // first byte, version, length of the destination ID
+	if len(b) < fixedSize {
+		return nil, false
+	}
+	b = b[fixedSize-1:]
+	_, b, ok := quicID(b)
+	if !ok {
+		return nil, false
+	}
+	source, _, ok := quicID(b)
+	return source, ok
+}
+
+// quicID splits a connection ID with its length byte off b.
+func quicID(b []byte) (id, rest []byte, ok bool) {
+	const maxSize = 20
+	if len(b) == 0 {
+		return nil, nil, false
+	}
+	n := int(b[0])
+	if n > maxSize || len(b) < 1+n {
+		return nil, nil, false
+	}
+	return b[1 : 1+n], b[1+n:], true
+}
+
+// mapped returns the IPv4-mapped IPv6 form of a 4-byte address.
+func mapped(addr []byte) (out [16]byte) {
+	out[10], out[11] = 0xff, 0xff
+	copy(out[12:], addr)
+	return out
+}
+
+// checksum returns the Internet checksum of b (RFC 1071), which is zero for a
+// header that contains its own valid checksum. The length of b is even.
+func checksum(b []byte) uint16 {
+	var sum uint32
+	for i := 0; i+1 < len(b); i += 2 {
+		sum += uint32(binary.BigEndian.Uint16(b[i:]))
+	}
+	for sum > 0xffff {
+		sum = sum>>16 + sum&0xffff
+	}
+	return ^uint16(sum)
+}
