Add stand-ins: a fabric, callers and upstreams over loopback

Cause: the demo and the tests need traffic that runs end to end through balancers, with answers that return directly and with exact counts of broken connections.

Change: package standin sprays every packet at random over the balancers, runs TCP connections made of gopacket segments and QUIC connections of quic-go inside IP and UDP, and counts broken, moved, crossed and duplicated packets and answers.

--- /dev/null
+++ b/internal/standin/quic.go
@@ -0,0 +1,342 @@
+package standin
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"io"
+	"math/big"
+	"net"
+	"net/netip"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/quic-go/quic-go"
+
+	"heatherport/internal/result"
+	"heatherport/internal/version"
+)
+
+const (
+	quicProtocol    = "heatherport-standin"
+	quicServerName  = "standin.invalid"
+	quicDialTimeout = 10 * time.Second
+	quicIdleTimeout = 15 * time.Second
+	quicAskTimeout  = 20 * time.Second
+	certLifetime    = 24 * time.Hour
+	bodyChunkSize   = 16 << 10 // bytes
+)
+
+func quicConfig() *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout: quicDialTimeout,
+		MaxIdleTimeout:       quicIdleTimeout,
+		KeepAlivePeriod:      quicIdleTimeout / 3,
+	}
+}
+
+// NewTLS returns the configurations of upstreams and of callers that trust
+// them, with a key that exists only in this process.
+func NewTLS() (upstream, caller *tls.Config, err error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, nil, result.Wrapf(err, result.Internal, "generate key")
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1),
+		DNSNames:     []string{quicServerName},
+		NotBefore:    time.Now().Add(-time.Hour),
+		NotAfter:     time.Now().Add(certLifetime),
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	if err != nil {
+		return nil, nil, result.Wrapf(err, result.Internal, "create certificate")
+	}
+	cert, err := x509.ParseCertificate(der)
+	if err != nil {
+		return nil, nil, result.Wrapf(err, result.Internal, "parse certificate")
+	}
+	roots := x509.NewCertPool()
+	roots.AddCert(cert)
+	upstream = &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}},
+		NextProtos:   []string{quicProtocol},
+	}
+	caller = &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		RootCAs:    roots,
+		ServerName: quicServerName,
+		NextProtos: []string{quicProtocol},
+	}
+	return upstream, caller, nil
+}
+
+// packetConn is a net.PacketConn whose datagrams travel in IP packets.
+type packetConn struct {
+	local  netip.AddrPort
+	in     chan *packet
+	send   func(p *packet)
+	wake   chan struct{} // interrupts a read
+	closed chan struct{}
+	once   sync.Once
+}
+
+func newPacketConn(local netip.AddrPort, in chan *packet, send func(p *packet)) *packetConn {
+	return &packetConn{local: local, in: in, send: send, wake: make(chan struct{}, 1), closed: make(chan struct{})}
+}
+
+// deliver drops a packet that the reader does not keep up with.
+func (c *packetConn) deliver(p *packet) {
+	select {
+	case c.in <- p:
+	default:
+	}
+}
+
+// ReadFrom implements net.PacketConn. A refusal is an error, as on a connected
+// UDP socket.
+func (c *packetConn) ReadFrom(b []byte) (int, net.Addr, error) {
+	select {
+	case p := <-c.in:
+		if p.refusal {
+			return 0, nil, &net.OpError{Op: "read", Net: "udp", Err: syscall.ECONNREFUSED}
+		}
+		return copy(b, p.payload), net.UDPAddrFromAddrPort(p.src), nil
+	case <-c.wake:
+		return 0, nil, os.ErrDeadlineExceeded
+	case <-c.closed:
+		return 0, nil, net.ErrClosed
+	}
+}
+
+// WriteTo implements net.PacketConn.
+func (c *packetConn) WriteTo(b []byte, to net.Addr) (int, error) {
+	addr, ok := to.(*net.UDPAddr)
+	if !ok {
+		return 0, result.Errorf(result.Internal, "destination %v", to)
+	}
+	dst := addr.AddrPort()
+	dst = netip.AddrPortFrom(dst.Addr().Unmap(), dst.Port())
+	c.send(&packet{protocol: version.UDP, src: c.local, dst: dst, payload: b})
+	return len(b), nil
+}
+
+// Close implements net.PacketConn.
+func (c *packetConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return nil
+}
+
+// LocalAddr implements net.PacketConn.
+func (c *packetConn) LocalAddr() net.Addr { return net.UDPAddrFromAddrPort(c.local) }
+
+// SetReadDeadline interrupts a read. quic-go uses it for no more.
+func (c *packetConn) SetReadDeadline(t time.Time) error {
+	if t.IsZero() {
+		return nil
+	}
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
+// SetDeadline implements net.PacketConn.
+func (c *packetConn) SetDeadline(t time.Time) error { return c.SetReadDeadline(t) }
+
+// SetWriteDeadline implements net.PacketConn. Writes do not wait.
+func (c *packetConn) SetWriteDeadline(time.Time) error { return nil }
+
+// SetReadBuffer does nothing; quic-go expects it.
+func (c *packetConn) SetReadBuffer(int) error { return nil }
+
+// SetWriteBuffer does nothing; quic-go expects it.
+func (c *packetConn) SetWriteBuffer(int) error { return nil }
+
+// quicCall is the caller's side of a QUIC connection.
+type quicCall struct {
+	c         *Caller
+	local     endpoint
+	conn      *packetConn
+	transport *quic.Transport
+	quic      *quic.Conn
+}
+
+func newQUICCall(c *Caller, local endpoint, in chan *packet) *quicCall {
+	conn := newPacketConn(local.addr, in, func(p *packet) { c.fabric.send(p.encode()) })
+	return &quicCall{c: c, local: local, conn: conn, transport: &quic.Transport{Conn: conn}}
+}
+
+func (q *quicCall) connect() error {
+	ctx, cancel := context.WithTimeout(context.Background(), quicDialTimeout)
+	defer cancel()
+	to := net.UDPAddrFromAddrPort(q.c.cfg.Service)
+	conn, err := q.transport.Dial(ctx, to, q.c.cfg.TLS, quicConfig())
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return errRefused
+	}
+	if err != nil {
+		return errTimeout
+	}
+	q.quic = conn
+	return nil
+}
+
+func (q *quicCall) ask(r request) (answer, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), quicAskTimeout)
+	defer cancel()
+	stream, err := q.quic.OpenStreamSync(ctx)
+	if err != nil {
+		return answer{}, errQUIC
+	}
+	stream.SetDeadline(time.Now().Add(quicAskTimeout))
+	if _, err := stream.Write(marshal(r)); err != nil {
+		return answer{}, errQUIC
+	}
+	if err := stream.Close(); err != nil {
+		return answer{}, errQUIC
+	}
+	return readAnswer(stream, r)
+}
+
+// readAnswer reads an answer and checks its body.
+func readAnswer(stream io.Reader, r request) (answer, error) {
+	var a answer
+	in := bufio.NewReader(stream)
+	line, err := in.ReadBytes('\n')
+	if err != nil {
+		return a, errQUIC
+	}
+	if json.Unmarshal(line, &a) != nil {
+		return a, errAnswer
+	}
+	body, err := io.ReadAll(in)
+	if err != nil {
+		return a, errQUIC
+	}
+	want := make([]byte, r.Size)
+	if a.Shed {
+		want = nil
+	}
+	fill(want, r.Conn, 0)
+	if !bytes.Equal(want, body) {
+		return a, errAnswer
+	}
+	return a, nil
+}
+
+func (q *quicCall) idle(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	case <-q.quic.Context().Done():
+		return errQUIC
+	}
+	return nil
+}
+
+func (q *quicCall) finish() error {
+	if q.quic.CloseWithError(0, "") != nil {
+		return errQUIC
+	}
+	return nil
+}
+
+func (q *quicCall) release() {
+	q.transport.Close()
+	q.conn.Close()
+	q.c.fabric.detach(q.local)
+}
+
+// quicServer is the upstream's side of QUIC connections.
+type quicServer struct {
+	u         *Upstream
+	conn      *packetConn
+	transport *quic.Transport
+}
+
+func newQUICServer(ctx context.Context, u *Upstream) (*quicServer, error) {
+	conn := newPacketConn(u.cfg.ServiceAddr, make(chan *packet, inboxSize), u.send)
+	s := &quicServer{u: u, conn: conn, transport: &quic.Transport{Conn: conn}}
+	listener, err := s.transport.Listen(u.cfg.TLS, quicConfig())
+	if err != nil {
+		return nil, result.Wrapf(err, result.Internal, "listen for QUIC")
+	}
+	u.work.Go(func() { s.accept(ctx, listener) })
+	return s, nil
+}
+
+func (s *quicServer) close() {
+	s.transport.Close()
+	s.conn.Close()
+}
+
+func (s *quicServer) accept(ctx context.Context, listener *quic.Listener) {
+	for {
+		conn, err := listener.Accept(ctx)
+		if err != nil {
+			return
+		}
+		s.u.work.Go(func() { s.serve(ctx, conn) })
+	}
+}
+
+// serve answers the requests of one connection, each on its own stream.
+func (s *quicServer) serve(ctx context.Context, conn *quic.Conn) {
+	s.count(1)
+	defer s.count(-1)
+	for {
+		stream, err := conn.AcceptStream(ctx)
+		if err != nil {
+			return
+		}
+		s.answer(stream)
+	}
+}
+
+func (s *quicServer) count(n int) {
+	s.u.mu.Lock()
+	defer s.u.mu.Unlock()
+	s.u.open += n
+	if n < 0 {
+		s.u.stats.closed(s.u.cfg.Name)
+		return
+	}
+	s.u.stats.accept(s.u.cfg.Name, s.u.draining)
+}
+
+func (s *quicServer) answer(stream *quic.Stream) {
+	defer stream.Close()
+	var q request
+	if json.NewDecoder(stream).Decode(&q) != nil {
+		return
+	}
+	a := s.u.answer(q)
+	if _, err := stream.Write(marshal(a)); err != nil || a.Shed {
+		return
+	}
+	writeBody(stream, q)
+}
+
+func writeBody(w io.Writer, q request) {
+	b := make([]byte, bodyChunkSize)
+	for sent := 0; sent < q.Size; {
+		chunk := b[:min(len(b), q.Size-sent)]
+		fill(chunk, q.Conn, sent)
+		if _, err := w.Write(chunk); err != nil {
+			return
+		}
+		sent += len(chunk)
+	}
+}
--- /dev/null
+++ b/internal/standin/standin_test.go
@@ -0,0 +1,270 @@
+package standin
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+
+	"heatherport/internal/connection"
+	"heatherport/internal/request/forward"
+	"heatherport/internal/request/relay"
+	"heatherport/internal/result"
+	"heatherport/internal/version"
+)
+
+const testTimeout = 30 * time.Second
+
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+// staticEngine sends each service's packets to one upstream, and refuses those
+// of other services.
+type staticEngine struct {
+	mu    sync.Mutex
+	addrs map[version.ServiceKey]netip.AddrPort
+}
+
+func (e *staticEngine) route(addr netip.AddrPort, p version.Protocol, to netip.AddrPort) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.addrs[version.ServiceKey{Addr: addr.Addr(), Port: addr.Port(), Protocol: p}] = to
+}
+
+func (e *staticEngine) Decide(_ time.Duration, p *connection.Packet, _ *connection.Relay) connection.Decision {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if to, ok := e.addrs[p.Key.Service()]; ok {
+		return connection.Decision{Action: connection.Forward, Addr: to}
+	}
+	return connection.Decision{Action: connection.Refuse, Code: result.RefusedNoUpstream}
+}
+
+func (e *staticEngine) Refresh(time.Duration, *connection.Packet, *connection.Relay) connection.Decision {
+	return connection.Decision{}
+}
+
+func (e *staticEngine) Hint(time.Duration, *connection.Hint) {}
+
+func (e *staticEngine) Member(version.MemberID, netip.AddrPort) bool { return true }
+
+// bench is a fabric before some balancers that share an engine.
+type bench struct {
+	t         *testing.T
+	fabric    *Fabric
+	stats     *Stats
+	engine    *staticEngine
+	balancers []*forward.Forwarder
+}
+
+func newBench(t *testing.T, balancers int) *bench {
+	t.Helper()
+	fabric, err := NewFabric(loopback, 1)
+	must.NoError(t, err)
+	t.Cleanup(func() { fabric.Close() })
+	b := &bench{t: t, fabric: fabric, stats: NewStats(),
+		engine: &staticEngine{addrs: make(map[version.ServiceKey]netip.AddrPort)}}
+	for range balancers {
+		b.addBalancer()
+	}
+	return b
+}
+
+func (b *bench) addBalancer() {
+	b.t.Helper()
+	cfg := forward.Config{FabricAddr: loopback, RelayAddr: loopback, ReturnAddr: b.fabric.Addr(), Receivers: 1}
+	start := time.Now()
+	clock := func() time.Duration { return time.Since(start) }
+	f, err := forward.New(b.t.Context(), cfg, b.engine, relay.NewKeyring(relay.Key{ID: 1}), clock)
+	must.NoError(b.t, err)
+	must.NoError(b.t, f.Start(b.t.Context()))
+	b.t.Cleanup(func() { f.Stop(context.Background()) })
+	b.balancers = append(b.balancers, f)
+	b.fabric.Add(f.FabricAddr())
+}
+
+func (b *bench) addUpstream(cfg UpstreamConfig) *Upstream {
+	b.t.Helper()
+	cfg.Listen = loopback
+	cfg.Return = b.fabric.Addr()
+	u, err := NewUpstream(b.t.Context(), b.stats, cfg)
+	must.NoError(b.t, err)
+	b.t.Cleanup(func() { u.Close() })
+	b.engine.route(cfg.ServiceAddr, cfg.Protocol, u.Addr())
+	return u
+}
+
+// run runs the callers until ok holds, then ends them.
+func (b *bench) run(ok func(r Report) bool, callers ...CallerConfig) Report {
+	b.t.Helper()
+	ctx, cancel := context.WithCancel(b.t.Context())
+	defer cancel()
+	var running sync.WaitGroup
+	for _, cfg := range callers {
+		c := NewCaller(b.fabric, b.stats, cfg)
+		running.Go(func() { c.Run(ctx) })
+	}
+	b.eventually(ok)
+	cancel()
+	running.Wait()
+	return b.stats.Report()
+}
+
+func (b *bench) eventually(ok func(r Report) bool) {
+	b.t.Helper()
+	must.Wait(b.t, wait.InitialSuccess(
+		wait.BoolFunc(func() bool { return ok(b.stats.Report()) }),
+		wait.Timeout(testTimeout),
+		wait.Gap(5*time.Millisecond),
+	))
+}
+
+func mustBeClean(t *testing.T, r Report) {
+	t.Helper()
+	must.MapEmpty(t, r.Broken)
+	must.Zero(t, r.CrossService)
+	must.Zero(t, r.CrossConnection)
+	must.Zero(t, r.Moved)
+	must.Zero(t, r.DuplicateFirst)
+	must.Zero(t, r.DuplicateRuns)
+	must.Zero(t, r.Strays)
+}
+
+var (
+	tcpService  = netip.MustParseAddrPort("198.51.100.1:443")
+	tcpService6 = netip.MustParseAddrPort("[2001:db8::1]:443")
+	udpService  = netip.MustParseAddrPort("198.51.100.2:443")
+	udpService6 = netip.MustParseAddrPort("[2001:db8::2]:443")
+	callerAddr  = netip.MustParseAddr("192.0.2.1")
+	callerAddr6 = netip.MustParseAddr("2001:db8:1::1")
+)
+
+func tcpUpstream(name string) UpstreamConfig {
+	return UpstreamConfig{Name: name, Service: "permits", ServiceAddr: tcpService, Protocol: version.TCP, Slots: 3, Waiting: 1000}
+}
+
+func tcpCaller() CallerConfig {
+	return CallerConfig{Addr: callerAddr, Service: tcpService, Name: "permits", Protocol: version.TCP, Held: 20,
+		PerSecond: 200, Lifetime: 50 * time.Millisecond, Think: 5 * time.Millisecond, Seed: 3}
+}
+
+func TestTCP(t *testing.T) {
+	b := newBench(t, 3)
+	u := b.addUpstream(tcpUpstream("permits-1"))
+	v6 := tcpUpstream("permits-6")
+	v6.ServiceAddr = tcpService6
+	b.addUpstream(v6)
+	caller6 := tcpCaller()
+	caller6.Addr, caller6.Service = callerAddr6, tcpService6
+
+	r := b.run(func(r Report) bool { return r.Opened >= 100 && r.Requests >= 500 }, tcpCaller(), caller6)
+	mustBeClean(t, r)
+	must.Eq(t, r.Opened, r.Finished)
+	must.Zero(t, u.Open())
+	must.Eq(t, r.Opened, r.Accepted["permits-1"]+r.Accepted["permits-6"])
+}
+
+func TestQUIC(t *testing.T) {
+	const answerSize = 1 << 20 // bytes
+	b := newBench(t, 3)
+	upstreamTLS, callerTLS, err := NewTLS()
+	must.NoError(t, err)
+	for addr, service := range map[netip.Addr]netip.AddrPort{callerAddr: udpService, callerAddr6: udpService6} {
+		b.addUpstream(UpstreamConfig{Name: "rounds-" + addr.String(), Service: "rounds", ServiceAddr: service,
+			Protocol: version.UDP, TLS: upstreamTLS, Slots: 3, Waiting: 1000})
+	}
+	b.fabric.SetLoss(0.01)
+	caller := func(addr netip.Addr, service netip.AddrPort) CallerConfig {
+		return CallerConfig{Addr: addr, Service: service, Name: "rounds", Protocol: version.UDP,
+			TLS: callerTLS, Held: 2, AnswerSize: answerSize, Think: time.Millisecond, Seed: 5}
+	}
+	r := b.run(func(r Report) bool { return r.Requests >= 20 }, caller(callerAddr, udpService), caller(callerAddr6, udpService6))
+	mustBeClean(t, r)
+	must.Eq(t, 4, r.Opened)
+	must.Eq(t, 4, r.Finished)
+}
+
+func TestLossAndChangingBalancers(t *testing.T) {
+	b := newBench(t, 3)
+	b.addUpstream(tcpUpstream("permits-1"))
+	b.fabric.SetLoss(0.05)
+	cut := b.balancers[0].FabricAddr()
+	step := uint64(100)
+	r := b.run(func(r Report) bool {
+		switch {
+		case r.Requests >= 3*step:
+			b.fabric.Remove(cut)
+		case r.Requests >= step:
+			b.fabric.Cut(cut)
+		}
+		return r.Requests >= 6*step
+	}, tcpCaller())
+	mustBeClean(t, r)
+	must.Eq(t, r.Opened, r.Finished)
+}
+
+func TestRefusals(t *testing.T) {
+	b := newBench(t, 2)
+	_, callerTLS, err := NewTLS()
+	must.NoError(t, err)
+	udp := CallerConfig{Addr: callerAddr, Service: udpService, Name: "rounds", Protocol: version.UDP, TLS: callerTLS, Held: 2}
+	udp6 := udp
+	udp6.Addr, udp6.Service = callerAddr6, udpService6
+	tcp := tcpCaller()
+	tcp.PerSecond = 0
+	r := b.run(func(r Report) bool { return r.Refused == uint64(tcp.Held+udp.Held+udp6.Held) }, tcp, udp, udp6)
+	must.Eq(t, r.Opened, r.Refused)
+}
+
+func TestMisroutedPacketsAreCounted(t *testing.T) {
+	b := newBench(t, 1)
+	b.addUpstream(tcpUpstream("permits-1"))
+	r := b.run(func(r Report) bool { return r.Requests >= 20 }, tcpCaller())
+	mustBeClean(t, r)
+
+	other := tcpUpstream("allocations-1")
+	other.ServiceAddr = tcpService6
+	b.engine.route(tcpService, version.TCP, b.addUpstream(other).Addr())
+	ctx, cancel := context.WithCancel(t.Context())
+	c := NewCaller(b.fabric, b.stats, tcpCaller())
+	done := make(chan struct{})
+	go func() { defer close(done); c.Run(ctx) }()
+	b.eventually(func(r Report) bool { return r.CrossService > 0 })
+
+	second := tcpUpstream("permits-2")
+	b.addUpstream(second)
+	b.eventually(func(r Report) bool { return r.Accepted["permits-2"] > 0 })
+	third := tcpUpstream("permits-3")
+	b.addUpstream(third)
+	b.eventually(func(r Report) bool { return r.Broken[errReset.Error()] > 0 && r.Strays > 0 })
+	cancel()
+	<-done
+}
+
+func TestUpstreamShedsAndReports(t *testing.T) {
+	b := newBench(t, 1)
+	lie := uint8(7)
+	announced := make(chan Announcement, 100)
+	cfg := tcpUpstream("permits-1")
+	cfg.Slots, cfg.Waiting = 1, 1
+	cfg.ServiceTime = 20 * time.Millisecond
+	cfg.ReportedLoad = &lie
+	cfg.AnnounceEvery = time.Millisecond
+	cfg.Announce = func(_ context.Context, a Announcement) error {
+		select {
+		case announced <- a:
+		default:
+		}
+		return nil
+	}
+	u := b.addUpstream(cfg)
+	u.Drain()
+	r := b.run(func(r Report) bool { return r.Shed > 0 && r.Requests > r.Shed }, tcpCaller())
+	mustBeClean(t, r)
+	must.Eq(t, r.Accepted["permits-1"], r.WhileDraining)
+	a := <-announced
+	must.Eq(t, Announcement{Name: "permits-1", Service: "permits", Addr: u.Addr(), Slots: 1, Load: lie}, a)
+}
