Pass ICMP errors to the upstream; count socket overflows

Cause: with direct server return, a router's 'packet too big' about an answer goes to the service address and so to any balancer. Dropping it stops path MTU discovery, and a large answer then never arrives whole. Packets that the system drops at a full read buffer were not counted.

Change: an ICMP or ICMPv6 error whose quoted packet left the service address decodes as a later packet of the connection it is about; it is never answered by a refusal. Receivers read SO_RXQ_OVFL. A decision without a valid address is counted as a failed send in place of a panic, and a return address is required.

--- a/internal/request/forward/config.go
+++ b/internal/request/forward/config.go
@@ -65,6 +65,8 @@
 		return result.Errorf(result.BadSettings, "no fabric address")
 	case !c.RelayAddr.IsValid():
 		return result.Errorf(result.BadSettings, "no relay address")
+	case !c.ReturnAddr.IsValid():
+		return result.Errorf(result.BadSettings, "no return address")
 	case c.Receivers < 1 || c.Receivers > maxReceivers:
 		return result.Errorf(result.BadSettings, "%d receivers: must be 1 to %d", c.Receivers, maxReceivers)
 	case c.Batch < 1 || c.Batch > maxBatch:
--- a/internal/request/forward/counters.go
+++ b/internal/request/forward/counters.go
@@ -22,6 +22,7 @@
 	hintsOut
 	refusals
 	readErrors
+	overflows
 	firstCode // counters from here on are per result code
 )
 
@@ -80,6 +81,9 @@
 	HintsOut     uint64
 	Refusals     uint64 // answers to callers
 	ReadErrors   uint64
+	// Overflows counts the packets that the system dropped because a
+	// socket's read buffer was full.
+	Overflows uint64
 	// Codes counts by cause the packets that were dropped or refused. A
 	// cause without packets is absent.
 	Codes map[result.Code]uint64
@@ -105,6 +109,7 @@
 		HintsOut:     sum[hintsOut],
 		Refusals:     sum[refusals],
 		ReadErrors:   sum[readErrors],
+		Overflows:    sum[overflows],
 		Codes:        codeCounts(sum[firstCode:]),
 	}
 }
--- a/internal/request/forward/queue.go
+++ b/internal/request/forward/queue.go
@@ -35,8 +35,13 @@
 	return q
 }
 
-// add queues b, which must stay unchanged until the flush.
-func (q *queue) add(b []byte, to netip.AddrPort, kind counter) {
+// add queues b, which must stay unchanged until the flush. Without a valid
+// destination it drops and counts b.
+func (q *queue) add(c *counts, b []byte, to netip.AddrPort, kind counter) {
+	if !to.IsValid() {
+		c.addCode(result.DropSendFailed)
+		return
+	}
 	q.ms[q.n].Buffers[0] = b
 	setUDPAddr(&q.dst[q.n], to)
 	q.kind[q.n] = kind
--- a/internal/request/forward/receiver.go
+++ b/internal/request/forward/receiver.go
@@ -54,6 +54,8 @@
 	answers  [][]byte // buffers of refusals
 	answered int      // those in use by the batch
 
+	overflowed uint32 // packets that the socket has dropped since its start
+
 	counts counts
 	shared sharedCounts
 }
@@ -83,6 +85,7 @@
 	}
 	for i := range r.ms {
 		r.ms[i].Buffers = [][]byte{r.bufs[i][headroom:]}
+		r.ms[i].OOB = make([]byte, overflowSize)
 	}
 	return r
 }
@@ -133,6 +136,9 @@
 	for i := range max(n, 0) {
 		r.handle(r, i)
 	}
+	if n > 0 {
+		r.countOverflow(&r.ms[n-1])
+	}
 	r.fabric.flush(&r.counts)
 	r.relays.flush(&r.counts)
 	r.sides = 0
@@ -140,6 +146,17 @@
 	r.shared.take(&r.counts)
 }
 
+// countOverflow counts the packets that the socket has dropped since the last
+// batch.
+func (r *receiver) countOverflow(last *ipv4.Message) {
+	total, ok := overflow(last.OOB[:last.NN])
+	if !ok {
+		return
+	}
+	r.counts.add(overflows, int(total-r.overflowed))
+	r.overflowed = total
+}
+
 // fromFabric handles message i as a caller's packet.
 func (r *receiver) fromFabric(i int) {
 	size := r.ms[i].N
@@ -224,7 +241,7 @@
 	packet := full[relay.HeaderSize:]
 	switch d.Action {
 	case connection.Forward:
-		r.fabric.add(packet, d.Addr, packetsOut)
+		r.fabric.add(&r.counts, packet, d.Addr, packetsOut)
 	case connection.RelayTo:
 		r.relay(full, d, via)
 	case connection.Refuse:
@@ -243,7 +260,7 @@
 		return
 	}
 	r.codec.SealPacket(full, &d.Header)
-	r.relays.add(full, d.Addr, relaysOut)
+	r.relays.add(&r.counts, full, d.Addr, relaysOut)
 }
 
 func (r *receiver) refuse(packet []byte, cause result.Code) {
@@ -258,16 +275,16 @@
 	}
 	b := append(r.answers[r.answered][:0], answer...)
 	r.answered++
-	r.fabric.add(b, r.f.cfg.ReturnAddr, refusals)
+	r.fabric.add(&r.counts, b, r.f.cfg.ReturnAddr, refusals)
 }
 
 // sendSides sends the hint and the refresh of d.
 func (r *receiver) sendSides(d *connection.Decision, p *connection.Packet) {
 	if d.HintTo != 0 {
-		r.relays.add(r.codec.SealHint(r.nextSide(), &d.Hint), d.HintAddr, hintsOut)
+		r.relays.add(&r.counts, r.codec.SealHint(r.nextSide(), &d.Hint), d.HintAddr, hintsOut)
 	}
 	if d.RefreshTo != 0 {
-		r.relays.add(r.codec.SealRefresh(r.nextSide(), &d.Refresh, p), d.RefreshAddr, refreshesOut)
+		r.relays.add(&r.counts, r.codec.SealRefresh(r.nextSide(), &d.Refresh, p), d.RefreshAddr, refreshesOut)
 	}
 }
 
--- a/internal/request/forward/socket.go
+++ b/internal/request/forward/socket.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"net"
 	"net/netip"
 	"syscall"
@@ -41,7 +42,7 @@
 }
 
 func listenOne(ctx context.Context, addr netip.AddrPort, cfg *Config) (*socket, error) {
-	lc := net.ListenConfig{Control: reusePort}
+	lc := net.ListenConfig{Control: setOptions}
 	network := "udp"
 	if addr.Addr().Is4() {
 		network = "udp4"
@@ -62,10 +63,11 @@
 	return s, nil
 }
 
-func reusePort(_, _ string, c syscall.RawConn) error {
+// setOptions lets sockets share their address and report dropped packets.
+func setOptions(_, _ string, c syscall.RawConn) error {
 	var operr error
 	err := c.Control(func(fd uintptr) {
-		operr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+		operr = setSocketOptions(int(fd))
 	})
 	if err != nil {
 		return err
@@ -73,6 +75,32 @@
 	return operr
 }
 
+func setSocketOptions(fd int) error {
+	if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEPORT, 1); err != nil {
+		return err
+	}
+	return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RXQ_OVFL, 1)
+}
+
+// overflowSize is the size in bytes of the control message of SO_RXQ_OVFL.
+var overflowSize = unix.CmsgSpace(overflowDataSize)
+
+const overflowDataSize = 4 // bytes
+
+// overflow returns the number of packets that a socket has dropped since its
+// start, as the control messages oob of a received packet give it. A socket
+// without drops sends none.
+func overflow(oob []byte) (uint32, bool) {
+	if len(oob) < unix.CmsgLen(overflowDataSize) {
+		return 0, false
+	}
+	header, data, _, err := unix.ParseOneSocketControlMessage(oob)
+	if err != nil || header.Level != unix.SOL_SOCKET || header.Type != unix.SO_RXQ_OVFL {
+		return 0, false
+	}
+	return binary.NativeEndian.Uint32(data), true
+}
+
 func setBuffers(c *net.UDPConn, cfg *Config) error {
 	if cfg.ReadBuffer > 0 {
 		if err := c.SetReadBuffer(cfg.ReadBuffer); err != nil {
--- a/internal/request/wire/refuse.go
+++ b/internal/request/wire/refuse.go
@@ -38,11 +38,14 @@
 
 // Refuse returns the bare IP packet that refuses b: a TCP reset, or an ICMP
 // port unreachable message for UDP. The result is valid until the next call.
-// It is nil when b must not be answered, as a TCP reset.
+// It is nil when b must not be answered: a TCP reset or an ICMP error.
 func (r *Refuser) Refuse(b []byte) ([]byte, error) {
 	if code := r.decoder.Decode(b, &r.packet); code != result.OK {
 		return nil, result.Errorf(code, "packet to refuse")
 	}
+	if isICMP(b) {
+		return nil, nil
+	}
 	if r.packet.Key.Protocol == version.UDP {
 		return r.unreachable(b)
 	}
--- a/internal/request/wire/wire.go
+++ b/internal/request/wire/wire.go
@@ -21,6 +21,12 @@
 	udpHeaderSize  = 8
 )
 
+// Fields of the fragment word of an IPv4 header.
+const (
+	moreFragments  = 0x2000
+	fragmentOffset = 0x1fff
+)
+
 // QUIC packet headers (RFC 9000, section 17, and RFC 9369).
 const (
 	quicLongHeader   = 0x80
@@ -68,8 +74,9 @@
 }
 
 // Decode decodes the bare IP packet b into p. It returns result.OK, or the
-// cause for dropping b; p is then not valid. IPv6 extension headers are not
-// supported: a fragment header yields DropFragment, others DropProtocol.
+// cause for dropping b; p is then not valid. An ICMP error is decoded as a
+// later packet of the connection that it is about. IPv6 extension headers are
+// not supported: a fragment header yields DropFragment, others DropProtocol.
 func (d *Decoder) Decode(b []byte, p *connection.Packet) result.Code {
 	if len(b) == 0 {
 		return result.DropTruncated
@@ -88,6 +95,9 @@
 	if code := check4(b); code != result.OK {
 		return code
 	}
+	if isICMP(b) {
+		return decodeICMP4(b, p)
+	}
 	if code := d.parse(d.ipv4, b); code != result.OK {
 		return code
 	}
@@ -113,10 +123,12 @@
 	if checksum(b[:header]) != 0 {
 		return result.DropMalformed
 	}
-	const moreFragmentsAndOffset = 0x3fff
-	if binary.BigEndian.Uint16(b[6:8])&moreFragmentsAndOffset != 0 {
+	if binary.BigEndian.Uint16(b[6:8])&(moreFragments|fragmentOffset) != 0 {
 		return result.DropFragment
 	}
+	if isICMP(b) {
+		return result.OK
+	}
 	return supported(b[9])
 }
 
@@ -124,6 +136,9 @@
 	if code := check6(b); code != result.OK {
 		return code
 	}
+	if isICMP(b) {
+		return decodeICMP6(b, p)
+	}
 	if code := d.parse(d.ipv6, b); code != result.OK {
 		return code
 	}
@@ -144,6 +159,9 @@
 	if next == byte(layers.IPProtocolIPv6Fragment) {
 		return result.DropFragment
 	}
+	if isICMP(b) {
+		return result.OK
+	}
 	return supported(next)
 }
 
