Measure the forwarder under saturation with its processor time

Change: three senders saturate one receiver and a separate sink counts; both benchmarks also report the processor time of the moving thread.

--- a/internal/request/forward/bench_test.go
+++ b/internal/request/forward/bench_test.go
@@ -1,9 +1,9 @@
 package forward
 
 import (
-	"context"
 	"net"
 	"net/netip"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -11,6 +11,7 @@
 
 	"github.com/shoenig/test/must"
 	"golang.org/x/net/ipv4"
+	"golang.org/x/sys/unix"
 
 	"heatherport/internal/connection"
 	"heatherport/internal/version"
@@ -39,7 +40,7 @@
 // saturate sends packets to to faster than one receiver can move them, until
 // b.N have arrived at sink, and reports the packets a second that arrive.
 func saturate(b *testing.B, sink *net.UDPConn, to netip.AddrPort) {
-	const senders = 2
+	const senders = 3
 	var stop atomic.Bool
 	var sending sync.WaitGroup
 	for range senders {
@@ -88,34 +89,52 @@
 	return c
 }
 
+// onThread runs f on a thread of its own and returns a function that waits for
+// its end and reports the processor time that it took for each packet.
+func onThread(b *testing.B, f func()) (wait func(packets *uint64)) {
+	var used unix.Rusage
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		runtime.LockOSThread() // not unlocked, so that the thread ends too
+		f()
+		unix.Getrusage(unix.RUSAGE_THREAD, &used)
+	}()
+	return func(packets *uint64) {
+		<-done
+		cpu := time.Duration(used.Utime.Nano() + used.Stime.Nano())
+		b.ReportMetric(float64(cpu)/float64(*packets), "cpu-ns/packet")
+	}
+}
+
 // BenchmarkLoopback sends packets through one receiver.
 func BenchmarkLoopback(b *testing.B) {
-	peer := benchSocket(b)
-	cfg := Config{FabricAddr: loopback, RelayAddr: loopback, ReturnAddr: loopback, Receivers: 1, Batch: benchBatch,
-		ReadBuffer: benchBufferSize, WriteBuffer: benchBufferSize}
-	engine := &fixedEngine{to: peer.LocalAddr().(*net.UDPAddr).AddrPort()}
+	sink := benchSocket(b)
+	cfg := Config{FabricAddr: loopback, RelayAddr: loopback, ReturnAddr: loopback, Receivers: 1,
+		Batch: benchBatch, ReadBuffer: benchBufferSize, WriteBuffer: benchBufferSize}
+	engine := &fixedEngine{to: sink.LocalAddr().(*net.UDPAddr).AddrPort()}
 	start := time.Now()
 	f, err := New(b.Context(), cfg, engine, testKeyring(), func() time.Duration { return time.Since(start) })
 	must.NoError(b, err)
-	must.NoError(b, f.Start(b.Context()))
-	saturate(b, peer, f.FabricAddr())
-	must.NoError(b, f.Stop(context.Background()))
+	wait := onThread(b, func() { f.receivers[0].run(b.Context()) })
+	saturate(b, sink, f.FabricAddr())
+	f.close()
+	packets := f.Counters().PacketsOut
+	wait(&packets)
 }
 
 // BenchmarkCopyLoop sends packets through a loop of ReadBatch and WriteBatch.
 func BenchmarkCopyLoop(b *testing.B) {
-	peer, c := benchSocket(b), benchSocket(b)
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		copyLoop(c, peer.LocalAddr())
-	}()
-	saturate(b, peer, c.LocalAddr().(*net.UDPAddr).AddrPort())
+	sink, c := benchSocket(b), benchSocket(b)
+	packets := uint64(0)
+	wait := onThread(b, func() { packets = copyLoop(c, sink.LocalAddr()) })
+	saturate(b, sink, c.LocalAddr().(*net.UDPAddr).AddrPort())
 	c.Close()
-	<-done
+	wait(&packets)
 }
 
-func copyLoop(c *net.UDPConn, to net.Addr) {
+// copyLoop returns the number of packets copied once c is closed.
+func copyLoop(c *net.UDPConn, to net.Addr) (packets uint64) {
 	conn := ipv4.NewPacketConn(c)
 	in := make([]ipv4.Message, benchBatch)
 	out := make([]ipv4.Message, benchBatch)
@@ -126,7 +145,7 @@
 	for {
 		n, err := conn.ReadBatch(in, 0)
 		if err != nil {
-			return
+			return packets
 		}
 		for i := range n {
 			out[i].Buffers[0] = in[i].Buffers[0][:in[i].N]
@@ -134,9 +153,10 @@
 		for sent := 0; sent < n; {
 			m, err := conn.WriteBatch(out[sent:n], 0)
 			if err != nil {
-				return
+				return packets
 			}
 			sent += m
+			packets += uint64(m)
 		}
 	}
 }
