Add placement, connection table, load estimate and owner engine

Cause: nothing decided about packets yet. Change: weighted rendezvous on integers, a sharded table with a timing wheel, counts with a lagging-peer estimate, and the engine that decides, relays, hints, replicates exceptions and hands slots over. Relay gains the flags RelayRecord (an opening packet that deviates travels through the standby, so that its exception is not lost with the owner) and RelayAssumed (a refresh whose upstream was inferred from the base).

--- /dev/null
+++ b/internal/connection/owner/choose.go
@@ -0,0 +1,200 @@
+package owner
+
+import (
+	"time"
+
+	"heatherport/internal/connection"
+	"heatherport/internal/connection/load"
+	"heatherport/internal/connection/table"
+	"heatherport/internal/result"
+	"heatherport/internal/version"
+	"heatherport/internal/version/placement"
+)
+
+// chooser walks a bucket's ranking for a new connection.
+type chooser struct {
+	walker placement.Walker
+	open   [placement.MaxCached]int64
+}
+
+// plainChoice returns the first upstream of the current ranking, or nil.
+func (s *service) plainChoice(bucket uint16) *target {
+	var w placement.Walker
+	w.Start(s.current, bucket)
+	i, ok := w.Next()
+	if !ok {
+		return nil
+	}
+	return s.targets[i]
+}
+
+// choose returns the upstream for a new connection: the first of the ranking
+// whose open connections stay within the limit times its fair share, else the
+// one with the fewest for its weight. It returns nil when all are full.
+func (e *Engine) choose(s *service, bucket uint16, others int32) *target {
+	var c chooser
+	var total int64
+	for i, t := range s.targets {
+		n := int64(t.counter.Estimate(others * peerShare))
+		total += n
+		if i < len(c.open) {
+			c.open[i] = n
+		}
+	}
+	c.walker.Start(s.current, bucket)
+	var least *target
+	var leastOpen int64
+	var leastWeight uint64
+	for i, ok := c.walker.Next(); ok; i, ok = c.walker.Next() {
+		t := s.targets[i]
+		n := c.count(i, t, others)
+		if t.limit > 0 && n >= t.limit {
+			continue
+		}
+		weight := uint64(s.current[i].Weight)
+		if e.limit.Allows(n, total, weight, s.sum) {
+			return t
+		}
+		if least == nil || uint64(n)*leastWeight < uint64(leastOpen)*weight {
+			least, leastOpen, leastWeight = t, n, weight
+		}
+	}
+	return least
+}
+
+// peerShare is the part, in units of 1/load.Scale, of this owner's additions
+// since its last report that each peer is assumed to have made too.
+const peerShare = load.Scale
+
+func (c *chooser) count(i int, t *target, others int32) int64 {
+	if i < len(c.open) {
+		return c.open[i]
+	}
+	return int64(t.counter.Estimate(others * peerShare))
+}
+
+// open chooses an upstream for a new connection.
+func (e *Engine) open(r *request, s *service, st *slotState) connection.Decision {
+	t := e.previousUpstream(r, s)
+	if t == nil {
+		t = e.choose(s, r.bucket(), r.view.others)
+	}
+	if t == nil {
+		return e.refuse(r, s, st)
+	}
+	up, ok := e.store(r, t, table.Counted)
+	if !ok {
+		return drop(result.DropTableFull)
+	}
+	if up == t.id && s.deviates(up, r.bucket()) {
+		if d, ok := e.viaStandby(r, up); ok {
+			return d
+		}
+	}
+	return e.forward(r, up, r.packet.Seq, 0)
+}
+
+// previousUpstream returns the upstream of the connection that used the same
+// 5-tuple before, if it takes new connections: entries of other members may
+// still name it.
+func (e *Engine) previousUpstream(r *request, s *service) *target {
+	if r.unmarked() {
+		return nil
+	}
+	sh := e.table.Lock(r.hash)
+	ent := sh.Find(r.hash, &r.packet.Key)
+	var id version.UpstreamID
+	if ent != nil {
+		id = ent.Upstream
+	}
+	sh.Unlock()
+	t := r.view.targets[id]
+	if t == nil || !t.active || t.service != s {
+		return nil
+	}
+	if n := int64(t.counter.Estimate(r.view.others * peerShare)); t.limit > 0 && n >= t.limit {
+		return nil
+	}
+	return t
+}
+
+// refuse answers a new connection for which no upstream has room. Unless it is
+// certain that no member has forwarded an earlier packet of the connection,
+// the packet is dropped silently.
+func (e *Engine) refuse(r *request, s *service, st *slotState) connection.Decision {
+	code := result.RefusedFull
+	if len(s.targets) == 0 {
+		code = result.RefusedNoUpstream
+	}
+	if !e.certain(r, st) {
+		return drop(result.DropNoUpstream)
+	}
+	return connection.Decision{Action: connection.Refuse, Code: code}
+}
+
+// certain reports whether this member would know any connection that was
+// opened within the SYN horizon.
+func (e *Engine) certain(r *request, st *slotState) bool {
+	horizon := r.now - synHorizon
+	if r.owner() != r.view.self || st.since > horizon || !e.lease.Load() {
+		return false
+	}
+	if e.evictAt.Load() > int64(horizon) || r.packet.Marks&connection.MarkOpen == 0 {
+		return false
+	}
+	for _, p := range r.view.peers {
+		if !p.certain(r.now) {
+			return false
+		}
+	}
+	return true
+}
+
+// recordWindow is how long after a decision its retransmitted opening packets
+// still go through the standby; batches have then replicated the exception.
+const recordWindow = 3 * time.Second
+
+// needsRecord reports whether an opening packet at the owner is to go through
+// the standby, which may not hold the exception yet.
+func (e *Engine) needsRecord(r *request, m match) bool {
+	if r.packet.Marks&connection.MarkOpen == 0 || m.flags&table.AtBase != 0 {
+		return false
+	}
+	return r.owner() == r.view.self && m.age < recordWindow
+}
+
+// viaStandby sends an opening packet to the standby, which records the
+// exception and forwards the packet.
+func (e *Engine) viaStandby(r *request, id version.UpstreamID) (connection.Decision, bool) {
+	if r.owner() != r.view.self {
+		return connection.Decision{}, false
+	}
+	to := r.view.peers[r.view.owners.cur.Standby(r.slot)]
+	t, same := r.view.resolve(id, &r.packet.Key)
+	if to == nil || !same || !to.alive(r.now) || to.applied.Load() < t.counter.since {
+		return connection.Decision{}, false
+	}
+	return connection.Decision{
+		Action: connection.RelayTo, Peer: to.id, Addr: to.addr,
+		Header: connection.Relay{
+			From: r.view.self, Flags: connection.RelayRecord, Origin: r.origin(),
+			Upstream: id, Epoch: r.view.owners.epoch,
+		},
+	}, true
+}
+
+// record keeps the exception that an owner has decided and forwards the packet.
+func (e *Engine) record(r *request) connection.Decision {
+	t, same := r.view.resolve(r.via.Upstream, &r.packet.Key)
+	if t == nil {
+		return drop(result.DropUpstreamGone)
+	}
+	if !same {
+		return drop(result.DropServiceMismatch)
+	}
+	if h, ok := e.held.get(r.hash); !ok || !h.confirmed || h.upstream != t.id {
+		e.held.put(r.hash, held{t.id, r.via.From, table.At(r.now), false})
+	}
+	e.lend(r.now, r.view, &r.packet.Key, r.hash, t, r.packet.Seq, 0)
+	return e.forward(r, t.id, r.packet.Seq, 0)
+}
--- /dev/null
+++ b/internal/connection/owner/message.go
@@ -0,0 +1,48 @@
+package owner
+
+import "heatherport/internal/version"
+
+// Message is what engines exchange over control links. Any part may be absent.
+type Message struct {
+	Load       *Load       `cbor:"1,keyasint,omitempty"`
+	Exceptions *Exceptions `cbor:"2,keyasint,omitempty"`
+	Ack        *Ack        `cbor:"3,keyasint,omitempty"`
+	Tenure     *Tenure     `cbor:"4,keyasint,omitempty"`
+	TenureAck  *Tenure     `cbor:"5,keyasint,omitempty"`
+}
+
+// Load is the periodic report of a member and serves as its heartbeat.
+type Load struct {
+	Seq     uint64 `cbor:"1,keyasint"`
+	Applied uint64 `cbor:"2,keyasint"`           // version index
+	Synced  uint64 `cbor:"3,keyasint,omitempty"` // owner epoch for which every exception is acknowledged
+	Full    bool   `cbor:"4,keyasint,omitempty"` // Counts holds every upstream with connections
+	Doubt   bool   `cbor:"5,keyasint,omitempty"` // the sender has lately decided without the owner
+	Leaving bool   `cbor:"6,keyasint,omitempty"` // the sender wants to stop
+	Counts  []byte `cbor:"7,keyasint,omitempty"` // see appendCount
+}
+
+// Exceptions is one batch of a stream from an owner to one replica. Batches
+// are applied in order of Seq, without gaps.
+type Exceptions struct {
+	Seq    uint64 `cbor:"1,keyasint"`
+	Items  []byte `cbor:"2,keyasint"` // see appendItem
+	Urgent bool   `cbor:"3,keyasint,omitempty"`
+}
+
+// Ack acknowledges all batches up to Seq.
+type Ack struct {
+	Seq uint64 `cbor:"1,keyasint"`
+}
+
+// Tenure hands over all slots that the sender owned before Epoch and does not
+// own under it. It is sent once all exceptions of those slots are acknowledged.
+type Tenure struct {
+	Epoch uint64 `cbor:"1,keyasint"`
+}
+
+// Outbound is a message to send to a member.
+type Outbound struct {
+	To      version.MemberID
+	Message Message
+}
--- /dev/null
+++ b/internal/connection/owner/ownership.go
@@ -0,0 +1,187 @@
+package owner
+
+import (
+	"slices"
+	"time"
+
+	"heatherport/internal/version"
+	"heatherport/internal/version/placement"
+)
+
+// ownership is the state of all slots under one owner epoch. Its tables are
+// immutable.
+type ownership struct {
+	epoch   uint64
+	members []version.MemberID // Owners.Current
+	cur     *placement.OwnerTable
+	next    *placement.OwnerTable // nil unless a set is being prepared
+	nextSet []version.MemberID
+	slots   [placement.Slots]slotState
+}
+
+// slotState is what this member knows of one slot besides its owner.
+type slotState struct {
+	moved      uint16           // low bits of the epoch in which the owner last changed
+	gave       version.MemberID // new owner, if this member gave the slot up in this epoch
+	since      time.Duration    // when this member became the owner
+	doubtUntil time.Duration    // until then, connections of a lost owner may be retransmitting their opening packet
+	pred       *predecessor     // owner before this member, while it is a member
+}
+
+// predecessor is the member that owned slots before this one.
+type predecessor struct {
+	*peer
+	epoch uint64
+}
+
+// handed reports whether p has handed its tenure over.
+func (p *predecessor) handed() bool { return p.tenure.Load() >= p.epoch }
+
+// handover is the tenure that this member still has to hand to a new owner.
+type handover struct {
+	epoch  uint64
+	done   bool
+	sentAt time.Duration
+}
+
+// newOwnership derives the slot states for w from those before. It runs on the
+// control goroutine.
+func (e *Engine) newOwnership(now time.Duration, w *view, old *ownership) *ownership {
+	own := &w.version.Owners
+	o := &ownership{epoch: own.Epoch, members: own.Current, nextSet: own.Next}
+	o.cur = e.ownerTable(own.Current)
+	if len(own.Next) > 0 && !slices.Equal(own.Next, own.Current) {
+		o.next = e.ownerTable(own.Next)
+	}
+	prev := e.previousTable(own, old)
+	if old != nil && old.epoch == o.epoch {
+		o.slots = old.slots
+	} else {
+		e.dropHandovers(own.Epoch)
+		for slot := range o.slots {
+			o.slots[slot] = e.enterSlot(now, w, o, old, prev, uint16(slot))
+		}
+	}
+	o.dropLostPredecessors(now, w)
+	return o
+}
+
+// previousTable returns the owners before own.Epoch, or nil if there were none.
+func (e *Engine) previousTable(own *version.Owners, old *ownership) *placement.OwnerTable {
+	if len(own.Previous) > 0 {
+		return e.ownerTable(own.Previous)
+	}
+	if old != nil {
+		return old.cur
+	}
+	return nil
+}
+
+// enterSlot returns the state of a slot in a new epoch.
+func (e *Engine) enterSlot(now time.Duration, w *view, o, old *ownership, prev *placement.OwnerTable, slot uint16) slotState {
+	var st slotState
+	var before version.MemberID
+	if prev != nil {
+		before = prev.Owner(slot)
+	}
+	held := old != nil && old.cur.Owner(slot) == w.self
+	owner := o.cur.Owner(slot)
+	if old != nil {
+		st.moved = old.slots[slot].moved
+	}
+	if before != owner {
+		st.moved = uint16(o.epoch)
+	}
+	switch {
+	case owner != w.self:
+		if held || before == w.self {
+			e.giveUp(&st, owner, o.epoch)
+		}
+	case held:
+		st = old.slots[slot]
+	default:
+		e.takeSlot(now, w, o, &st, before)
+	}
+	return st
+}
+
+// giveUp notes that a slot goes to a new owner.
+func (e *Engine) giveUp(st *slotState, owner version.MemberID, epoch uint64) {
+	if owner == 0 {
+		return
+	}
+	st.gave = owner
+	if e.handovers[owner] == nil {
+		e.handovers[owner] = &handover{epoch: epoch}
+	}
+}
+
+// takeSlot notes that this member becomes the owner of a slot.
+func (e *Engine) takeSlot(now time.Duration, w *view, o *ownership, st *slotState, before version.MemberID) {
+	st.since = now
+	if before == 0 {
+		st.since = now - synHorizon
+		return
+	}
+	r := w.peers[before]
+	if r == nil {
+		st.doubtUntil = now + synHorizon
+		return
+	}
+	st.pred = e.predecessor(r.peer, o.epoch)
+}
+
+// predecessor returns the predecessor p of an epoch, which slots share.
+func (e *Engine) predecessor(p *peer, epoch uint64) *predecessor {
+	for _, known := range e.preds {
+		if known.peer == p && known.epoch == epoch {
+			return known
+		}
+	}
+	pred := &predecessor{peer: p, epoch: epoch}
+	e.preds = append(e.preds, pred)
+	return pred
+}
+
+// dropLostPredecessors puts the slots of predecessors that are no longer
+// members in doubt until retransmissions of opening packets have ended.
+func (o *ownership) dropLostPredecessors(now time.Duration, w *view) {
+	for slot := range o.slots {
+		st := &o.slots[slot]
+		if st.pred == nil || w.peers[st.pred.id] != nil {
+			continue
+		}
+		st.pred = nil
+		st.doubtUntil = now + synHorizon
+	}
+}
+
+// dropHandovers forgets the handovers of earlier epochs.
+func (e *Engine) dropHandovers(epoch uint64) {
+	for id, h := range e.handovers {
+		if h.epoch < epoch {
+			delete(e.handovers, id)
+		}
+	}
+}
+
+// ownerTable returns the table of a set, from a small cache.
+func (e *Engine) ownerTable(set []version.MemberID) *placement.OwnerTable {
+	for i := range e.tables {
+		if slices.Equal(e.tables[i].set, set) {
+			return e.tables[i].table
+		}
+	}
+	const cached = 4
+	if len(e.tables) >= cached {
+		e.tables = slices.Delete(e.tables, 0, 1)
+	}
+	t := placement.BuildOwners(set)
+	e.tables = append(e.tables, cachedTable{slices.Clone(set), t})
+	return t
+}
+
+type cachedTable struct {
+	set   []version.MemberID
+	table *placement.OwnerTable
+}
--- /dev/null
+++ b/internal/connection/owner/receive.go
@@ -0,0 +1,124 @@
+package owner
+
+import (
+	"time"
+
+	"heatherport/internal/connection/table"
+	"heatherport/internal/version"
+	"heatherport/internal/version/placement"
+)
+
+// Receive applies a message from a member and returns the answers to send at
+// once. Messages may be lost, late, repeated or out of order.
+func (e *Engine) Receive(now time.Duration, from version.MemberID, m Message) []Outbound {
+	if from == 0 || from == e.self {
+		return nil
+	}
+	p := e.peer(now, from)
+	p.hear(now)
+	if m.Load != nil {
+		e.receiveLoad(p, m.Load)
+	}
+	if m.Ack != nil {
+		p.out.ack(m.Ack.Seq)
+	}
+	if m.TenureAck != nil {
+		e.receiveTenureAck(p, m.TenureAck)
+	}
+	var answer Message
+	if m.Exceptions != nil {
+		e.receiveExceptions(now, p, m.Exceptions)
+		if m.Exceptions.Urgent {
+			answer.Ack = &Ack{p.in}
+			p.ackDue = false
+		}
+	}
+	if m.Tenure != nil {
+		p.tenure.Store(max(p.tenure.Load(), m.Tenure.Epoch))
+		answer.TenureAck = &Tenure{m.Tenure.Epoch}
+	}
+	if answer == (Message{}) {
+		return nil
+	}
+	return []Outbound{{from, answer}}
+}
+
+func (e *Engine) receiveLoad(p *peer, l *Load) {
+	if l.Seq <= p.loadSeq {
+		return
+	}
+	p.loadSeq = l.Seq
+	p.doubt.Store(l.Doubt)
+	p.applied.Store(l.Applied)
+	e.mergeCounts(p, l)
+	if l.Synced > p.synced {
+		p.synced = l.Synced
+		e.purge(p)
+	}
+}
+
+// mergeCounts replaces the counts that p reports.
+func (e *Engine) mergeCounts(p *peer, l *Load) {
+	if l.Full {
+		for id := range p.counts {
+			e.setCount(p, id, 0)
+		}
+	}
+	var id version.UpstreamID
+	for b := l.Counts; len(b) > 0; {
+		gap, n, rest, ok := nextCount(b)
+		if !ok {
+			return
+		}
+		id += gap
+		e.setCount(p, id, n)
+		b = rest
+	}
+}
+
+func (e *Engine) setCount(p *peer, id version.UpstreamID, n int32) {
+	if c := e.counters[id]; c != nil {
+		c.AddHeard(n - p.counts[id])
+	}
+	if n == 0 {
+		delete(p.counts, id)
+		return
+	}
+	p.counts[id] = n
+}
+
+// receiveExceptions applies the next batch of p's stream. A batch out of order
+// is ignored; its sender repeats it.
+func (e *Engine) receiveExceptions(now time.Duration, p *peer, x *Exceptions) {
+	p.ackDue = true
+	if x.Seq != p.in+1 {
+		return
+	}
+	p.in = x.Seq
+	for b := x.Items; len(b) > 0; {
+		it, rest, ok := nextItem(b)
+		if !ok {
+			return
+		}
+		e.applyItem(now, p, it)
+		b = rest
+	}
+}
+
+func (e *Engine) applyItem(now time.Duration, p *peer, it item) {
+	if it.upstream == 0 {
+		e.held.removeFrom(it.hash, p.id)
+		return
+	}
+	e.held.put(it.hash, held{it.upstream, p.id, table.At(now), true})
+	if w := e.view.Load(); w != nil && w.owners.cur.Owner(placement.Slot(it.hash)) == w.self {
+		e.events.push(it)
+	}
+}
+
+func (e *Engine) receiveTenureAck(p *peer, t *Tenure) {
+	h := e.handovers[p.id]
+	if h != nil && h.epoch <= t.Epoch {
+		h.done = true
+	}
+}
--- /dev/null
+++ b/internal/connection/owner/tick.go
@@ -0,0 +1,188 @@
+package owner
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"heatherport/internal/version"
+)
+
+const (
+	adaptEvery  = time.Second
+	urgentShare = 2.5 // budget during a transition, as a multiple of the steady one
+	burst       = 2   // seconds of budget that may be saved up
+)
+
+// spend is the account of exception bytes.
+type spend struct {
+	tokens  float64
+	last    time.Duration
+	steady  int // bytes caused by new connections since adaptAt
+	adaptAt time.Duration
+	sent    uint64 // bytes of exceptions sent in all
+}
+
+// Tick does the periodic work: expiry, replication and reports. It returns the
+// messages to send, in a fixed order of members.
+func (e *Engine) Tick(now time.Duration) []Outbound {
+	w := e.view.Load()
+	if w == nil {
+		return nil
+	}
+	e.table.Expire(now)
+	e.events.drain(func(it item) {
+		e.spend.steady += e.replicate(w, it) * itemBytes
+	})
+	e.scanStep(w)
+	e.heldStep(now, w)
+	e.adapt(now)
+	e.settle(w)
+	return e.collect(now, w)
+}
+
+// adapt refills the byte budget and adapts the limit to what new connections
+// have cost.
+func (e *Engine) adapt(now time.Duration) {
+	rate := float64(e.cfg.ByteBudget)
+	if e.urgent() {
+		rate *= urgentShare
+	}
+	s := &e.spend
+	s.tokens = min(s.tokens+rate*(now-s.last).Seconds(), rate*burst)
+	s.last = now
+	if now < s.adaptAt+adaptEvery {
+		return
+	}
+	per := float64(s.steady) / (now - s.adaptAt).Seconds()
+	e.limit.Adapt(per, float64(e.cfg.ByteBudget))
+	s.steady, s.adaptAt = 0, now
+}
+
+// urgent reports whether the leader may be waiting for this member.
+func (e *Engine) urgent() bool {
+	w := e.view.Load()
+	return w != nil && e.settled < w.version.Index
+}
+
+// collect builds the messages of one tick.
+func (e *Engine) collect(now time.Duration, w *view) []Outbound {
+	beat := e.report.due(now, w.self)
+	var changes, full *Load
+	if beat {
+		changes, full = e.loads(now, w)
+	}
+	var out []Outbound
+	for _, id := range slices.Sorted(maps.Keys(w.peers)) {
+		p := w.peers[id].peer
+		var m Message
+		if beat {
+			m.Load = changes
+			if p.needFull {
+				m.Load, p.needFull = full, false
+			}
+		}
+		out = e.appendMessages(out, now, w, p, m, beat)
+	}
+	return out
+}
+
+// appendMessages adds exceptions, tenure and acknowledgements for p to m.
+func (e *Engine) appendMessages(out []Outbound, now time.Duration, w *view, p *peer, m Message, beat bool) []Outbound {
+	m.Tenure = e.tenureFor(now, p)
+	if p.ackNow || p.ackDue && beat {
+		m.Ack = &Ack{p.in}
+		p.ackNow, p.ackDue = false, false
+	}
+	urgent := e.urgent()
+	for (beat || urgent) && p.alive(now) && e.spend.tokens > 0 {
+		b := p.out.next(now, urgent)
+		if b == nil {
+			break
+		}
+		e.spend.tokens -= float64(len(b.items))
+		e.spend.sent += uint64(len(b.items))
+		m.Exceptions = &Exceptions{Seq: b.seq, Items: b.items, Urgent: urgent}
+		out = append(out, Outbound{p.id, m})
+		m = Message{}
+	}
+	if m != (Message{}) {
+		out = append(out, Outbound{p.id, m})
+	}
+	return out
+}
+
+// tenureFor returns the handover to send to p now, or nil.
+func (e *Engine) tenureFor(now time.Duration, p *peer) *Tenure {
+	h := e.handovers[p.id]
+	if h == nil || h.done || !e.scan.marked || p.out.acked < p.marker {
+		return nil
+	}
+	if h.sentAt != 0 && now-h.sentAt < resendUrgent {
+		return nil
+	}
+	h.sentAt = now
+	return &Tenure{h.epoch}
+}
+
+// report is the state of the periodic load reports.
+type report struct {
+	next   time.Duration
+	seq    uint64
+	fullAt time.Duration
+}
+
+// due reports whether a heartbeat is due. Members start at different phases.
+func (r *report) due(now time.Duration, self version.MemberID) bool {
+	if r.next == 0 {
+		r.next = now + time.Duration(self%5)*heartbeat/5
+	}
+	if now < r.next {
+		return false
+	}
+	r.next += heartbeat
+	if r.next <= now {
+		r.next = now + heartbeat
+	}
+	return true
+}
+
+// loads returns the report of changed counts and that of all counts.
+func (e *Engine) loads(now time.Duration, w *view) (changes, full *Load) {
+	e.report.seq++
+	head := Load{
+		Seq: e.report.seq, Applied: w.version.Index, Leaving: e.leaving,
+		Doubt: now-time.Duration(e.aloneAt.Load()) < synHorizon,
+	}
+	if e.settled >= w.version.Index {
+		head.Synced = w.owners.epoch
+	}
+	a, b := head, head
+	b.Full = true
+	a.Counts, b.Counts = e.counts()
+	if now >= e.report.fullAt {
+		e.report.fullAt = now + fullEvery
+		return &b, &b
+	}
+	return &a, &b
+}
+
+// counts encodes the counts that changed since the last report and all counts.
+func (e *Engine) counts() (changes, full []byte) {
+	var lastChange, lastFull version.UpstreamID
+	for _, id := range slices.Sorted(maps.Keys(e.counters)) {
+		c := e.counters[id]
+		n := c.Own()
+		c.Mark()
+		if n != c.sent {
+			changes = appendCount(changes, id-lastChange, n)
+			lastChange = id
+		}
+		if n != 0 {
+			full = appendCount(full, id-lastFull, n)
+			lastFull = id
+		}
+		c.sent = n
+	}
+	return changes, full
+}
--- /dev/null
+++ b/internal/connection/owner/view.go
@@ -0,0 +1,186 @@
+package owner
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"heatherport/internal/connection/flow"
+	"heatherport/internal/connection/load"
+	"heatherport/internal/version"
+	"heatherport/internal/version/placement"
+)
+
+// destination is a service key in the form that packets carry.
+type destination struct {
+	addr     [16]byte
+	port     uint16
+	protocol version.Protocol
+}
+
+func destinationOf(k *flow.Key) destination { return destination{k.Dst, k.DstPort, k.Protocol} }
+
+// service is a service prepared for decisions.
+type service struct {
+	id         version.ServiceID
+	idle       time.Duration
+	idempotent bool
+	base, next version.Ranking // next is nil unless a base is being prepared
+	current    version.Ranking
+	targets    []*target // by index in current
+	sum        uint64    // of the weights of current
+	settled    bool      // base equals current and no base is being prepared
+}
+
+// target is an upstream prepared for decisions.
+type target struct {
+	id      version.UpstreamID
+	addr    netip.AddrPort
+	dst     destination
+	service *service
+	limit   int64 // connections over all owners; zero for none
+	active  bool  // in the current ranking
+	counter *counter
+}
+
+// counter outlives versions, so that counts survive a publication.
+type counter struct {
+	load.Cell
+	since   uint64        // version index in which the upstream first appeared
+	leftAt  time.Duration // when it left the current ranking
+	current bool          // in the current ranking
+	sent    int32         // count in the last report
+}
+
+// view is everything that traffic goroutines read. It is immutable but for the
+// atomics that it points to.
+type view struct {
+	version  *version.Version
+	self     version.MemberID
+	services map[destination]*service
+	targets  map[version.UpstreamID]*target
+	newest   version.UpstreamID // highest upstream ID known
+	owners   *ownership
+	peers    map[version.MemberID]*route
+	others   int32 // owners besides this member
+}
+
+// route is a peer and its relay endpoint.
+type route struct {
+	*peer
+	addr netip.AddrPort
+}
+
+// first returns the upstream that a connection without an exception has.
+func (s *service) first(bucket uint16) version.UpstreamID {
+	return placement.First(s.base, bucket)
+}
+
+// deviates reports whether a connection at upstream needs an exception.
+func (s *service) deviates(upstream version.UpstreamID, bucket uint16) bool {
+	if s.first(bucket) != upstream {
+		return true
+	}
+	return s.next != nil && placement.First(s.next, bucket) != upstream
+}
+
+// resolve returns the target of an upstream if it belongs to the service that
+// k addresses.
+func (w *view) resolve(id version.UpstreamID, k *flow.Key) (t *target, same bool) {
+	t = w.targets[id]
+	if t == nil {
+		return nil, false
+	}
+	return t, t.dst == destinationOf(k)
+}
+
+// newView prepares v. It runs on the control goroutine.
+func (e *Engine) newView(now time.Duration, v *version.Version) *view {
+	w := &view{
+		version:  v,
+		self:     e.self,
+		services: make(map[destination]*service, len(v.Services)),
+		targets:  make(map[version.UpstreamID]*target, len(v.Upstream)),
+	}
+	byID := make(map[version.ServiceID]*service, len(v.Services))
+	dst := make(map[version.ServiceID]destination, len(v.Services))
+	for i := range v.Services {
+		s := newService(&v.Services[i])
+		key := v.Services[i].Key
+		d := destination{key.Addr.As16(), key.Port, key.Protocol}
+		w.services[d], byID[s.id], dst[s.id] = s, s, d
+	}
+	for i := range v.Upstream {
+		u := &v.Upstream[i]
+		if s := byID[u.Service]; s != nil {
+			w.targets[u.ID] = &target{
+				id: u.ID, addr: u.Addr, dst: dst[s.id], service: s,
+				limit: int64(u.ConnLimit), counter: e.counter(u.ID, v.Index),
+			}
+		}
+		w.newest = max(w.newest, u.ID)
+	}
+	for _, s := range byID {
+		w.fillTargets(s)
+	}
+	e.markCurrent(now, w)
+	return w
+}
+
+func newService(s *version.Service) *service {
+	out := &service{
+		id: s.ID, idle: s.IdleTimeout, idempotent: s.Idempotent,
+		base: s.Base, next: s.NextBase, current: s.Current,
+	}
+	if slices.Equal(s.NextBase, s.Base) {
+		out.next = nil
+	}
+	out.settled = out.next == nil && slices.Equal(s.Base, s.Current)
+	return out
+}
+
+// fillTargets links the current ranking to targets. An upstream that the
+// version does not hold is left out.
+func (w *view) fillTargets(s *service) {
+	known := s.current[:0:0]
+	for _, c := range s.current {
+		t := w.targets[c.Upstream]
+		if t == nil || t.service != s {
+			continue
+		}
+		t.active = true
+		known = append(known, c)
+		s.targets = append(s.targets, t)
+		s.sum += uint64(c.Weight)
+	}
+	s.current = known
+}
+
+// counter returns the counter of an upstream, new if need be.
+func (e *Engine) counter(id version.UpstreamID, index uint64) *counter {
+	c := e.counters[id]
+	if c == nil {
+		c = &counter{since: index}
+		for _, p := range e.peers {
+			c.AddHeard(p.counts[id])
+		}
+		e.counters[id] = c
+	}
+	return c
+}
+
+// markCurrent notes which upstreams have left the current ranking and drops
+// the counters of those that are gone.
+func (e *Engine) markCurrent(now time.Duration, w *view) {
+	for id, c := range e.counters {
+		t := w.targets[id]
+		if t == nil {
+			delete(e.counters, id)
+			continue
+		}
+		if c.current && !t.active {
+			c.leftAt = now
+		}
+		c.current = t.active
+	}
+}
--- a/internal/connection/packet.go
+++ b/internal/connection/packet.go
@@ -40,8 +40,16 @@
 	// receiver as the standby.
 	RelayOwnerSilent
 	// RelayRefresh: the sender has already forwarded the packet itself; the
-	// message only renews the owner's entry. It carries no packet.
+	// message only renews the owner's entry. It carries the packet's key
+	// and marks, and no packet.
 	RelayRefresh
+	// RelayRecord: the owner has chosen Upstream, which deviates from the
+	// base. The receiver, the standby, records the exception and forwards
+	// the packet, so that no exception is lost with its owner.
+	RelayRecord
+	// RelayAssumed, with RelayRefresh: the sender has Upstream from the
+	// base and not from an opening packet.
+	RelayAssumed
 )
 
 // Relay is the header of a packet relayed between balancers.
--- /dev/null
+++ b/internal/connection/table/wheel.go
@@ -0,0 +1,100 @@
+package table
+
+import "time"
+
+const (
+	wheelSlots = 256
+	wheelStep  = time.Second
+
+	// ClosedIdle is the idle timeout after a FIN or RST, long enough for
+	// retransmissions and for the acknowledgements of a half-closed
+	// connection.
+	ClosedIdle = 60 * time.Second
+)
+
+// wheel is a timing wheel. A packet does not move its entry: a slot that comes
+// due moves those of its entries that are not idle yet. Timeouts beyond one
+// turn take several turns.
+type wheel struct {
+	slots [wheelSlots]int32
+	tick  int64 // slots before this one have been processed
+}
+
+func (w *wheel) init() {
+	for i := range w.slots {
+		w.slots[i] = none
+	}
+}
+
+// due returns the time at which e expires if no packet arrives.
+func due(e *Entry) time.Duration {
+	idle := time.Duration(e.Idle) * time.Second
+	if e.Flags&Closed != 0 {
+		idle = min(idle, ClosedIdle)
+	}
+	return time.Duration(e.Seen)*Unit + idle
+}
+
+func (w *wheel) add(s *Shard, i int32, at time.Duration) {
+	tick := max(int64((at+wheelStep-1)/wheelStep), w.tick)
+	tick = min(tick, w.tick+wheelSlots-1)
+	slot := int16(tick % wheelSlots)
+	e := s.at(i)
+	e.wheelSlot, e.wheelPrev, e.wheelNext = slot, none, w.slots[slot]
+	if e.wheelNext != none {
+		s.at(e.wheelNext).wheelPrev = i
+	}
+	w.slots[slot] = i
+}
+
+func (w *wheel) remove(s *Shard, i int32) {
+	e := s.at(i)
+	if e.wheelPrev == none {
+		w.slots[e.wheelSlot] = e.wheelNext
+	} else {
+		s.at(e.wheelPrev).wheelNext = e.wheelNext
+	}
+	if e.wheelNext != none {
+		s.at(e.wheelNext).wheelPrev = e.wheelPrev
+	}
+}
+
+// advance processes the slots that have come due by now.
+func (w *wheel) advance(s *Shard, now time.Duration) {
+	target := int64(now / wheelStep)
+	w.tick = max(w.tick, target-wheelSlots+1)
+	for w.tick <= target {
+		slot := w.tick % wheelSlots
+		w.tick++
+		w.drain(s, slot, now)
+	}
+}
+
+func (w *wheel) drain(s *Shard, slot int64, now time.Duration) {
+	i := w.slots[slot]
+	w.slots[slot] = none
+	for i != none {
+		e := s.at(i)
+		next := e.wheelNext
+		w.add(s, i, max(due(e), now+1))
+		if due(e) <= now {
+			s.onLost(e, Expired)
+			s.Remove(e)
+		}
+		i = next
+	}
+}
+
+// visit calls f for entries in the order in which their slots come due, until
+// f returns false.
+func (w *wheel) visit(s *Shard, f func(*Entry) bool) {
+	for n := int64(0); n < wheelSlots; n++ {
+		for i := w.slots[(w.tick+n)%wheelSlots]; i != none; {
+			e := s.at(i)
+			i = e.wheelNext
+			if !f(e) {
+				return
+			}
+		}
+	}
+}
