Add settings, keys and the operators' and upstreams' HTTP interface

Cause: the control loop needs a validated configuration, mutual TLS and an interface towards operators before it can be wired.

Change: package settings parses the INI file of one VM and reports all faults with section, key and line. Package api defines the messages, the Control interface and the HTTP handlers; package identity reads name and role from a certificate.

--- /dev/null
+++ b/internal/process/keys/folder.go
@@ -0,0 +1,240 @@
+package keys
+
+import (
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/google/renameio/v2"
+
+	"heatherport/internal/request/identity"
+	"heatherport/internal/result"
+)
+
+// The files of a key folder. A certificate is in NAME.pem, its key in
+// NAME-key.pem.
+const (
+	CAFile     = "ca.pem"
+	CAKeyFile  = "ca-key.pem"
+	RelayFile  = "relay.keys"
+	keySuffix  = "-key.pem"
+	certSuffix = ".pem"
+)
+
+const (
+	fileMode   = 0o600
+	folderMode = 0o700
+)
+
+// DefaultWindow is the time that old and new keys are both accepted.
+const DefaultWindow = 24 * time.Hour
+
+// Folder is the operators' folder with the certificate authority.
+type Folder struct {
+	Dir string
+	Now func() time.Time // nil: time.Now
+}
+
+func (f Folder) now() time.Time {
+	if f.Now == nil {
+		return time.Now()
+	}
+	return f.Now()
+}
+
+func (f Folder) path(name string) string { return filepath.Join(f.Dir, name) }
+
+// Init creates the authority and the first relay key. It refuses a folder that
+// already holds an authority.
+func (f Folder) Init() error {
+	for _, name := range []string{CAFile, CAKeyFile, RelayFile} {
+		if _, err := os.Stat(f.path(name)); err == nil {
+			return result.Errorf(result.BadArguments, "%s exists already", f.path(name))
+		}
+	}
+	if err := os.MkdirAll(f.Dir, folderMode); err != nil {
+		return result.Wrapf(err, result.StorageFailed, "create key folder")
+	}
+	a, err := newAuthority(f.now(), DefaultCAValidity)
+	if err != nil {
+		return err
+	}
+	k, err := newRelayKey(1, f.now())
+	if err != nil {
+		return err
+	}
+	if err := f.writeAuthority(a, []caCert{{cert: a.cert}}); err != nil {
+		return err
+	}
+	return f.write(RelayFile, RelayKeys{k}.encode())
+}
+
+// Issued names the files of an issued certificate.
+type Issued struct {
+	Certificate string    `json:"certificate"`
+	Key         string    `json:"key"`
+	NotAfter    time.Time `json:"not_after"`
+}
+
+// Issue writes a new certificate and key for id; one of the same name is
+// replaced.
+func (f Folder) Issue(id identity.Identity, validity time.Duration) (Issued, error) {
+	if err := checkIdentity(id); err != nil {
+		return Issued{}, err
+	}
+	if id.Name+certSuffix == CAFile {
+		return Issued{}, result.Errorf(result.BadArguments, "%q is the name of the authority", id.Name)
+	}
+	if validity <= 0 {
+		return Issued{}, result.Errorf(result.BadArguments, "validity %s is not positive", validity)
+	}
+	a, err := f.readAuthority()
+	if err != nil {
+		return Issued{}, err
+	}
+	p, err := a.issue(id, f.now(), validity)
+	if err != nil {
+		return Issued{}, err
+	}
+	out := Issued{Certificate: f.path(id.Name + certSuffix), Key: f.path(id.Name + keySuffix)}
+	cert, err := parsePair(p)
+	if err != nil {
+		return Issued{}, err
+	}
+	out.NotAfter = cert.Leaf.NotAfter
+	// The key goes first: a reader that sees the new certificate finds its key.
+	if err := f.write(id.Name+keySuffix, p.key); err != nil {
+		return Issued{}, err
+	}
+	return out, f.write(id.Name+certSuffix, p.cert)
+}
+
+// Rotated tells what a rotation did.
+type Rotated struct {
+	RelayKey uint32    `json:"relay_key,omitempty"` // id of the new relay key
+	CA       string    `json:"ca,omitempty"`        // name of the new authority
+	UsedFrom time.Time `json:"used_from"`           // start of the new key's or authority's use
+	OldUntil time.Time `json:"old_until"`           // end of the old ones
+}
+
+// RotateRelay adds a relay key; the old ones are accepted until the window
+// ends, and the new one is used for sending after half of it.
+func (f Folder) RotateRelay(window time.Duration) (Rotated, error) {
+	if err := checkWindow(window); err != nil {
+		return Rotated{}, err
+	}
+	ks, err := f.RelayKeys()
+	if err != nil {
+		return Rotated{}, err
+	}
+	now := f.now().Truncate(time.Second)
+	ks, err = ks.rotate(now, window)
+	if err != nil {
+		return Rotated{}, err
+	}
+	k := ks[len(ks)-1]
+	out := Rotated{RelayKey: k.ID, UsedFrom: k.NotBefore, OldUntil: now.Add(window)}
+	return out, f.write(RelayFile, ks.encode())
+}
+
+// RotateCA adds an authority, which signs all certificates issued from now on;
+// certificates of the old one are accepted until the window ends.
+func (f Folder) RotateCA(window time.Duration) (Rotated, error) {
+	if err := checkWindow(window); err != nil {
+		return Rotated{}, err
+	}
+	bundle, err := f.readBundle()
+	if err != nil {
+		return Rotated{}, err
+	}
+	now := f.now().Truncate(time.Second)
+	a, err := newAuthority(now, DefaultCAValidity)
+	if err != nil {
+		return Rotated{}, err
+	}
+	out := Rotated{CA: a.cert.Subject.CommonName, UsedFrom: now, OldUntil: now.Add(window)}
+	next := []caCert{{cert: a.cert}}
+	for _, c := range bundle {
+		if !c.accepted(now) {
+			continue
+		}
+		if c.until.IsZero() || out.OldUntil.Before(c.until) {
+			c.until = out.OldUntil
+		}
+		next = append(next, c)
+	}
+	return out, f.writeAuthority(a, next)
+}
+
+const minWindow = time.Minute
+
+func checkWindow(window time.Duration) error {
+	if window < minWindow {
+		return result.Errorf(result.BadArguments, "window %s is below %s", window, minWindow)
+	}
+	return nil
+}
+
+// RelayKeys reads the relay keys.
+func (f Folder) RelayKeys() (RelayKeys, error) {
+	b, err := f.read(RelayFile)
+	if err != nil {
+		return nil, err
+	}
+	return decodeRelayKeys(b)
+}
+
+func (f Folder) readBundle() ([]caCert, error) {
+	b, err := f.read(CAFile)
+	if err != nil {
+		return nil, err
+	}
+	return decodeBundle(b)
+}
+
+func (f Folder) readAuthority() (authority, error) {
+	bundle, err := f.readBundle()
+	if err != nil {
+		return authority{}, err
+	}
+	b, err := f.read(CAKeyFile)
+	if err != nil {
+		return authority{}, err
+	}
+	key, err := decodeKey(b)
+	if err != nil {
+		return authority{}, err
+	}
+	return findAuthority(bundle, key)
+}
+
+// writeAuthority writes the bundle before the key: if the second write fails,
+// the old key still signs, and its certificate is still in the bundle.
+func (f Folder) writeAuthority(a authority, bundle []caCert) error {
+	key, err := encodeKey(a.key)
+	if err != nil {
+		return err
+	}
+	if err := f.write(CAFile, encodeBundle(bundle)); err != nil {
+		return err
+	}
+	return f.write(CAKeyFile, key)
+}
+
+func (f Folder) read(name string) ([]byte, error) { return readFile(f.path(name)) }
+
+func (f Folder) write(name string, b []byte) error {
+	err := renameio.WriteFile(f.path(name), b, fileMode, renameio.WithTempDir(f.Dir), renameio.IgnoreUmask())
+	if err != nil {
+		return result.Wrapf(err, result.StorageFailed, "write %s", f.path(name))
+	}
+	return nil
+}
+
+func readFile(path string) ([]byte, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, result.Wrapf(err, result.KeyMissing, "read key file")
+	}
+	return b, nil
+}
--- /dev/null
+++ b/internal/process/keys/relay.go
@@ -0,0 +1,158 @@
+package keys
+
+import (
+	"bufio"
+	"bytes"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"heatherport/internal/result"
+)
+
+// RelaySecretSize is the size of a relay key in bytes.
+const RelaySecretSize = 32
+
+// RelayKey authenticates packets relayed between VMs. A key is accepted from
+// the moment a VM holds it until NotAfter, and used for sending from
+// NotBefore, so that all VMs hold a new key before the first one sends by it.
+type RelayKey struct {
+	ID        uint32
+	Secret    [RelaySecretSize]byte
+	NotBefore time.Time
+	NotAfter  time.Time // zero: no end
+}
+
+// RelayKeys are ordered by ID; a higher ID is newer.
+type RelayKeys []RelayKey
+
+// Sending returns the newest key in use for sending at now.
+func (ks RelayKeys) Sending(now time.Time) (RelayKey, bool) {
+	for _, k := range slices.Backward(ks) {
+		if !now.Before(k.NotBefore) && k.live(now) {
+			return k, true
+		}
+	}
+	return RelayKey{}, false
+}
+
+// Accepted returns the keys that are accepted at now.
+func (ks RelayKeys) Accepted(now time.Time) RelayKeys {
+	var out RelayKeys
+	for _, k := range ks {
+		if k.live(now) {
+			out = append(out, k)
+		}
+	}
+	return out
+}
+
+func (k RelayKey) live(now time.Time) bool {
+	return k.NotAfter.IsZero() || now.Before(k.NotAfter)
+}
+
+func newRelayKey(id uint32, notBefore time.Time) (RelayKey, error) {
+	k := RelayKey{ID: id, NotBefore: notBefore}
+	if _, err := rand.Read(k.Secret[:]); err != nil {
+		return RelayKey{}, result.Wrapf(err, result.Internal, "generate relay key")
+	}
+	return k, nil
+}
+
+// rotate adds a key that is used for sending after half of the window, and
+// ends the others with the window.
+func (ks RelayKeys) rotate(now time.Time, window time.Duration) (RelayKeys, error) {
+	out := ks.Accepted(now)
+	end := now.Add(window)
+	next := uint32(1)
+	for i := range out {
+		if out[i].NotAfter.IsZero() || end.Before(out[i].NotAfter) {
+			out[i].NotAfter = end
+		}
+		next = out[i].ID + 1
+	}
+	k, err := newRelayKey(next, now.Add(window/2))
+	if err != nil {
+		return nil, err
+	}
+	return append(out, k), nil
+}
+
+const noEnd = "-"
+
+// encode writes one line a key: id, secret, not before, not after.
+func (ks RelayKeys) encode() []byte {
+	var b bytes.Buffer
+	b.WriteString("# id secret not-before not-after\n")
+	for _, k := range ks {
+		end := noEnd
+		if !k.NotAfter.IsZero() {
+			end = k.NotAfter.UTC().Format(time.RFC3339)
+		}
+		fmt.Fprintf(&b, "%d %s %s %s\n", k.ID, hex.EncodeToString(k.Secret[:]), k.NotBefore.UTC().Format(time.RFC3339), end)
+	}
+	return b.Bytes()
+}
+
+func decodeRelayKeys(b []byte) (RelayKeys, error) {
+	var out RelayKeys
+	sc := bufio.NewScanner(bytes.NewReader(b))
+	for line := 1; sc.Scan(); line++ {
+		text := strings.TrimSpace(sc.Text())
+		if text == "" || text[0] == '#' {
+			continue
+		}
+		k, err := decodeRelayKey(text)
+		if err != nil {
+			return nil, result.Wrapf(err, result.KeyMissing, "relay keys, line %d", line)
+		}
+		if len(out) > 0 && k.ID <= out[len(out)-1].ID {
+			return nil, result.Errorf(result.KeyMissing, "relay keys, line %d: id %d is not above the one before", line, k.ID)
+		}
+		out = append(out, k)
+	}
+	if err := sc.Err(); err != nil {
+		return nil, result.Wrapf(err, result.KeyMissing, "relay keys")
+	}
+	if len(out) == 0 {
+		return nil, result.Errorf(result.KeyMissing, "relay keys: no key")
+	}
+	return out, nil
+}
+
+const relayFields = 4
+
+// decodeRelayKey never puts the text of the line, which holds the secret, into
+// an error.
+func decodeRelayKey(text string) (RelayKey, error) {
+	f := strings.Fields(text)
+	if len(f) != relayFields {
+		return RelayKey{}, result.Errorf(result.KeyMissing, "%d fields instead of %d", len(f), relayFields)
+	}
+	id, err := strconv.ParseUint(f[0], 10, 32)
+	if err != nil {
+		return RelayKey{}, result.Errorf(result.KeyMissing, "id is not a number")
+	}
+	k := RelayKey{ID: uint32(id)}
+	secret, err := hex.DecodeString(f[1])
+	if err != nil || len(secret) != RelaySecretSize {
+		return RelayKey{}, result.Errorf(result.KeyMissing, "secret is not %d bytes in hexadecimal", RelaySecretSize)
+	}
+	copy(k.Secret[:], secret)
+	k.NotBefore, err = time.Parse(time.RFC3339, f[2])
+	if err != nil {
+		return RelayKey{}, result.Errorf(result.KeyMissing, "not-before is not a time")
+	}
+	if f[3] == noEnd {
+		return k, nil
+	}
+	k.NotAfter, err = time.Parse(time.RFC3339, f[3])
+	if err != nil {
+		return RelayKey{}, result.Errorf(result.KeyMissing, "not-after is not a time")
+	}
+	return k, nil
+}
--- /dev/null
+++ b/internal/process/settings/parse.go
@@ -0,0 +1,208 @@
+package settings
+
+import (
+	"net/netip"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"heatherport/internal/result"
+)
+
+// Parse validates a settings file. The error carries all faults of the file;
+// FaultsOf returns them.
+func Parse(b []byte) (*Settings, error) {
+	f, err := loadINI(b)
+	if err != nil {
+		return nil, result.Wrapf(err, result.BadSettings, "not an INI file")
+	}
+	r := newReader(f, indexLines(b))
+	s := &Settings{
+		VM:          r.vm(),
+		Fabric:      r.fabric(),
+		Relay:       r.endpoint("relay"),
+		Link:        r.link(),
+		API:         r.endpoint("api"),
+		Metrics:     Metrics{Listen: r.addrPort("metrics", "listen")},
+		Peers:       r.peers(),
+		Voters:      r.voters(),
+		Keys:        r.keyFiles(),
+		Connections: r.connections(),
+		Log:         r.log(),
+	}
+	s.Audit = r.audit(s.VM.DataDir)
+	r.reportUnknown()
+	r.checkPeers(s)
+	r.checkVoters(s)
+	r.checkSockets(s)
+	if err := r.faults.err(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func (r *reader) vm() VM {
+	v := VM{
+		Name:        r.name("vm", "name"),
+		Domain:      r.name("vm", "domain"),
+		Region:      r.raw("vm", "region"),
+		DataDir:     r.raw("vm", "data_dir"),
+		StopTimeout: r.duration("vm", "stop_timeout", DefaultStopTimeout, minStopTimeout, maxStopTimeout),
+	}
+	if v.Region != "" {
+		r.checkName("vm", "region", v.Region)
+	}
+	return v
+}
+
+func (r *reader) fabric() Fabric {
+	return Fabric{
+		Listen:    r.addrPort("fabric", "listen"),
+		Return:    r.destination("fabric", "return"),
+		Receivers: int(r.integer("fabric", "receivers", DefaultReceivers, 1, maxReceivers)),
+		Batch:     int(r.integer("fabric", "batch", DefaultBatch, 1, maxBatch)),
+	}
+}
+
+func (r *reader) link() Link {
+	return Link{
+		Endpoint:   r.endpoint("link"),
+		ByteBudget: int(r.integer("link", "byte_budget", DefaultByteBudget, minByteBudget, maxByteBudget)),
+	}
+}
+
+func (r *reader) peers() []Peer {
+	var out []Peer
+	for _, name := range r.keys("peers") {
+		r.checkName("peers", name, name)
+		out = append(out, Peer{Name: name, Link: r.destination("peers", name)})
+	}
+	slices.SortFunc(out, func(a, b Peer) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
+func (r *reader) voters() Voters {
+	var v Voters
+	list := r.required("voters", "initial")
+	if list == "" {
+		return v
+	}
+	for _, name := range strings.Split(list, ",") {
+		v.Initial = append(v.Initial, strings.TrimSpace(name))
+	}
+	return v
+}
+
+func (r *reader) keyFiles() Keys {
+	return Keys{
+		CA:             r.required("keys", "ca"),
+		Certificate:    r.required("keys", "certificate"),
+		Key:            r.required("keys", "key"),
+		RelayKeys:      r.required("keys", "relay_keys"),
+		ReloadInterval: r.duration("keys", "reload_interval", DefaultReloadInterval, minReload, maxReload),
+	}
+}
+
+func (r *reader) connections() Connections {
+	return Connections{
+		Capacity:        int(r.integer("connections", "capacity", DefaultCapacity, minCapacity, maxCapacity)),
+		ExceptionBudget: int(r.integer("connections", "exception_budget", DefaultExceptionBudget, 0, maxByteBudget)),
+	}
+}
+
+func (r *reader) log() Log {
+	return Log{
+		Level:  r.choice("log", "level", DefaultLogLevel, "trace", "debug", "info", "warn", "error"),
+		Format: Format(r.choice("log", "format", string(FormatText), string(FormatText), string(FormatJSON))),
+	}
+}
+
+func (r *reader) audit(dataDir string) Audit {
+	a := Audit{
+		File:     r.raw("audit", "file"),
+		MaxBytes: r.integer("audit", "max_bytes", DefaultAuditMaxBytes, minAuditBytes, maxAuditBytes),
+		Keep:     int(r.integer("audit", "keep", DefaultAuditKeep, 1, maxAuditKeep)),
+	}
+	switch {
+	case dataDir == "" && a.File != "":
+		r.faultf("audit", "file", "needs [vm] data_dir")
+	case dataDir != "" && a.File == "":
+		a.File = filepath.Join(dataDir, defaultAuditLog)
+	}
+	return a
+}
+
+// checkPeers removes the VM itself from the peers, after checking that all VMs
+// can share one list.
+func (r *reader) checkPeers(s *Settings) {
+	seen := make(map[netip.AddrPort]string, len(s.Peers))
+	for _, p := range s.Peers {
+		if first, ok := seen[p.Link]; ok && p.Link.IsValid() {
+			r.faultf("peers", p.Name, "%s is also the address of %s", p.Link, first)
+		}
+		seen[p.Link] = p.Name
+		if p.Name == s.VM.Name && p.Link.IsValid() && p.Link != s.Link.Advertise {
+			r.faultf("peers", p.Name, "%s differs from [link] advertise %s", p.Link, s.Link.Advertise)
+		}
+	}
+	s.Peers = slices.DeleteFunc(s.Peers, func(p Peer) bool { return p.Name == s.VM.Name })
+}
+
+func (r *reader) checkVoters(s *Settings) {
+	n := len(s.Voters.Initial)
+	if n == 0 {
+		return
+	}
+	if n%2 == 0 || n > maxVoters {
+		r.faultf("voters", "initial", "%d voters; an odd number up to %d is needed", n, maxVoters)
+	}
+	seen := make(map[string]bool, n)
+	for _, name := range s.Voters.Initial {
+		switch {
+		case seen[name]:
+			r.faultf("voters", "initial", "%q is repeated", name)
+		case name != s.VM.Name && !s.hasPeer(name):
+			r.faultf("voters", "initial", "%q is not in [peers]", name)
+		}
+		seen[name] = true
+	}
+	if s.IsVoter() && s.VM.DataDir == "" {
+		r.faultf("vm", "data_dir", "missing; needed because %s is an initial voter", s.VM.Name)
+	}
+}
+
+func (s *Settings) hasPeer(name string) bool {
+	return slices.ContainsFunc(s.Peers, func(p Peer) bool { return p.Name == name })
+}
+
+// socket is one listening socket of the VM.
+type socket struct {
+	section string
+	listen  netip.AddrPort
+}
+
+// checkSockets refuses two sockets of one protocol on one address.
+func (r *reader) checkSockets(s *Settings) {
+	r.checkClash([]socket{{"fabric", s.Fabric.Listen}, {"relay", s.Relay.Listen}, {"link", s.Link.Listen}})
+	r.checkClash([]socket{{"api", s.API.Listen}, {"metrics", s.Metrics.Listen}})
+	if s.Connections.ExceptionBudget > s.Link.ByteBudget {
+		r.faultf("connections", "exception_budget", "%d exceeds [link] byte_budget %d", s.Connections.ExceptionBudget, s.Link.ByteBudget)
+	}
+}
+
+func (r *reader) checkClash(sockets []socket) {
+	for i, a := range sockets {
+		for _, b := range sockets[:i] {
+			if clash(a.listen, b.listen) {
+				r.faultf(a.section, "listen", "%s clashes with [%s] listen %s", a.listen, b.section, b.listen)
+			}
+		}
+	}
+}
+
+func clash(a, b netip.AddrPort) bool {
+	if !a.IsValid() || !b.IsValid() || a.Port() != b.Port() {
+		return false
+	}
+	return a.Addr() == b.Addr() || a.Addr().IsUnspecified() || b.Addr().IsUnspecified()
+}
--- /dev/null
+++ b/internal/request/api/announcement.go
@@ -0,0 +1,61 @@
+package api
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"strings"
+
+	"heatherport/internal/result"
+)
+
+// decodeAnnouncement refuses unknown fields, trailing data and values out of
+// bounds.
+func decodeAnnouncement(b []byte) (Announcement, error) {
+	var a Announcement
+	d := json.NewDecoder(bytes.NewReader(b))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&a); err != nil {
+		return a, result.Wrapf(err, result.BadAnnouncement, "not valid JSON")
+	}
+	if _, err := d.Token(); err != io.EOF {
+		return a, result.Errorf(result.BadAnnouncement, "data after the announcement")
+	}
+	return a, a.Validate()
+}
+
+const (
+	maxAnnouncedName  = 63
+	maxAnnouncedSlots = 1 << 16
+)
+
+// Validate returns BadAnnouncement naming all fields that are not valid.
+func (a *Announcement) Validate() error {
+	var faults []string
+	add := func(bad bool, fault string) {
+		if bad {
+			faults = append(faults, fault)
+		}
+	}
+	add(a.Name == "" || len(a.Name) > maxAnnouncedName, "name: missing or too long")
+	add(a.Service == "" || len(a.Service) > maxAnnouncedName, "service: missing or too long")
+	add(!a.Address.IsValid() || a.Address.Port() == 0, "address: missing or not IP:PORT")
+	add(a.Address.Addr().IsUnspecified() || a.Address.Addr().IsMulticast(), "address: cannot be a destination")
+	add(a.Incarnation == 0, "incarnation: missing or zero")
+	add(a.Slots == 0 || a.Slots > maxAnnouncedSlots, "slots: zero or too many")
+	add(a.Load != nil && !(*a.Load >= 0 && *a.Load <= 1), "load: not between 0 and 1")
+	if len(faults) > 0 {
+		return result.Errorf(result.BadAnnouncement, "%s", strings.Join(faults, "; "))
+	}
+	return nil
+}
+
+const maxLoadFactor = 255
+
+// LoadFactor returns the load as 1 (idle) to 255 (full), and 0 for none.
+func (a *Announcement) LoadFactor() uint8 {
+	if a.Load == nil {
+		return 0
+	}
+	return 1 + uint8(*a.Load*(maxLoadFactor-1))
+}
--- /dev/null
+++ b/internal/request/api/handler.go
@@ -0,0 +1,242 @@
+package api
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"heatherport/internal/request/identity"
+	"heatherport/internal/result"
+)
+
+// The bounds of a request.
+const (
+	MaxSheetBytes        = 16 << 20
+	maxAnnouncementBytes = 4 << 10
+	maxHeaderBytes       = 16 << 10
+	maxInFlight          = 256
+
+	requestTimeout    = 10 * time.Second
+	readHeaderTimeout = 5 * time.Second
+	readTimeout       = 20 * time.Second
+	writeTimeout      = 30 * time.Second
+	idleTimeout       = 2 * time.Minute
+)
+
+// The routes.
+const (
+	pathSheets   = "/v1/sheets"
+	pathSheet    = "/v1/sheet"
+	pathStatus   = "/v1/status"
+	pathExplain  = "/v1/explain"
+	pathAudit    = "/v1/audit"
+	pathAnnounce = "/v1/announce"
+)
+
+// handler serves a Control.
+type handler struct {
+	control  Control
+	inFlight chan struct{}
+}
+
+// request is an HTTP request of an authenticated peer.
+type request struct {
+	*http.Request
+	peer identity.Identity
+}
+
+// action answers a request.
+type action func(ctx context.Context, r request) (any, error)
+
+// NewHandler returns the routes over control.
+func NewHandler(control Control) http.Handler {
+	h := &handler{control: control, inFlight: make(chan struct{}, maxInFlight)}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+pathSheets, h.serve(identity.Operator, changing, h.submit))
+	mux.HandleFunc("GET "+pathSheet, h.serve(identity.Operator, reading, h.sheet))
+	mux.HandleFunc("GET "+pathStatus, h.serve(identity.Operator, reading, h.status))
+	mux.HandleFunc("GET "+pathExplain, h.serve(identity.Operator, reading, h.explain))
+	mux.HandleFunc("GET "+pathAudit, h.serve(identity.Operator, reading, h.audit))
+	mux.HandleFunc("POST "+pathAnnounce, h.serve(identity.Upstream, changing, h.announce))
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		writeError(w, result.Errorf(result.NotFound, "no route %s %s", r.Method, r.URL.Path))
+	})
+	return mux
+}
+
+// NewServer returns a server with bounds on size and time. The caller gives it
+// a TLS listener that asks for certificates.
+func NewServer(control Control) *http.Server {
+	return &http.Server{
+		Handler:           NewHandler(control),
+		MaxHeaderBytes:    maxHeaderBytes,
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
+		WriteTimeout:      writeTimeout,
+		IdleTimeout:       idleTimeout,
+	}
+}
+
+// effect tells whether a request can change state.
+type effect bool
+
+const (
+	reading  effect = false
+	changing effect = true
+)
+
+// serve authenticates, bounds and answers one request.
+func (h *handler) serve(role identity.Role, e effect, do action) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		peer, err := identity.OfConnection(r.TLS)
+		if err == nil {
+			err = peer.Require(role)
+		}
+		if err != nil {
+			writeError(w, err)
+			return
+		}
+		release, err := h.admit()
+		if err != nil {
+			writeError(w, err)
+			return
+		}
+		defer release()
+		ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
+		defer cancel()
+		v, err := do(ctx, request{r, peer})
+		if err != nil {
+			writeError(w, afterTimeout(err, e))
+			return
+		}
+		writeJSON(w, http.StatusOK, v)
+	}
+}
+
+// admit refuses a request when too many are being answered.
+func (h *handler) admit() (release func(), err error) {
+	select {
+	case h.inFlight <- struct{}{}:
+		return func() { <-h.inFlight }, nil
+	default:
+		return nil, result.Errorf(result.Overloaded, "%d requests in flight", maxInFlight)
+	}
+}
+
+// afterTimeout gives a code to the errors of an ended context.
+func afterTimeout(err error, e effect) error {
+	if result.CodeOf(err) != result.Internal {
+		return err
+	}
+	if !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, context.Canceled) {
+		return err
+	}
+	if e == changing {
+		return result.Wrapf(err, result.OutcomeUnknown, "no outcome in time")
+	}
+	return result.Wrapf(err, result.Overloaded, "no answer in time")
+}
+
+func (h *handler) submit(ctx context.Context, r request) (any, error) {
+	b, err := readBody(r.Request, MaxSheetBytes, result.SheetTooLarge)
+	if err != nil {
+		return nil, err
+	}
+	return h.control.SubmitSheet(ctx, SubmitRequest{Operator: r.peer.Name, Sheet: b})
+}
+
+func (h *handler) sheet(ctx context.Context, r request) (any, error) {
+	if err := noQuery(r.Request); err != nil {
+		return nil, err
+	}
+	return h.control.Sheet(ctx)
+}
+
+func (h *handler) status(ctx context.Context, r request) (any, error) {
+	if err := noQuery(r.Request); err != nil {
+		return nil, err
+	}
+	return h.control.Status(ctx)
+}
+
+func (h *handler) explain(ctx context.Context, r request) (any, error) {
+	q := newQuery(r.Request)
+	switch subject := q.get("subject"); subject {
+	case subjectConnection:
+		c := q.connection()
+		if err := q.err(); err != nil {
+			return nil, err
+		}
+		return h.control.ExplainConnection(ctx, c)
+	case subjectUpstream:
+		u := UpstreamQuery{Name: q.required("name")}
+		if err := q.err(); err != nil {
+			return nil, err
+		}
+		return h.control.ExplainUpstream(ctx, u)
+	case subjectSheet:
+		if err := q.err(); err != nil {
+			return nil, err
+		}
+		return h.control.ExplainSheet(ctx)
+	default:
+		return nil, result.Errorf(result.BadArguments, "subject %q is none of %s, %s, %s", subject, subjectConnection, subjectUpstream, subjectSheet)
+	}
+}
+
+func (h *handler) audit(ctx context.Context, r request) (any, error) {
+	q := newQuery(r.Request)
+	a := q.audit()
+	if err := q.err(); err != nil {
+		return nil, err
+	}
+	return h.control.Audit(ctx, a)
+}
+
+func (h *handler) announce(ctx context.Context, r request) (any, error) {
+	b, err := readBody(r.Request, maxAnnouncementBytes, result.BadAnnouncement)
+	if err != nil {
+		return nil, err
+	}
+	a, err := decodeAnnouncement(b)
+	if err != nil {
+		return nil, err
+	}
+	if a.Name != r.peer.Name {
+		return nil, result.Errorf(result.NotAuthorized, "certificate of %q announces %q", r.peer.Name, a.Name)
+	}
+	return h.control.Announce(ctx, a)
+}
+
+// readBody reads a body of at most limit bytes; a longer one is refused with
+// tooLarge.
+func readBody(r *http.Request, limit int64, tooLarge result.Code) ([]byte, error) {
+	b, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, limit))
+	if err == nil {
+		return b, nil
+	}
+	var max *http.MaxBytesError
+	if errors.As(err, &max) {
+		return nil, result.Errorf(tooLarge, "body exceeds %d bytes", limit)
+	}
+	return nil, result.Wrapf(err, result.BadMessage, "read body")
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	body := errorResponse(err)
+	if body.Code == result.NoLeader || body.Code == result.Overloaded {
+		w.Header().Set("Retry-After", retryAfterSeconds)
+	}
+	writeJSON(w, httpStatus(body.Code), body)
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// The peer may be gone; there is no one left to tell.
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/request/api/types.go
@@ -0,0 +1,317 @@
+// Package api is the HTTP interface for operators and upstreams: its messages,
+// its handlers over a Control, and its client. Both sides authenticate by
+// mutual TLS.
+package api
+
+import (
+	"context"
+	"encoding/hex"
+	"net/netip"
+	"time"
+
+	"heatherport/internal/result"
+)
+
+// Control is what the handlers need from the VM that serves them. Its errors
+// carry a result code.
+type Control interface {
+	// SubmitSheet returns once the sheet is accepted or refused.
+	SubmitSheet(ctx context.Context, req SubmitRequest) (SubmitResponse, error)
+	Sheet(ctx context.Context) (SheetResponse, error)
+	Status(ctx context.Context) (StatusResponse, error)
+	ExplainConnection(ctx context.Context, q ConnectionQuery) (ConnectionExplanation, error)
+	ExplainUpstream(ctx context.Context, q UpstreamQuery) (UpstreamExplanation, error)
+	ExplainSheet(ctx context.Context) (SheetExplanation, error)
+	Audit(ctx context.Context, q AuditQuery) (AuditResponse, error)
+	// Announce renews the lease of an upstream. Its name is that of the
+	// certificate.
+	Announce(ctx context.Context, a Announcement) (AnnounceResponse, error)
+}
+
+// Digest is the digest of a sheet, in hexadecimal in JSON.
+type Digest [32]byte
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Digest) MarshalText() ([]byte, error) {
+	return hex.AppendEncode(nil, d[:]), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Digest) UnmarshalText(b []byte) error {
+	if hex.DecodedLen(len(b)) != len(d) {
+		return result.Errorf(result.BadMessage, "digest is not %d bytes long", len(d))
+	}
+	if _, err := hex.Decode(d[:], b); err != nil {
+		return result.Wrapf(err, result.BadMessage, "digest")
+	}
+	return nil
+}
+
+// String returns d in hexadecimal.
+func (d Digest) String() string { return hex.EncodeToString(d[:]) }
+
+// SubmitRequest is a sheet as an operator sent it.
+type SubmitRequest struct {
+	Operator string // name of the operator's certificate
+	Sheet    []byte // CSV
+}
+
+// SubmitResponse says that a sheet is accepted.
+type SubmitResponse struct {
+	Number uint64 `json:"number"`
+	Digest Digest `json:"digest"`
+	Index  uint64 `json:"index"`  // log index of the acceptance
+	Resent bool   `json:"resent"` // the same sheet had been accepted before
+	// Pending lists the live VMs that have not confirmed the sheet.
+	Pending []string `json:"pending"`
+}
+
+// SheetResponse is the sheet in force.
+type SheetResponse struct {
+	Number   uint64    `json:"number"`
+	Digest   Digest    `json:"digest"`
+	Index    uint64    `json:"index"`
+	Operator string    `json:"operator"`
+	Accepted time.Time `json:"accepted"`
+	CSV      string    `json:"csv"`
+}
+
+// StatusResponse is the state of the fleet as one VM knows it.
+type StatusResponse struct {
+	VM          string `json:"vm"` // that answered
+	Ready       bool   `json:"ready"`
+	Index       uint64 `json:"index"` // of the version in force on VM
+	SheetNumber uint64 `json:"sheet_number"`
+	SheetDigest Digest `json:"sheet_digest"`
+	Leader      string `json:"leader,omitempty"`
+	Term        uint64 `json:"term"`
+	// Majority tells whether VM has heard from a majority of the voters
+	// within the lease, itself or through a peer.
+	Majority bool `json:"majority"`
+	// Lease tells whether the membership lease of VM runs.
+	Lease bool `json:"lease"`
+	// Stale tells that newer versions may exist that VM does not know.
+	Stale     bool             `json:"stale"`
+	VMs       []VMStatus       `json:"vms"`
+	Upstreams []UpstreamStatus `json:"upstreams"`
+	Drains    []Drain          `json:"drains"`
+}
+
+// VMStatus is the state of one VM.
+type VMStatus struct {
+	Name         string `json:"name"`
+	Domain       string `json:"domain"`
+	State        string `json:"state"` // joining, active or leaving
+	Live         bool   `json:"live"`  // its membership lease runs
+	Voter        bool   `json:"voter"`
+	Leader       bool   `json:"leader"`
+	AppliedIndex uint64 `json:"applied_index"`
+	Open         uint64 `json:"open_connections"`
+}
+
+// UpstreamStatus is the state of one upstream.
+type UpstreamStatus struct {
+	Name        string         `json:"name"`
+	Service     string         `json:"service"`
+	State       string         `json:"state"` // as the sheet declares it
+	Address     netip.AddrPort `json:"address"`
+	Incarnation uint64         `json:"incarnation"`
+	Healthy     bool           `json:"healthy"`
+	Leased      bool           `json:"leased"` // its announcement lease runs
+	Slots       uint32         `json:"slots"`
+	Open        uint64         `json:"open_connections"`
+	Limit       uint32         `json:"connection_limit"`
+}
+
+// Drain is a drain that is still open.
+type Drain struct {
+	Kind    string    `json:"kind"` // upstream, vm or base
+	Name    string    `json:"name"`
+	Service string    `json:"service,omitempty"`
+	Since   time.Time `json:"since"`
+	Open    uint64    `json:"open_connections"`
+	// WaitingFor says what ends the drain.
+	WaitingFor string `json:"waiting_for"`
+}
+
+// ConnectionQuery names a connection.
+type ConnectionQuery struct {
+	Caller   netip.AddrPort
+	Service  netip.AddrPort
+	Protocol string // tcp or udp
+}
+
+// ConnectionExplanation says where a connection goes, and why.
+type ConnectionExplanation struct {
+	VM       string `json:"vm"` // that answered
+	Service  string `json:"service"`
+	Hash     uint64 `json:"hash"`
+	Bucket   uint32 `json:"bucket"`
+	Owner    string `json:"owner"`
+	Standby  string `json:"standby"`
+	Epoch    uint64 `json:"epoch"` // of the owners
+	Index    uint64 `json:"index"` // of the version
+	Known    bool   `json:"known"` // VM holds an entry for the connection
+	Upstream string `json:"upstream,omitempty"`
+	// Exception tells that the upstream differs from the base ranking's first.
+	Exception bool     `json:"exception"`
+	Current   []Ranked `json:"current"` // ranking of new connections
+	Base      []Ranked `json:"base"`    // ranking of connections without an exception
+	Reasons   []string `json:"reasons"` // in the order of the decision
+}
+
+// Ranked is one upstream in the ranking of a bucket.
+type Ranked struct {
+	Upstream string `json:"upstream"`
+	Weight   uint32 `json:"weight"`
+	Open     uint64 `json:"open_connections"` // estimate over all VMs
+	Limit    uint64 `json:"limit"`            // open connections up to which it is taken
+	Eligible bool   `json:"eligible"`
+	Reason   string `json:"reason,omitempty"` // why it is not eligible
+}
+
+// UpstreamQuery names an upstream.
+type UpstreamQuery struct {
+	Name string
+}
+
+// UpstreamExplanation says why an upstream receives new connections or none.
+type UpstreamExplanation struct {
+	UpstreamStatus
+	VM       string    `json:"vm"` // that answered
+	Eligible bool      `json:"eligible"`
+	Since    time.Time `json:"since"` // of the present eligibility
+	Weight   uint32    `json:"weight"`
+	Reasons  []string  `json:"reasons"`
+	// Observations are what the VMs have reported.
+	Observations []Observation `json:"observations"`
+}
+
+// Observation is one VM's word on an upstream.
+type Observation struct {
+	VM      string    `json:"vm"`
+	Kind    string    `json:"kind"` // lease, probe or retransmission
+	Healthy bool      `json:"healthy"`
+	Since   time.Time `json:"since"`
+	Detail  string    `json:"detail,omitempty"`
+}
+
+// SheetExplanation says where the sheet is in force.
+type SheetExplanation struct {
+	VM      string      `json:"vm"` // that answered
+	Number  uint64      `json:"number"`
+	Digest  Digest      `json:"digest"`
+	Index   uint64      `json:"index"`
+	InForce []string    `json:"in_force"`
+	Pending []PendingVM `json:"pending"`
+}
+
+// PendingVM is a VM that has not confirmed the sheet.
+type PendingVM struct {
+	Name         string `json:"name"`
+	Live         bool   `json:"live"`
+	AppliedIndex uint64 `json:"applied_index"`
+	Reason       string `json:"reason"`
+}
+
+// Announcement is what an upstream says of itself.
+type Announcement struct {
+	Name        string         `json:"name"`
+	Service     string         `json:"service"`
+	Address     netip.AddrPort `json:"address"`     // FOU endpoint
+	Incarnation uint64         `json:"incarnation"` // grows with each start of the upstream
+	Slots       uint32         `json:"slots"`
+	// Load is a hint between 0 and 1; nil is none.
+	Load *float64 `json:"load,omitempty"`
+	// Draining asks for no new connections, before a planned stop.
+	Draining bool `json:"draining,omitempty"`
+}
+
+// AnnounceResponse says how long the announcement holds.
+type AnnounceResponse struct {
+	Upstream     uint32 `json:"upstream_id"`
+	Index        uint64 `json:"index"`
+	LeaseSeconds uint32 `json:"lease_seconds"`
+	RenewSeconds uint32 `json:"renew_seconds"` // time until the next announcement
+}
+
+// AuditKind groups audit records.
+type AuditKind string
+
+// The kinds of audit records.
+const (
+	AuditSheet      AuditKind = "sheet"
+	AuditRoster     AuditKind = "roster"
+	AuditPlacement  AuditKind = "placement"
+	AuditLeadership AuditKind = "leadership"
+	AuditKeys       AuditKind = "keys"
+	AuditMember     AuditKind = "member"
+)
+
+// Valid reports whether k is one of the kinds.
+func (k AuditKind) Valid() bool {
+	switch k {
+	case AuditSheet, AuditRoster, AuditPlacement, AuditLeadership, AuditKeys, AuditMember:
+		return true
+	}
+	return false
+}
+
+// AuditRecord is one change.
+type AuditRecord struct {
+	Time    time.Time   `json:"time"`
+	VM      string      `json:"vm"`  // that wrote the record
+	Who     string      `json:"who"` // operator, upstream or VM that caused the change
+	Kind    AuditKind   `json:"kind"`
+	Subject string      `json:"subject"` // what changed
+	Cause   string      `json:"cause,omitempty"`
+	Before  string      `json:"before,omitempty"`
+	After   string      `json:"after,omitempty"`
+	Code    result.Code `json:"code"`
+	Index   uint64      `json:"index,omitempty"` // log index of the change
+}
+
+// AuditQuery selects audit records; zero fields select all.
+type AuditQuery struct {
+	Since   time.Time // inclusive
+	Until   time.Time // exclusive
+	Kind    AuditKind
+	Subject string
+	Who     string
+	Limit   int // newest records kept; zero: DefaultAuditLimit
+}
+
+// The bounds of AuditQuery.Limit.
+const (
+	DefaultAuditLimit = 1000
+	MaxAuditLimit     = 100_000
+)
+
+// Match reports whether q selects r.
+func (q *AuditQuery) Match(r *AuditRecord) bool {
+	switch {
+	case !q.Since.IsZero() && r.Time.Before(q.Since):
+		return false
+	case !q.Until.IsZero() && !r.Time.Before(q.Until):
+		return false
+	case q.Kind != "" && r.Kind != q.Kind:
+		return false
+	case q.Subject != "" && r.Subject != q.Subject:
+		return false
+	case q.Who != "" && r.Who != q.Who:
+		return false
+	}
+	return true
+}
+
+// AuditResponse holds records, oldest first.
+type AuditResponse struct {
+	Records []AuditRecord `json:"records"`
+}
+
+// ErrorResponse is the body of every answer that is not a success.
+type ErrorResponse struct {
+	Code   result.Code `json:"code"`
+	Name   string      `json:"name"`
+	Detail string      `json:"detail"`
+}
--- /dev/null
+++ b/internal/request/identity/identity.go
@@ -0,0 +1,68 @@
+// Package identity tells who is at the other end of a mutual TLS connection.
+// The name of a certificate is its common name and its only DNS name; its role
+// is its organizational unit.
+package identity
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"slices"
+
+	"heatherport/internal/result"
+)
+
+// Role is what the holder of a certificate may do.
+type Role string
+
+// The roles.
+const (
+	VM       Role = "vm"       // links between VMs
+	Operator Role = "operator" // the operators' API
+	Upstream Role = "upstream" // announcements of one upstream
+)
+
+// Valid reports whether r is one of the roles.
+func (r Role) Valid() bool {
+	return r == VM || r == Operator || r == Upstream
+}
+
+// Identity is the name and role of a certificate.
+type Identity struct {
+	Name string
+	Role Role
+}
+
+// Of returns the identity in a verified certificate.
+func Of(c *x509.Certificate) (Identity, error) {
+	id := Identity{Name: c.Subject.CommonName}
+	if len(c.Subject.OrganizationalUnit) == 1 {
+		id.Role = Role(c.Subject.OrganizationalUnit[0])
+	}
+	switch {
+	case id.Name == "":
+		return Identity{}, result.Errorf(result.BadCertificate, "certificate without a common name")
+	case !id.Role.Valid():
+		return Identity{}, result.Errorf(result.BadCertificate, "certificate of %q names no known role", id.Name)
+	case !slices.Equal(c.DNSNames, []string{id.Name}):
+		return Identity{}, result.Errorf(result.BadCertificate, "DNS names of certificate %q differ from its common name", id.Name)
+	}
+	return id, nil
+}
+
+// OfConnection returns the identity at the other end of a connection whose
+// handshake verified the certificate, as both sides do that package keys
+// configures.
+func OfConnection(s *tls.ConnectionState) (Identity, error) {
+	if s == nil || len(s.PeerCertificates) == 0 {
+		return Identity{}, result.Errorf(result.BadCertificate, "no verified certificate")
+	}
+	return Of(s.PeerCertificates[0])
+}
+
+// Require returns NotAuthorized unless id has one of the roles.
+func (id Identity) Require(roles ...Role) error {
+	if slices.Contains(roles, id.Role) {
+		return nil
+	}
+	return result.Errorf(result.NotAuthorized, "%q has the role %s, needed is one of %v", id.Name, id.Role, roles)
+}
