--- /dev/null
+++ b/internal/process/metrics/collector.go
@@ -0,0 +1,181 @@
+package metrics
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+)
+
+const namespace = "heatherport"
+
+// Outcomes of a packet.
+const (
+	outcomeForwarded = "forwarded"
+	outcomeRelayed   = "relayed"
+	outcomeDropped   = "dropped"
+)
+
+// noCause is the cause of packets that were neither dropped nor refused.
+const noCause = "ok"
+
+// collector turns snapshots into metrics.
+type collector struct {
+	snapshot func() Snapshot
+
+	received, receivedBytes   *prometheus.Desc
+	packets                   *prometheus.Desc
+	forwardedBytes            *prometheus.Desc
+	relayed, relayedBytes     *prometheus.Desc
+	hints                     *prometheus.Desc
+	open, owned, opened       *prometheus.Desc
+	exceptions, capacity      *prometheus.Desc
+	upstreamOpen, upstreamOK  *prometheus.Desc
+	controlMsgs, controlBytes *prometheus.Desc
+	controlLost               *prometheus.Desc
+	versionIndex, sheet, term *prometheus.Desc
+	liveVMs, drains           *prometheus.Desc
+	lease, cutOff             *prometheus.Desc
+	leader, voter, ready      *prometheus.Desc
+	auditFailures             *prometheus.Desc
+	certificateEnd            *prometheus.Desc
+}
+
+func desc(name, help string, labels ...string) *prometheus.Desc {
+	return prometheus.NewDesc(prometheus.BuildFQName(namespace, "", name), help, labels, nil)
+}
+
+func newCollector(snapshot func() Snapshot) *collector {
+	return &collector{
+		snapshot:       snapshot,
+		received:       desc("received_packets_total", "Packets received from the fabric."),
+		receivedBytes:  desc("received_bytes_total", "Bytes of packets received from the fabric."),
+		packets:        desc("packets_total", "Packets by outcome and, if dropped or refused, the name of the result code.", "outcome", "cause"),
+		forwardedBytes: desc("forwarded_bytes_total", "Bytes of packets forwarded to upstreams."),
+		relayed:        desc("relay_packets_total", "Packets relayed between VMs.", "direction"),
+		relayedBytes:   desc("relay_bytes_total", "Bytes of packets relayed between VMs.", "direction"),
+		hints:          desc("hints_total", "Hints exchanged between VMs.", "direction"),
+		open:           desc("connections_open", "Entries in the connection table."),
+		owned:          desc("connections_owned", "Entries that this VM owns."),
+		opened:         desc("connections_opened_total", "Connections for which this VM chose the upstream."),
+		exceptions:     desc("connection_exceptions", "Entries whose upstream differs from the base ranking."),
+		capacity:       desc("connections_capacity", "Entries that the connection table can hold."),
+		upstreamOpen:   desc("upstream_connections_open", "Connections to an upstream that this VM owns.", "service", "upstream"),
+		upstreamOK:     desc("upstream_eligible", "1 if the upstream receives new connections.", "service", "upstream"),
+		controlMsgs:    desc("control_messages_total", "Control messages by kind.", "kind", "direction"),
+		controlBytes:   desc("control_bytes_total", "Bytes of control messages by kind.", "kind", "direction"),
+		controlLost:    desc("control_messages_dropped_total", "Control messages that full queues dropped."),
+		versionIndex:   desc("version_index", "Log index of the version in force on this VM."),
+		sheet:          desc("sheet_number", "Number of the sheet in force on this VM."),
+		term:           desc("term", "Highest term that this VM knows."),
+		liveVMs:        desc("live_vms", "VMs with a live membership lease."),
+		drains:         desc("drains_open", "Drains that are still open."),
+		lease:          desc("lease_live", "1 while the membership lease of this VM runs."),
+		cutOff:         desc("cut_off", "1 while this VM cannot reach a majority of the voters."),
+		leader:         desc("leader", "1 while this VM is the leader."),
+		voter:          desc("voter", "1 if this VM is a voter."),
+		ready:          desc("ready", "1 while this VM is ready for traffic."),
+		auditFailures:  desc("audit_failures_total", "Audit records that could not be kept."),
+		certificateEnd: desc("certificate_expiry_timestamp_seconds", "Unix time at which the certificate of this VM ends."),
+	}
+}
+
+// Describe implements prometheus.Collector.
+func (c *collector) Describe(ch chan<- *prometheus.Desc) {
+	prometheus.DescribeByCollect(c, ch)
+}
+
+// Collect implements prometheus.Collector.
+func (c *collector) Collect(ch chan<- prometheus.Metric) {
+	s := c.snapshot()
+	e := emitter{ch}
+	c.collectTraffic(e, &s)
+	c.collectConnections(e, &s)
+	c.collectControl(e, &s)
+	c.collectProcess(e, &s)
+}
+
+func (c *collector) collectTraffic(e emitter, s *Snapshot) {
+	e.counter(c.received, s.Received.Count)
+	e.counter(c.receivedBytes, s.Received.Bytes)
+	e.counter(c.packets, s.Forwarded.Count, outcomeForwarded, noCause)
+	e.counter(c.packets, s.RelaySent.Count, outcomeRelayed, noCause)
+	for _, cause := range s.Causes {
+		e.counter(c.packets, cause.Packets, outcomeDropped, cause.Code.Name())
+	}
+	e.counter(c.forwardedBytes, s.Forwarded.Bytes)
+	e.counter(c.relayed, s.RelaySent.Count, string(Sent))
+	e.counter(c.relayed, s.RelayGot.Count, string(Received))
+	e.counter(c.relayedBytes, s.RelaySent.Bytes, string(Sent))
+	e.counter(c.relayedBytes, s.RelayGot.Bytes, string(Received))
+	e.counter(c.hints, s.HintsSent.Count, string(Sent))
+	e.counter(c.hints, s.HintsGot.Count, string(Received))
+}
+
+func (c *collector) collectConnections(e emitter, s *Snapshot) {
+	e.gauge(c.open, float64(s.Open))
+	e.gauge(c.owned, float64(s.Owned))
+	e.counter(c.opened, s.Opened)
+	e.gauge(c.exceptions, float64(s.Exceptions))
+	e.gauge(c.capacity, float64(s.Capacity))
+	for _, u := range s.Upstreams {
+		e.gauge(c.upstreamOpen, float64(u.Open), u.Service, u.Upstream)
+		e.flag(c.upstreamOK, u.Eligible, u.Service, u.Upstream)
+	}
+}
+
+func (c *collector) collectControl(e emitter, s *Snapshot) {
+	for _, v := range s.Control {
+		e.counter(c.controlMsgs, v.Count, v.Kind, string(v.Direction))
+		e.counter(c.controlBytes, v.Bytes, v.Kind, string(v.Direction))
+	}
+	e.counter(c.controlLost, s.PendingLost)
+	e.gauge(c.versionIndex, float64(s.VersionIndex))
+	e.gauge(c.sheet, float64(s.SheetNumber))
+	e.gauge(c.term, float64(s.Term))
+	e.gauge(c.liveVMs, float64(s.LiveVMs))
+	e.gauge(c.drains, float64(s.OpenDrains))
+	e.flag(c.lease, s.LeaseLive)
+	e.flag(c.cutOff, s.CutOff)
+	e.flag(c.leader, s.Leader)
+	e.flag(c.voter, s.Voter)
+	e.flag(c.ready, s.Ready)
+}
+
+func (c *collector) collectProcess(e emitter, s *Snapshot) {
+	e.counter(c.auditFailures, s.AuditFailures)
+	if !s.CertificateNotAfter.IsZero() {
+		e.gauge(c.certificateEnd, float64(s.CertificateNotAfter.Unix()))
+	}
+}
+
+// emitter sends constant metrics.
+type emitter struct {
+	ch chan<- prometheus.Metric
+}
+
+func (e emitter) counter(d *prometheus.Desc, v uint64, labels ...string) {
+	e.ch <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, float64(v), labels...)
+}
+
+func (e emitter) gauge(d *prometheus.Desc, v float64, labels ...string) {
+	e.ch <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v, labels...)
+}
+
+func (e emitter) flag(d *prometheus.Desc, v bool, labels ...string) {
+	var f float64
+	if v {
+		f = 1
+	}
+	e.gauge(d, f, labels...)
+}
+
+// NewRegistry returns a registry with the metrics of snapshot, the Go runtime
+// and the process.
+func NewRegistry(snapshot func() Snapshot) *prometheus.Registry {
+	r := prometheus.NewRegistry()
+	r.MustRegister(
+		newCollector(snapshot),
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	return r
+}
--- /dev/null
+++ b/internal/process/metrics/snapshot.go
@@ -0,0 +1,84 @@
+// Package metrics exposes counters and health over plain HTTP. Traffic
+// goroutines keep their own counters; a collector reads a snapshot of them when
+// it is scraped.
+package metrics
+
+import (
+	"time"
+
+	"heatherport/internal/result"
+)
+
+// Volume counts packets or messages and their bytes.
+type Volume struct {
+	Count uint64
+	Bytes uint64
+}
+
+// Cause counts the packets that were dropped or refused with one code.
+type Cause struct {
+	Code    result.Code
+	Packets uint64
+}
+
+// Direction is the direction of control messages.
+type Direction string
+
+// The directions.
+const (
+	Sent     Direction = "sent"
+	Received Direction = "received"
+)
+
+// ControlVolume counts the control messages of one kind in one direction.
+type ControlVolume struct {
+	Kind      string
+	Direction Direction
+	Volume
+}
+
+// UpstreamGauge is the state of one upstream as the VM sees it.
+type UpstreamGauge struct {
+	Service  string
+	Upstream string
+	Open     uint64 // connections that the VM owns
+	Eligible bool
+}
+
+// Snapshot holds all values of one scrape. Counters never go down.
+type Snapshot struct {
+	// Traffic.
+	Received    Volume  // packets from the fabric
+	Forwarded   Volume  // packets to upstreams
+	RelaySent   Volume  // packets to other VMs
+	RelayGot    Volume  // packets from other VMs
+	HintsSent   Volume  // hints to other VMs
+	HintsGot    Volume  // hints from other VMs
+	Causes      []Cause // packets dropped or refused
+	PendingLost uint64  // control messages that full queues dropped
+
+	// Connections.
+	Open       uint64 // entries in the table
+	Owned      uint64 // entries that the VM owns
+	Opened     uint64 // connections decided since the start
+	Exceptions uint64 // entries that differ from the base ranking
+	Capacity   uint64 // entries that the table can hold
+	Upstreams  []UpstreamGauge
+
+	// Control state.
+	Control      []ControlVolume
+	VersionIndex uint64
+	SheetNumber  uint64
+	Term         uint64
+	LiveVMs      int
+	OpenDrains   int
+	LeaseLive    bool
+	CutOff       bool
+	Leader       bool
+	Voter        bool
+	Ready        bool
+
+	// Process.
+	AuditFailures       uint64
+	CertificateNotAfter time.Time // zero: none
+}
--- /dev/null
+++ b/internal/request/api/wait.go
@@ -0,0 +1,66 @@
+package api
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"heatherport/internal/result"
+)
+
+// DefaultPollInterval is the time between two looks at the status.
+const DefaultPollInterval = 200 * time.Millisecond
+
+// WaitInForce polls the status until each live VM has applied the log up to
+// index. When ctx ends first, it returns NotInForceYet and the VMs that have
+// not confirmed.
+func (c *Client) WaitInForce(ctx context.Context, index uint64, poll time.Duration) ([]string, error) {
+	var pending []string
+	last := result.Errorf(result.NotReady, "no status yet")
+	for {
+		st, err := c.Status(ctx)
+		if err == nil {
+			pending, last = st.Pending(index)
+		} else if ctx.Err() == nil {
+			last = err
+		}
+		if last == nil {
+			return nil, nil
+		}
+		if !sleep(ctx, poll) {
+			return pending, result.Wrapf(last, result.NotInForceYet, "accepted at index %d", index)
+		}
+	}
+}
+
+// Pending returns the live VMs that have not applied index, and an error while
+// there are any or while the VM that answered cannot know.
+func (s *StatusResponse) Pending(index uint64) ([]string, error) {
+	var out []string
+	for _, v := range s.VMs {
+		if v.Live && v.AppliedIndex < index {
+			out = append(out, v.Name)
+		}
+	}
+	switch {
+	case len(out) > 0:
+		return out, result.Errorf(result.NotInForceYet, "not confirmed by %s", strings.Join(out, ", "))
+	case s.Stale:
+		return nil, result.Errorf(result.NotInForceYet, "%s is cut off and cannot tell", s.VM)
+	case s.Index < index:
+		return []string{s.VM}, result.Errorf(result.NotInForceYet, "not confirmed by %s", s.VM)
+	}
+	return nil, nil
+}
+
+// sleep reports whether d passed before ctx ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
