--- a/cmd/heatherport/main.go
+++ b/cmd/heatherport/main.go
@@ -2,4 +2,15 @@
 // accepts packets sprayed over all of them.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"heatherport/internal/process/cli"
+)
+
+func main() {
+	os.Exit(cli.Main(os.Args[1:], cli.Options{
+		Stdout: os.Stdout,
+		Stderr: os.Stderr,
+	}))
+}
--- /dev/null
+++ b/internal/process/cli/arguments.go
@@ -0,0 +1,177 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/alexflint/go-arg"
+)
+
+// arguments is the command line.
+type arguments struct {
+	Run      *runCommand    `arg:"subcommand:run" help:"run the balancer of this VM"`
+	Settings *settingsGroup `arg:"subcommand:settings" help:"check a settings file"`
+	Sheet    *sheetGroup    `arg:"subcommand:sheet" help:"check, submit or show a sheet"`
+	Status   *statusCommand `arg:"subcommand:status" help:"show VMs, upstreams, open drains and versions"`
+	Explain  *explainGroup  `arg:"subcommand:explain" help:"say why a connection, an upstream or a sheet is where it is"`
+	Audit    *auditCommand  `arg:"subcommand:audit" help:"show the trail of changes"`
+	Keys     *keysGroup     `arg:"subcommand:keys" help:"make and rotate certificates and relay keys"`
+	Demo     *demoCommand   `arg:"subcommand:demo" help:"run eight balancers with stand-ins in this process"`
+	Codes    *codesCommand  `arg:"subcommand:codes" help:"list the result codes"`
+	JSON     bool           `arg:"--json" help:"write JSON in place of tables; errors too"`
+}
+
+// Description is shown above the usage.
+func (arguments) Description() string {
+	return "heatherport is a layer-4 load balancer whose balancers accept packets sprayed over all of them."
+}
+
+type runCommand struct {
+	Settings string `arg:"--settings,required" placeholder:"FILE" help:"settings of this VM"`
+}
+
+type settingsGroup struct {
+	Check *settingsCheckCommand `arg:"subcommand:check" help:"list all faults of a settings file"`
+}
+
+type settingsCheckCommand struct {
+	File string `arg:"positional,required" help:"settings file"`
+}
+
+type sheetGroup struct {
+	Check  *sheetCheckCommand  `arg:"subcommand:check" help:"list all faults of a sheet"`
+	Submit *sheetSubmitCommand `arg:"subcommand:submit" help:"put a sheet in force"`
+	Show   *sheetShowCommand   `arg:"subcommand:show" help:"show the sheet in force"`
+}
+
+type sheetCheckCommand struct {
+	File string `arg:"positional,required" help:"sheet in CSV"`
+}
+
+type sheetSubmitCommand struct {
+	File string        `arg:"positional,required" help:"sheet in CSV"`
+	Wait time.Duration `arg:"--wait" placeholder:"TIME" help:"wait up to TIME until all live VMs have confirmed, for example 30s"`
+	remote
+}
+
+type sheetShowCommand struct {
+	CSV bool `arg:"--csv" help:"write the sheet itself"`
+	remote
+}
+
+type statusCommand struct {
+	remote
+}
+
+type explainGroup struct {
+	Connection *explainConnectionCommand `arg:"subcommand:connection" help:"say where a connection goes, and why"`
+	Upstream   *explainUpstreamCommand   `arg:"subcommand:upstream" help:"say why an upstream receives new connections or none"`
+	Sheet      *explainSheetCommand      `arg:"subcommand:sheet" help:"say where the sheet is in force"`
+}
+
+type explainConnectionCommand struct {
+	Caller   string `arg:"--caller,required" placeholder:"IP:PORT" help:"address of the caller"`
+	Service  string `arg:"--service,required" placeholder:"IP:PORT" help:"address of the service"`
+	Protocol string `arg:"--protocol" default:"tcp" help:"tcp or udp"`
+	remote
+}
+
+type explainUpstreamCommand struct {
+	Name string `arg:"positional,required" help:"name of the upstream"`
+	remote
+}
+
+type explainSheetCommand struct {
+	remote
+}
+
+type auditCommand struct {
+	File    string        `arg:"--file" help:"read this file and its rotated ones in place of a VM"`
+	Last    time.Duration `arg:"--last" placeholder:"TIME" help:"only the last TIME, for example 2h"`
+	Kind    string        `arg:"--kind" help:"sheet, roster, placement, leadership, keys or member"`
+	Subject string        `arg:"--subject" help:"only changes of this name"`
+	Who     string        `arg:"--who" help:"only changes that this operator, upstream or VM caused"`
+	Limit   int           `arg:"--limit" default:"1000" help:"number of newest records"`
+	remote
+}
+
+type keysGroup struct {
+	Init   *keysInitCommand   `arg:"subcommand:init" help:"create the certificate authority and the first relay key"`
+	Issue  *keysIssueCommand  `arg:"subcommand:issue" help:"issue a certificate"`
+	Rotate *keysRotateCommand `arg:"subcommand:rotate" help:"add a relay key or an authority beside the present one"`
+}
+
+type keysInitCommand struct {
+	Dir string `arg:"--dir,required" help:"folder for the files"`
+}
+
+type keysIssueCommand struct {
+	Dir      string        `arg:"--dir,required" help:"folder of keys init"`
+	Name     string        `arg:"--name" placeholder:"VM" help:"name of a VM"`
+	Operator string        `arg:"--operator" placeholder:"NAME" help:"name of an operator"`
+	Upstream string        `arg:"--upstream" placeholder:"NAME" help:"name of an upstream"`
+	Validity time.Duration `arg:"--validity" default:"8760h" help:"time until the certificate ends"`
+}
+
+type keysRotateCommand struct {
+	Dir    string        `arg:"--dir,required" help:"folder of keys init"`
+	Window time.Duration `arg:"--window" default:"24h" help:"time that the old ones are accepted beside the new"`
+	CA     bool          `arg:"--ca" help:"rotate the authority in place of the relay key"`
+}
+
+type demoCommand struct {
+	Seed uint64 `arg:"--seed" default:"1" help:"seed of the stand-ins"`
+}
+
+type codesCommand struct {
+	Markdown bool `arg:"--markdown" help:"write the page docs/CODES.md"`
+}
+
+// remote names the VMs to call and the certificate to call them with.
+type remote struct {
+	To       []string `arg:"--to,separate,env:HEATHERPORT_TO" placeholder:"IP:PORT" help:"API address of a VM; several are tried in turn"`
+	Keys     string   `arg:"--keys,env:HEATHERPORT_KEYS" placeholder:"DIR" help:"folder with ca.pem and the operator's files"`
+	Operator string   `arg:"--operator,env:HEATHERPORT_OPERATOR" placeholder:"NAME" help:"name of the operator's certificate"`
+}
+
+// writeHelp writes the help of the selected command with an example.
+func writeHelp(w io.Writer, p *arg.Parser) {
+	names := p.SubcommandNames()
+	if err := p.WriteHelpForSubcommand(w, names...); err != nil {
+		p.WriteHelp(w)
+	}
+	fmt.Fprintf(w, "\nExample:\n  %s\n", example(strings.Join(names, " ")))
+	fmt.Fprintf(w, "\nThe exit code is the class of the result code; see %s codes.\n", program)
+}
+
+const exampleRemote = " --to 192.0.2.11:8443 --to 192.0.2.12:8443 --keys /etc/heatherport --operator amina"
+
+// example returns an example for a command, or for the first command below it.
+func example(name string) string {
+	for _, x := range examples {
+		if strings.HasPrefix(x.command, name) {
+			return program + " " + x.command + x.arguments
+		}
+	}
+	return program + " demo"
+}
+
+var examples = []struct{ command, arguments string }{
+	{"demo", ""},
+	{"run", " --settings /etc/heatherport/settings.ini"},
+	{"settings check", " /etc/heatherport/settings.ini"},
+	{"sheet check", " sheet.csv"},
+	{"sheet submit", " sheet.csv --wait 30s" + exampleRemote},
+	{"sheet show", " --csv" + exampleRemote},
+	{"status", exampleRemote},
+	{"explain connection", " --caller 198.51.100.7:40100 --service 203.0.113.10:443" + exampleRemote},
+	{"explain upstream", " permit-03" + exampleRemote},
+	{"explain sheet", exampleRemote},
+	{"audit", " --kind sheet --last 24h" + exampleRemote},
+	{"keys init", " --dir ./keys"},
+	{"keys issue", " --dir ./keys --name ibadan-1"},
+	{"keys rotate", " --dir ./keys --window 24h"},
+	{"codes", " --markdown"},
+}
--- /dev/null
+++ b/internal/process/cli/cli.go
@@ -0,0 +1,101 @@
+// Package cli is the command line of heatherport: its arguments, its commands
+// and their output. The exit code of a command is the class of its result code.
+package cli
+
+import (
+	"context"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/cockroachdb/errors"
+
+	"heatherport/internal/process/settings"
+	"heatherport/internal/result"
+)
+
+// Runner starts what lives longer than a command.
+type Runner interface {
+	// Run serves until ctx ends, and then stops gracefully.
+	Run(ctx context.Context, s *settings.Settings) error
+	// Demo runs a small fleet and returns an error if a promise broke.
+	Demo(ctx context.Context, o DemoOptions) error
+}
+
+// DemoOptions are the options of the demo.
+type DemoOptions struct {
+	Seed   uint64
+	JSON   bool      // one JSON object in place of the table
+	Output io.Writer // result
+	Log    io.Writer // progress
+}
+
+// SheetSummary describes a valid sheet.
+type SheetSummary struct {
+	Number    uint64 `json:"number"`
+	Digest    string `json:"digest"`
+	Services  int    `json:"services"`
+	Upstreams int    `json:"upstreams"`
+}
+
+// Options are what the command line needs from the program.
+type Options struct {
+	Runner     Runner
+	CheckSheet func(csv []byte) (SheetSummary, error)
+	Stdout     io.Writer
+	Stderr     io.Writer
+	Now        func() time.Time // nil: time.Now
+}
+
+const program = "heatherport"
+
+// Main parses args, runs the command and returns the exit code.
+func Main(args []string, o Options) int {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	// After the first signal the default action is restored, so that a
+	// second one ends the process at once.
+	context.AfterFunc(ctx, stop)
+	return execute(ctx, args, o)
+}
+
+// execute runs one command line under ctx.
+func execute(ctx context.Context, args []string, o Options) int {
+	var a arguments
+	p, err := arg.NewParser(arg.Config{Program: program, Out: o.Stdout}, &a)
+	if err != nil {
+		return report(o.Stderr, false, result.Wrapf(err, result.Internal, "define arguments"))
+	}
+	err = p.Parse(args)
+	if errors.Is(err, arg.ErrHelp) {
+		writeHelp(o.Stdout, p)
+		return int(result.ClassOK)
+	}
+	if err != nil {
+		p.WriteUsageForSubcommand(o.Stderr, p.SubcommandNames()...)
+		return report(o.Stderr, a.JSON, result.Errorf(result.BadArguments, "%v", err))
+	}
+	c, ok := p.Subcommand().(command)
+	if !ok {
+		p.WriteHelp(o.Stderr)
+		return report(o.Stderr, a.JSON, result.Errorf(result.BadArguments, "no command given"))
+	}
+	return report(o.Stderr, a.JSON, c.run(ctx, &env{Options: o, json: a.JSON}))
+}
+
+// command is a subcommand that can be run.
+type command interface {
+	run(ctx context.Context, e *env) error
+}
+
+// env is what a command runs in.
+type env struct {
+	Options
+	json bool
+}
--- a/internal/process/keys/folder.go
+++ b/internal/process/keys/folder.go
@@ -21,6 +21,12 @@
 	certSuffix = ".pem"
 )
 
+// CertificateFile returns the name of the certificate file of name.
+func CertificateFile(name string) string { return name + certSuffix }
+
+// KeyFile returns the name of the key file of name.
+func KeyFile(name string) string { return name + keySuffix }
+
 const (
 	fileMode   = 0o600
 	folderMode = 0o700
@@ -82,7 +88,7 @@
 	if err := checkIdentity(id); err != nil {
 		return Issued{}, err
 	}
-	if id.Name+certSuffix == CAFile {
+	if CertificateFile(id.Name) == CAFile {
 		return Issued{}, result.Errorf(result.BadArguments, "%q is the name of the authority", id.Name)
 	}
 	if validity <= 0 {
@@ -96,17 +102,17 @@
 	if err != nil {
 		return Issued{}, err
 	}
-	out := Issued{Certificate: f.path(id.Name + certSuffix), Key: f.path(id.Name + keySuffix)}
+	out := Issued{Certificate: f.path(CertificateFile(id.Name)), Key: f.path(KeyFile(id.Name))}
 	cert, err := parsePair(p)
 	if err != nil {
 		return Issued{}, err
 	}
 	out.NotAfter = cert.Leaf.NotAfter
 	// The key goes first: a reader that sees the new certificate finds its key.
-	if err := f.write(id.Name+keySuffix, p.key); err != nil {
+	if err := f.write(KeyFile(id.Name), p.key); err != nil {
 		return Issued{}, err
 	}
-	return out, f.write(id.Name+certSuffix, p.cert)
+	return out, f.write(CertificateFile(id.Name), p.cert)
 }
 
 // Rotated tells what a rotation did.
@@ -153,17 +159,28 @@
 		return Rotated{}, err
 	}
 	out := Rotated{CA: a.cert.Subject.CommonName, UsedFrom: now, OldUntil: now.Add(window)}
-	next := []caCert{{cert: a.cert}}
+	next, err := rotateBundle(bundle, a, now, out.OldUntil)
+	if err != nil {
+		return Rotated{}, err
+	}
+	return out, f.writeAuthority(a, next)
+}
+
+// rotateBundle puts a first and ends the present authority at until. It refuses
+// a second rotation within the window.
+func rotateBundle(bundle []caCert, a authority, now, until time.Time) ([]caCert, error) {
+	out := []caCert{{cert: a.cert}}
 	for _, c := range bundle {
 		if !c.accepted(now) {
 			continue
 		}
-		if c.until.IsZero() || out.OldUntil.Before(c.until) {
-			c.until = out.OldUntil
+		if !c.until.IsZero() {
+			return nil, result.Errorf(result.BadArguments, "%s is accepted until %s; rotate after that", c.cert.Subject.CommonName, c.until.UTC().Format(time.RFC3339))
 		}
-		next = append(next, c)
+		c.until = until
+		out = append(out, c)
 	}
-	return out, f.writeAuthority(a, next)
+	return out, nil
 }
 
 const minWindow = time.Minute
--- a/internal/process/keys/relay.go
+++ b/internal/process/keys/relay.go
@@ -64,21 +64,21 @@
 }
 
 // rotate adds a key that is used for sending after half of the window, and
-// ends the others with the window.
+// ends the present one with the window. It refuses a second rotation within
+// the window: a VM holds two keys at most.
 func (ks RelayKeys) rotate(now time.Time, window time.Duration) (RelayKeys, error) {
 	out := ks.Accepted(now)
-	end := now.Add(window)
-	next := uint32(1)
-	for i := range out {
-		if out[i].NotAfter.IsZero() || end.Before(out[i].NotAfter) {
-			out[i].NotAfter = end
-		}
-		next = out[i].ID + 1
+	if len(out) > 1 {
+		return nil, result.Errorf(result.BadArguments, "relay key %d is accepted until %s; rotate after that", out[0].ID, out[0].NotAfter.UTC().Format(time.RFC3339))
 	}
+	next := ks[len(ks)-1].ID + 1
 	k, err := newRelayKey(next, now.Add(window/2))
 	if err != nil {
 		return nil, err
 	}
+	if len(out) == 1 {
+		out[0].NotAfter = now.Add(window)
+	}
 	return append(out, k), nil
 }
 
--- a/internal/process/keys/tls.go
+++ b/internal/process/keys/tls.go
@@ -8,85 +8,80 @@
 	"heatherport/internal/result"
 )
 
-// ServerTLS returns a configuration that asks for a certificate of one of the
-// roles. Each connection uses the material current at its start.
-func (s *Store) ServerTLS(protocols []string, roles ...identity.Role) *tls.Config {
-	build := func(*tls.ClientHelloInfo) (*tls.Config, error) {
-		return s.serverConfig(protocols, roles), nil
-	}
-	c := s.serverConfig(protocols, roles)
-	c.GetConfigForClient = build
-	return c
-}
-
-func (s *Store) serverConfig(protocols []string, roles []identity.Role) *tls.Config {
-	m := s.current.Load()
-	now := s.now()
+// ServerTLS returns a configuration that demands a certificate of one of the
+// roles. Each handshake uses the material current at that time, also in clones
+// of the configuration.
+func (s *Store) ServerTLS(roles ...identity.Role) *tls.Config {
 	return &tls.Config{
-		MinVersion:       tls.VersionTLS13,
-		NextProtos:       protocols,
-		Time:             s.now,
-		Certificates:     []tls.Certificate{m.cert},
-		ClientAuth:       tls.RequireAndVerifyClientCert,
-		ClientCAs:        m.pool(now),
-		VerifyConnection: requireRole(roles),
-		// A resumed session would skip the check against rotated authorities.
-		SessionTicketsDisabled: true,
-	}
-}
-
-func requireRole(roles []identity.Role) func(tls.ConnectionState) error {
-	return func(cs tls.ConnectionState) error {
-		id, err := identity.OfConnection(&cs)
-		if err != nil {
+		MinVersion: tls.VersionTLS13,
+		Time:       s.now,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			return s.certificate(), nil
+		},
+		// VerifyConnection checks the chain against the authorities current
+		// at the handshake, which ClientCAs cannot do.
+		ClientAuth: tls.RequireAnyClientCert,
+		VerifyConnection: func(cs tls.ConnectionState) error {
+			_, err := s.verify(cs, x509.ExtKeyUsageClientAuth, roles)
 			return err
-		}
-		return id.Require(roles...)
+		},
+		// A resumed session would present no certificate.
+		SessionTicketsDisabled: true,
 	}
 }
 
-// ClientTLS returns a configuration for connecting to the VM called name. An
-// empty name accepts any VM: callers of the API know addresses only.
-func (s *Store) ClientTLS(protocols []string, name string) *tls.Config {
+// ClientTLS returns a configuration for connecting to the VM called name. With
+// an empty name, ServerName can be set in a clone; if it is not, or is an IP
+// address, any VM is accepted: callers of the API know addresses only.
+func (s *Store) ClientTLS(name string) *tls.Config {
 	return &tls.Config{
 		MinVersion: tls.VersionTLS13,
-		NextProtos: protocols,
 		Time:       s.now,
 		ServerName: name,
 		// VerifyConnection checks the chain against the authorities current
 		// at the handshake, which RootCAs cannot do.
 		InsecureSkipVerify: true,
-		VerifyConnection: func(cs tls.ConnectionState) error {
-			return s.verifyVM(cs, name)
-		},
+		VerifyConnection:   s.verifyServer,
 		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
-			c := s.current.Load().cert
-			return &c, nil
+			return s.certificate(), nil
 		},
 	}
 }
 
-// verifyVM checks the chain, role and name of a server.
-func (s *Store) verifyVM(cs tls.ConnectionState, name string) error {
+func (s *Store) verifyServer(cs tls.ConnectionState) error {
+	id, err := s.verify(cs, x509.ExtKeyUsageServerAuth, []identity.Role{identity.VM})
+	if err != nil {
+		return err
+	}
+	if cs.ServerName != "" && id.Name != cs.ServerName {
+		return result.Errorf(result.BadCertificate, "server is %q instead of %q", id.Name, cs.ServerName)
+	}
+	return nil
+}
+
+// verify checks the chain, usage and role of the peer's certificate.
+func (s *Store) verify(cs tls.ConnectionState, usage x509.ExtKeyUsage, roles []identity.Role) (identity.Identity, error) {
 	if len(cs.PeerCertificates) == 0 {
-		return result.Errorf(result.BadCertificate, "no certificate from the server")
+		return identity.Identity{}, result.Errorf(result.BadCertificate, "no certificate from the peer")
 	}
 	leaf := cs.PeerCertificates[0]
 	now := s.now()
 	_, err := leaf.Verify(x509.VerifyOptions{
 		Roots:       s.current.Load().pool(now),
 		CurrentTime: now,
-		KeyUsages:   []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth},
+		KeyUsages:   []x509.ExtKeyUsage{usage},
 	})
 	if err != nil {
-		return result.Wrapf(err, result.BadCertificate, "certificate of the server")
+		return identity.Identity{}, result.Wrapf(err, result.BadCertificate, "certificate of the peer")
 	}
 	id, err := identity.Of(leaf)
 	if err != nil {
-		return err
+		return identity.Identity{}, err
 	}
-	if name != "" && id.Name != name {
-		return result.Errorf(result.BadCertificate, "server is %q instead of %q", id.Name, name)
-	}
-	return id.Require(identity.VM)
+	return id, id.Require(roles...)
+}
+
+func (s *Store) certificate() *tls.Certificate {
+	c := s.current.Load().cert
+	return &c
 }
--- a/internal/process/metrics/collector.go
+++ b/internal/process/metrics/collector.go
@@ -20,6 +20,7 @@
 // collector turns snapshots into metrics.
 type collector struct {
 	snapshot func() Snapshot
+	descs    []*prometheus.Desc
 
 	received, receivedBytes   *prometheus.Desc
 	packets                   *prometheus.Desc
@@ -39,48 +40,52 @@
 	certificateEnd            *prometheus.Desc
 }
 
-func desc(name, help string, labels ...string) *prometheus.Desc {
-	return prometheus.NewDesc(prometheus.BuildFQName(namespace, "", name), help, labels, nil)
+// desc describes a metric of c.
+func (c *collector) desc(name, help string, labels ...string) *prometheus.Desc {
+	d := prometheus.NewDesc(prometheus.BuildFQName(namespace, "", name), help, labels, nil)
+	c.descs = append(c.descs, d)
+	return d
 }
 
 func newCollector(snapshot func() Snapshot) *collector {
-	return &collector{
-		snapshot:       snapshot,
-		received:       desc("received_packets_total", "Packets received from the fabric."),
-		receivedBytes:  desc("received_bytes_total", "Bytes of packets received from the fabric."),
-		packets:        desc("packets_total", "Packets by outcome and, if dropped or refused, the name of the result code.", "outcome", "cause"),
-		forwardedBytes: desc("forwarded_bytes_total", "Bytes of packets forwarded to upstreams."),
-		relayed:        desc("relay_packets_total", "Packets relayed between VMs.", "direction"),
-		relayedBytes:   desc("relay_bytes_total", "Bytes of packets relayed between VMs.", "direction"),
-		hints:          desc("hints_total", "Hints exchanged between VMs.", "direction"),
-		open:           desc("connections_open", "Entries in the connection table."),
-		owned:          desc("connections_owned", "Entries that this VM owns."),
-		opened:         desc("connections_opened_total", "Connections for which this VM chose the upstream."),
-		exceptions:     desc("connection_exceptions", "Entries whose upstream differs from the base ranking."),
-		capacity:       desc("connections_capacity", "Entries that the connection table can hold."),
-		upstreamOpen:   desc("upstream_connections_open", "Connections to an upstream that this VM owns.", "service", "upstream"),
-		upstreamOK:     desc("upstream_eligible", "1 if the upstream receives new connections.", "service", "upstream"),
-		controlMsgs:    desc("control_messages_total", "Control messages by kind.", "kind", "direction"),
-		controlBytes:   desc("control_bytes_total", "Bytes of control messages by kind.", "kind", "direction"),
-		controlLost:    desc("control_messages_dropped_total", "Control messages that full queues dropped."),
-		versionIndex:   desc("version_index", "Log index of the version in force on this VM."),
-		sheet:          desc("sheet_number", "Number of the sheet in force on this VM."),
-		term:           desc("term", "Highest term that this VM knows."),
-		liveVMs:        desc("live_vms", "VMs with a live membership lease."),
-		drains:         desc("drains_open", "Drains that are still open."),
-		lease:          desc("lease_live", "1 while the membership lease of this VM runs."),
-		cutOff:         desc("cut_off", "1 while this VM cannot reach a majority of the voters."),
-		leader:         desc("leader", "1 while this VM is the leader."),
-		voter:          desc("voter", "1 if this VM is a voter."),
-		ready:          desc("ready", "1 while this VM is ready for traffic."),
-		auditFailures:  desc("audit_failures_total", "Audit records that could not be kept."),
-		certificateEnd: desc("certificate_expiry_timestamp_seconds", "Unix time at which the certificate of this VM ends."),
-	}
+	c := &collector{snapshot: snapshot}
+	c.received = c.desc("received_packets_total", "Packets received from the fabric.")
+	c.receivedBytes = c.desc("received_bytes_total", "Bytes of packets received from the fabric.")
+	c.packets = c.desc("packets_total", "Packets by outcome and, if dropped or refused, the name of the result code.", "outcome", "cause")
+	c.forwardedBytes = c.desc("forwarded_bytes_total", "Bytes of packets forwarded to upstreams.")
+	c.relayed = c.desc("relay_packets_total", "Packets relayed between VMs.", "direction")
+	c.relayedBytes = c.desc("relay_bytes_total", "Bytes of packets relayed between VMs.", "direction")
+	c.hints = c.desc("hints_total", "Hints exchanged between VMs.", "direction")
+	c.open = c.desc("connections_open", "Entries in the connection table.")
+	c.owned = c.desc("connections_owned", "Entries that this VM owns.")
+	c.opened = c.desc("connections_opened_total", "Connections for which this VM chose the upstream.")
+	c.exceptions = c.desc("connection_exceptions", "Entries whose upstream differs from the base ranking.")
+	c.capacity = c.desc("connections_capacity", "Entries that the connection table can hold.")
+	c.upstreamOpen = c.desc("upstream_connections_open", "Connections to an upstream that this VM owns.", "service", "upstream")
+	c.upstreamOK = c.desc("upstream_eligible", "1 if the upstream receives new connections.", "service", "upstream")
+	c.controlMsgs = c.desc("control_messages_total", "Control messages by kind.", "kind", "direction")
+	c.controlBytes = c.desc("control_bytes_total", "Bytes of control messages by kind.", "kind", "direction")
+	c.controlLost = c.desc("control_messages_dropped_total", "Control messages that full queues dropped.")
+	c.versionIndex = c.desc("version_index", "Log index of the version in force on this VM.")
+	c.sheet = c.desc("sheet_number", "Number of the sheet in force on this VM.")
+	c.term = c.desc("term", "Highest term that this VM knows.")
+	c.liveVMs = c.desc("live_vms", "VMs with a live membership lease.")
+	c.drains = c.desc("drains_open", "Drains that are still open.")
+	c.lease = c.desc("lease_live", "1 while the membership lease of this VM runs.")
+	c.cutOff = c.desc("cut_off", "1 while this VM cannot reach a majority of the voters.")
+	c.leader = c.desc("leader", "1 while this VM is the leader.")
+	c.voter = c.desc("voter", "1 if this VM is a voter.")
+	c.ready = c.desc("ready", "1 while this VM is ready for traffic.")
+	c.auditFailures = c.desc("audit_failures_total", "Audit records that could not be kept.")
+	c.certificateEnd = c.desc("certificate_expiry_timestamp_seconds", "Unix time at which the certificate of this VM ends.")
+	return c
 }
 
 // Describe implements prometheus.Collector.
 func (c *collector) Describe(ch chan<- *prometheus.Desc) {
-	prometheus.DescribeByCollect(c, ch)
+	for _, d := range c.descs {
+		ch <- d
+	}
 }
 
 // Collect implements prometheus.Collector.
@@ -127,7 +132,7 @@
 		e.counter(c.controlMsgs, v.Count, v.Kind, string(v.Direction))
 		e.counter(c.controlBytes, v.Bytes, v.Kind, string(v.Direction))
 	}
-	e.counter(c.controlLost, s.PendingLost)
+	e.counter(c.controlLost, s.ControlLost)
 	e.gauge(c.versionIndex, float64(s.VersionIndex))
 	e.gauge(c.sheet, float64(s.SheetNumber))
 	e.gauge(c.term, float64(s.Term))
--- a/internal/process/metrics/snapshot.go
+++ b/internal/process/metrics/snapshot.go
@@ -55,7 +55,7 @@
 	HintsSent   Volume  // hints to other VMs
 	HintsGot    Volume  // hints from other VMs
 	Causes      []Cause // packets dropped or refused
-	PendingLost uint64  // control messages that full queues dropped
+	ControlLost uint64  // control messages that full queues dropped
 
 	// Connections.
 	Open       uint64 // entries in the table
--- a/internal/request/api/errors.go
+++ b/internal/request/api/errors.go
@@ -46,8 +46,8 @@
 	return http.StatusInternalServerError
 }
 
-// errorResponse returns the body for err.
-func errorResponse(err error) ErrorResponse {
+// NewErrorResponse returns the body for err.
+func NewErrorResponse(err error) ErrorResponse {
 	c := result.CodeOf(err)
 	return ErrorResponse{
 		Code:   c,
--- a/internal/request/api/handler.go
+++ b/internal/request/api/handler.go
@@ -15,7 +15,7 @@
 
 // The bounds of a request.
 const (
-	MaxSheetBytes        = 16 << 20
+	MaxSheetBytes        = 32 << 20
 	maxAnnouncementBytes = 4 << 10
 	maxHeaderBytes       = 16 << 10
 	maxInFlight          = 256
@@ -227,7 +227,7 @@
 }
 
 func writeError(w http.ResponseWriter, err error) {
-	body := errorResponse(err)
+	body := NewErrorResponse(err)
 	if body.Code == result.NoLeader || body.Code == result.Overloaded {
 		w.Header().Set("Retry-After", retryAfterSeconds)
 	}
