--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -50,6 +50,8 @@
 	AddressInUse       Code = 208
 	MemberNameTaken    Code = 209
 	ShuttingDown       Code = 210
+	LearnerBehind      Code = 221
+	QuorumAtRisk       Code = 222
 
 	NoLeader      Code = 301
 	NotReady      Code = 302
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -41,6 +41,8 @@
 	{AddressInUse, "address_in_use", "the address belongs to another live upstream", "correct the address"},
 	{MemberNameTaken, "member_name_taken", "another live VM uses this name", "correct the settings"},
 	{ShuttingDown, "shutting_down", "this VM is stopping", "use another VM"},
+	{LearnerBehind, "learner_behind", "the learner has not caught up with the log", "wait, then repeat"},
+	{QuorumAtRisk, "quorum_at_risk", "the change would leave no live majority of voters", "bring voters back first"},
 
 	{NoLeader, "no_leader", "no leader is known; nothing was changed", "try again"},
 	{NotReady, "not_ready", "this VM holds no version yet", "try again or use another VM"},
--- /dev/null
+++ b/internal/version/raft/membership.go
@@ -0,0 +1,139 @@
+package raft
+
+import "heatherport/internal/result"
+
+// ProposeConfig starts a change of membership and returns the index of the
+// configuration that holds it; the change is done when that index is
+// committed. A second change is refused until then. A change that has been
+// made already returns the index of the latest configuration.
+func (n *Node) ProposeConfig(change ConfigChange) (index uint64, err error) {
+	if err := n.checkProposal(); err != nil {
+		return 0, err
+	}
+	next, changed, err := n.config().with(change)
+	if err != nil {
+		return 0, err
+	}
+	if !changed {
+		return n.configIndex(), nil
+	}
+	if err := n.checkChange(change, next); err != nil {
+		return 0, err
+	}
+	data, err := next.Encode()
+	if err != nil {
+		return 0, err
+	}
+	index, _, err = n.appendOwn(Entry{Kind: EntryConfig, Data: data})
+	return index, err
+}
+
+func (n *Node) checkChange(change ConfigChange, next Configuration) error {
+	if n.isConfigPending() {
+		return result.Errorf(result.VoterChangePending, "the change at index %d is not committed", n.configIndex())
+	}
+	// Until an entry of its own term is committed, the leader can not know
+	// whether a configuration of an earlier term is.
+	if n.commitIndex < n.noopIndex {
+		return result.Errorf(result.VoterChangePending, "term %d has no committed entry yet", n.term)
+	}
+	if change.Kind == PromoteLearner {
+		if err := n.checkCaughtUp(change.ID); err != nil {
+			return err
+		}
+	}
+	return n.checkLiveQuorum(next)
+}
+
+func (n *Node) checkCaughtUp(id string) error {
+	p := n.progress[id]
+	if p.matchIndex < p.epoch || p.matchIndex+n.cfg.MaxLearnerLag < n.log.lastIndex() {
+		return result.Errorf(result.LearnerBehind, "%s has %d of %d entries", id, p.matchIndex, n.log.lastIndex())
+	}
+	return nil
+}
+
+// checkLiveQuorum refuses a configuration whose quorum is not in contact.
+func (n *Node) checkLiveQuorum(next Configuration) error {
+	live := 0
+	for _, id := range next.Voters {
+		if id == n.cfg.ID || n.isLive(id) {
+			live++
+		}
+	}
+	if live < next.Quorum() {
+		return result.Errorf(result.QuorumAtRisk, "%d of %d voters would be in contact", live, len(next.Voters))
+	}
+	return nil
+}
+
+func (n *Node) isLive(id string) bool {
+	p := n.progress[id]
+	return p != nil && n.tick-p.contactTick < uint64(n.cfg.ElectionTicks)
+}
+
+// TransferLeadership hands leadership to the voter to, or to the voter that is
+// furthest ahead when to is empty. Proposals are refused meanwhile. The
+// transfer is given up after an election timeout.
+func (n *Node) TransferLeadership(to string) error {
+	if n.role != Leader {
+		return result.Errorf(result.NoLeader, "%s is a %s in term %d", n.cfg.ID, n.role, n.term)
+	}
+	if to == "" {
+		to = n.bestSuccessor()
+	}
+	if to == n.cfg.ID || to == n.transferee {
+		return nil
+	}
+	p := n.progress[to]
+	if p == nil || !n.config().IsVoter(to) {
+		return result.Errorf(result.MemberUnknown, "%q is not another voter", to)
+	}
+	n.transferee = to
+	n.transferElapsed = 0
+	n.maybeTimeoutNow(to, p)
+	return nil
+}
+
+// bestSuccessor returns the live voter with the longest log, or "".
+func (n *Node) bestSuccessor() string {
+	best := ""
+	for _, id := range n.config().Voters {
+		if !n.isLive(id) {
+			continue
+		}
+		if best == "" || n.progress[id].matchIndex > n.progress[best].matchIndex {
+			best = id
+		}
+	}
+	return best
+}
+
+// maybeTimeoutNow tells the transferee to start an election once it has the
+// whole log.
+func (n *Node) maybeTimeoutNow(id string, p *progress) {
+	if n.role != Leader || id != n.transferee || p.matchIndex < n.log.lastIndex() {
+		return
+	}
+	n.leaseRevoked = true
+	n.send(Message{Type: MessageTimeoutNow, To: id})
+}
+
+func (n *Node) tickTransfer() {
+	if n.transferee == "" {
+		return
+	}
+	n.transferElapsed++
+	if n.transferElapsed >= n.cfg.ElectionTicks {
+		n.transferee = ""
+	}
+}
+
+// leaveOffice ends the term of a leader that is no longer a voter.
+func (n *Node) leaveOffice() {
+	if to := n.bestSuccessor(); to != "" {
+		n.transferee = to
+		n.maybeTimeoutNow(to, n.progress[to])
+	}
+	n.becomeFollower(n.term, "")
+}
