--- a/internal/version/raft/types.go
+++ b/internal/version/raft/types.go
@@ -54,7 +54,7 @@
 type State struct {
 	HardState HardState
 	Snapshot  Snapshot
-	Entries   []Entry // consecutive, the first one follows Snapshot.Index; see New
+	Entries   []Entry // consecutive, the first one follows Snapshot.Index
 }
 
 // Config holds the parameters of a node. Zero limits take their defaults.
