--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -40,18 +40,19 @@
 	BadMessage       Code = 106
 	UnsupportedProto Code = 107
 
-	SheetConflict      Code = 201
-	SheetStale         Code = 202
-	UpstreamNotInSheet Code = 203
-	IncarnationStale   Code = 204
-	VoterChangePending Code = 205
-	MemberUnknown      Code = 206
-	NotFound           Code = 207
-	AddressInUse       Code = 208
-	MemberNameTaken    Code = 209
-	ShuttingDown       Code = 210
-	LearnerBehind      Code = 221
-	QuorumAtRisk       Code = 222
+	SheetConflict       Code = 201
+	SheetStale          Code = 202
+	UpstreamNotInSheet  Code = 203
+	IncarnationStale    Code = 204
+	VoterChangePending  Code = 205
+	MemberUnknown       Code = 206
+	NotFound            Code = 207
+	AddressInUse        Code = 208
+	MemberNameTaken     Code = 209
+	ShuttingDown        Code = 210
+	LearnerBehind       Code = 221
+	QuorumAtRisk        Code = 222
+	IncarnationConflict Code = 211
 
 	NoLeader      Code = 301
 	NotReady      Code = 302
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -43,6 +43,7 @@
 	{ShuttingDown, "shutting_down", "this VM is stopping", "use another VM"},
 	{LearnerBehind, "learner_behind", "the learner has not caught up with the log", "wait, then repeat"},
 	{QuorumAtRisk, "quorum_at_risk", "the change would leave no live majority of voters", "bring voters back first"},
+	{IncarnationConflict, "incarnation_conflict", "another process announces the same name and incarnation", "stop one of them"},
 
 	{NoLeader, "no_leader", "no leader is known; nothing was changed", "try again"},
 	{NotReady, "not_ready", "this VM holds no version yet", "try again or use another VM"},
