Wire the process: control goroutine, fx application and demo

Cause: the parts stood apart; no packet had crossed the whole path. Change: internal/process/control runs the state machine, the replica, the roster, leases, calls to the leader, probes and the feed in one goroutine; internal/process/app assembles a VM with fx in start and stop order; demo runs eight VMs, a fabric, callers and upstreams and judges the promises. Voters can be changed over the API; announcements may name a probe address.

--- /dev/null
+++ b/internal/process/control/api.go
@@ -0,0 +1,189 @@
+package control
+
+import (
+	"bytes"
+	"context"
+	"slices"
+	"time"
+
+	"heatherport/internal/request/api"
+	"heatherport/internal/result"
+	"heatherport/internal/version"
+	"heatherport/internal/version/raft"
+	"heatherport/internal/version/sheet"
+)
+
+// Controller serves the HTTP interface.
+var _ api.Control = (*Controller)(nil)
+
+// SubmitSheet implements api.Control.
+func (c *Controller) SubmitSheet(ctx context.Context, req api.SubmitRequest) (api.SubmitResponse, error) {
+	s, err := sheet.Parse(bytes.NewReader(req.Sheet))
+	if err != nil {
+		return api.SubmitResponse{}, err
+	}
+	r, err := c.call(ctx, call{Submit: &submitCall{
+		Number:    s.Number,
+		Digest:    s.Digest(),
+		Canonical: s.Canonical(),
+		Operator:  req.Operator,
+		At:        time.Now().UnixMilli(),
+	}})
+	if err != nil {
+		return api.SubmitResponse{}, err
+	}
+	return *r.Submit, nil
+}
+
+// Sheet implements api.Control. The answer is the sheet in force, confirmed by
+// the leader; without a leader it is an error, and status shows what this VM
+// holds.
+func (c *Controller) Sheet(ctx context.Context) (api.SheetResponse, error) {
+	r, err := c.call(ctx, call{Sheet: &sheetCall{}})
+	if err != nil {
+		return api.SheetResponse{}, err
+	}
+	return *r.Sheet, nil
+}
+
+// Announce implements api.Control.
+func (c *Controller) Announce(ctx context.Context, a api.Announcement) (api.AnnounceResponse, error) {
+	r, err := c.call(ctx, call{Announce: &a})
+	if err != nil {
+		return api.AnnounceResponse{}, err
+	}
+	return *r.Announce, nil
+}
+
+// ChangeVoter implements api.Control.
+func (c *Controller) ChangeVoter(ctx context.Context, req api.VoterRequest) (api.VoterResponse, error) {
+	kind := raft.AddLearner
+	if req.Remove {
+		kind = raft.RemoveMember
+	}
+	r, err := c.call(ctx, call{Voter: &raft.ConfigChange{Kind: kind, ID: req.Name}})
+	if err != nil {
+		return api.VoterResponse{}, err
+	}
+	return *r.Voter, nil
+}
+
+// Audit implements api.Control.
+func (c *Controller) Audit(_ context.Context, q api.AuditQuery) (api.AuditResponse, error) {
+	records, err := c.cfg.Audit.Records(q)
+	return api.AuditResponse{Records: records}, err
+}
+
+// Status implements api.Control. Without a leader it tells what this VM knows.
+func (c *Controller) Status(ctx context.Context) (api.StatusResponse, error) {
+	leader, err := c.call(ctx, call{Status: &statusCall{}})
+	if err != nil {
+		leader.Status = nil
+	}
+	var out api.StatusResponse
+	err = c.ask(ctx, func() { out = c.status(leader.Status) })
+	return out, err
+}
+
+// ask runs f on the control goroutine and waits until it has ended.
+func (c *Controller) ask(ctx context.Context, f func()) error {
+	done := make(chan struct{})
+	err := c.post(ctx, func() {
+		defer close(done)
+		f()
+	})
+	if err != nil {
+		return err
+	}
+	select {
+	case <-done:
+		return nil
+	case <-c.done:
+		return result.Errorf(result.ShuttingDown, "VM %s is stopping", c.cfg.Name)
+	}
+}
+
+func (c *Controller) status(leader *leaderStatus) api.StatusResponse {
+	v := c.machine.Version()
+	s := api.StatusResponse{
+		VM:          c.cfg.Name,
+		Ready:       v.Index > 0,
+		Index:       v.Index,
+		SheetNumber: v.Sheet.Number,
+		SheetDigest: api.Digest(v.Sheet.Digest),
+		Leader:      c.leaderName(),
+		Term:        c.soft.Term,
+		Majority:    leader != nil,
+		Lease:       c.now() < c.leaseUntil,
+	}
+	s.Stale = !s.Lease
+	if leader != nil {
+		s.Leader = leader.Leader
+		s.Term = leader.Term
+	}
+	for i := range v.Members {
+		s.VMs = append(s.VMs, vmStatus(&v.Members[i], leader))
+	}
+	for i := range v.Upstream {
+		s.Upstreams = append(s.Upstreams, c.upstreamStatus(v, &v.Upstream[i]))
+	}
+	s.Drains = c.drains(v)
+	return s
+}
+
+func vmStatus(m *version.Member, leader *leaderStatus) api.VMStatus {
+	s := api.VMStatus{Name: m.Name, Domain: m.Domain, State: m.State.String(), Voter: m.Voter}
+	if leader == nil {
+		return s
+	}
+	s.Leader = m.Name == leader.Leader
+	s.Voter = slices.Contains(leader.Voters, m.Name)
+	i := slices.IndexFunc(leader.Members, func(st memberStatus) bool { return st.ID == m.ID })
+	if i >= 0 {
+		s.Live = leader.Members[i].Live
+		s.AppliedIndex = leader.Members[i].Applied
+	}
+	return s
+}
+
+func (c *Controller) upstreamStatus(v *version.Version, u *version.Upstream) api.UpstreamStatus {
+	s := api.UpstreamStatus{
+		Name:        u.Name,
+		State:       u.State.String(),
+		Address:     u.Addr,
+		Incarnation: u.Incarnation,
+		Healthy:     u.Healthy,
+		Leased:      u.Leased,
+		Slots:       u.Slots,
+		Open:        c.cfg.Engine.Open(u.ID),
+		Limit:       u.ConnLimit,
+	}
+	if svc := v.ServiceByID(u.Service); svc != nil {
+		s.Service = svc.Name
+	}
+	return s
+}
+
+// drains lists what is leaving and what has not finished.
+func (c *Controller) drains(v *version.Version) []api.Drain {
+	var out []api.Drain
+	for i := range v.Upstream {
+		u := &v.Upstream[i]
+		if u.State != version.Leaving && u.State != version.Paused {
+			continue
+		}
+		s := c.upstreamStatus(v, u)
+		out = append(out, api.Drain{Kind: "upstream", Name: u.Name, Service: s.Service, Open: s.Open, WaitingFor: "its connections to end"})
+	}
+	for i := range v.Members {
+		if v.Members[i].State == version.MemberLeaving {
+			out = append(out, api.Drain{Kind: "vm", Name: v.Members[i].Name, WaitingFor: "its share to be handed over"})
+		}
+	}
+	for i := range v.Services {
+		if v.Services[i].NextBase != nil {
+			out = append(out, api.Drain{Kind: "base", Name: v.Services[i].Name, WaitingFor: "all VMs to replicate their exceptions"})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/process/control/explain.go
@@ -0,0 +1,227 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"heatherport/internal/connection/flow"
+	"heatherport/internal/connection/owner"
+	"heatherport/internal/request/api"
+	"heatherport/internal/result"
+	"heatherport/internal/version"
+	"heatherport/internal/version/placement"
+)
+
+// ExplainConnection implements api.Control.
+func (c *Controller) ExplainConnection(ctx context.Context, q api.ConnectionQuery) (api.ConnectionExplanation, error) {
+	key := flow.Key{
+		Src:      q.Caller.Addr().As16(),
+		Dst:      q.Service.Addr().As16(),
+		SrcPort:  q.Caller.Port(),
+		DstPort:  q.Service.Port(),
+		Protocol: version.TCP,
+	}
+	if q.Protocol == version.UDP.String() {
+		key.Protocol = version.UDP
+	}
+	var out api.ConnectionExplanation
+	var failed error
+	err := c.ask(ctx, func() { out, failed = c.explainConnection(key) })
+	if err != nil {
+		return out, err
+	}
+	return out, failed
+}
+
+func (c *Controller) explainConnection(key flow.Key) (api.ConnectionExplanation, error) {
+	v := c.machine.Version()
+	svc := v.Service(key.Service())
+	if svc == nil {
+		return api.ConnectionExplanation{}, result.Errorf(result.NotFound, "no service at %v", key.Service())
+	}
+	x := c.cfg.Engine.Explain(c.now(), key)
+	out := api.ConnectionExplanation{
+		VM:       c.cfg.Name,
+		Service:  svc.Name,
+		Hash:     key.Hash(),
+		Bucket:   uint32(x.Bucket),
+		Owner:    memberName(v, x.Owner),
+		Standby:  memberName(v, x.Standby),
+		Epoch:    v.Owners.Epoch,
+		Index:    v.Index,
+		Known:    x.Entry != nil,
+		Upstream: upstreamName(v, x.Upstream),
+		Current:  c.rank(v, x.Ranking),
+		Base:     rankBase(v, svc.Base, x.Bucket),
+	}
+	out.Exception = x.Upstream != x.Base
+	out.Reasons = connectionReasons(v, &x)
+	return out, nil
+}
+
+func connectionReasons(v *version.Version, x *owner.Explanation) []string {
+	reasons := []string{
+		fmt.Sprintf("slot %d is owned by %s, its standby is %s", x.Slot, memberName(v, x.Owner), memberName(v, x.Standby)),
+		fmt.Sprintf("bucket %d has the base %s", x.Bucket, upstreamName(v, x.Base)),
+	}
+	if x.Entry != nil {
+		reasons = append(reasons, fmt.Sprintf("an entry pins %s; it was idle for %s", upstreamName(v, x.Entry.Upstream), x.Entry.Idle))
+	}
+	if x.Held != 0 {
+		reasons = append(reasons, fmt.Sprintf("a replicated exception names %s", upstreamName(v, x.Held)))
+	}
+	return append(reasons, "decided by "+string(x.Reason))
+}
+
+func memberName(v *version.Version, id version.MemberID) string {
+	if m := v.MemberByID(id); m != nil {
+		return m.Name
+	}
+	return "none"
+}
+
+func upstreamName(v *version.Version, id version.UpstreamID) string {
+	if u := v.UpstreamByID(id); u != nil {
+		return u.Name
+	}
+	if id == 0 {
+		return "none"
+	}
+	return fmt.Sprintf("gone (identity %d)", id)
+}
+
+func (c *Controller) rank(v *version.Version, ranking []owner.Candidate) []api.Ranked {
+	out := make([]api.Ranked, 0, len(ranking))
+	for _, r := range ranking {
+		ranked := api.Ranked{
+			Upstream: upstreamName(v, r.Upstream),
+			Weight:   r.Weight,
+			Open:     uint64(max(r.Estimate, 0)),
+		}
+		ranked.Eligible, ranked.Reason = eligibility(v.UpstreamByID(r.Upstream))
+		if u := v.UpstreamByID(r.Upstream); u != nil {
+			ranked.Limit = uint64(u.ConnLimit)
+		}
+		out = append(out, ranked)
+	}
+	return out
+}
+
+func rankBase(v *version.Version, r version.Ranking, bucket uint16) []api.Ranked {
+	var out []api.Ranked
+	var walk placement.Walker
+	walk.Start(r, bucket)
+	for i, ok := walk.Next(); ok; i, ok = walk.Next() {
+		ranked := api.Ranked{Upstream: upstreamName(v, r[i].Upstream), Weight: r[i].Weight}
+		ranked.Eligible, ranked.Reason = eligibility(v.UpstreamByID(r[i].Upstream))
+		out = append(out, ranked)
+	}
+	return out
+}
+
+// eligibility tells whether u receives new connections, and why not.
+func eligibility(u *version.Upstream) (bool, string) {
+	switch {
+	case u == nil:
+		return false, "gone"
+	case !u.Listed:
+		return false, "not in the sheet"
+	case u.State == version.Leaving || u.State == version.Paused:
+		return false, "the sheet says " + u.State.String()
+	case !u.Leased:
+		return false, "its announcement lease has lapsed"
+	case !u.Healthy:
+		return false, "unhealthy"
+	}
+	return true, ""
+}
+
+// ExplainUpstream implements api.Control.
+func (c *Controller) ExplainUpstream(ctx context.Context, q api.UpstreamQuery) (api.UpstreamExplanation, error) {
+	r, err := c.call(ctx, call{Upstream: &q})
+	if err == nil {
+		return *r.Upstream, nil
+	}
+	if result.CodeOf(err) != result.NoLeader {
+		return api.UpstreamExplanation{}, err
+	}
+	var local reply
+	if err := c.ask(ctx, func() { local = c.explainUpstream(&q) }); err != nil {
+		return api.UpstreamExplanation{}, err
+	}
+	if err := local.err(); err != nil {
+		return api.UpstreamExplanation{}, err
+	}
+	local.Upstream.Reasons = append(local.Upstream.Reasons, "no leader answered: this is the last state known here")
+	return *local.Upstream, nil
+}
+
+// explainUpstream tells what this VM knows; on the leader that includes what
+// the VMs observed.
+func (c *Controller) explainUpstream(q *api.UpstreamQuery) reply {
+	v := c.machine.Version()
+	i := slices.IndexFunc(v.Upstream, func(u version.Upstream) bool { return u.Name == q.Name })
+	if i < 0 {
+		return reply{Code: result.NotFound, Detail: fmt.Sprintf("no upstream %q has announced itself", q.Name)}
+	}
+	u := &v.Upstream[i]
+	x := &api.UpstreamExplanation{UpstreamStatus: c.upstreamStatus(v, u), VM: c.cfg.Name, Weight: u.Weight()}
+	var reason string
+	x.Eligible, reason = eligibility(u)
+	if reason == "" {
+		reason = "announced, healthy and " + u.State.String()
+	}
+	x.Reasons = append(x.Reasons, reason)
+	if c.leader != nil {
+		c.explainRoster(v, u.ID, x)
+	}
+	return reply{Upstream: x}
+}
+
+// explainRoster adds what the leader knows: since when a reason holds and on
+// whose word.
+func (c *Controller) explainRoster(v *version.Version, id version.UpstreamID, x *api.UpstreamExplanation) {
+	now := time.Now().UTC()
+	for _, f := range c.leader.roster.Explain(id).Findings {
+		x.Reasons = append(x.Reasons, fmt.Sprintf("%s for %s", f.Reason, f.For.Round(time.Second)))
+		x.Since = now.Add(-f.For)
+		for _, m := range f.Observers {
+			x.Observations = append(x.Observations, api.Observation{VM: memberName(v, m), Kind: "probe", Since: x.Since, Detail: f.Reason.String()})
+		}
+	}
+}
+
+// ExplainSheet implements api.Control.
+func (c *Controller) ExplainSheet(ctx context.Context) (api.SheetExplanation, error) {
+	status, err := c.Status(ctx)
+	if err != nil {
+		return api.SheetExplanation{}, err
+	}
+	out := api.SheetExplanation{VM: c.cfg.Name, Number: status.SheetNumber, Digest: status.SheetDigest, Index: status.Index}
+	for i := range status.VMs {
+		vm := &status.VMs[i]
+		if vm.AppliedIndex >= status.Index {
+			out.InForce = append(out.InForce, vm.Name)
+			continue
+		}
+		out.Pending = append(out.Pending, api.PendingVM{
+			Name:         vm.Name,
+			Live:         vm.Live,
+			AppliedIndex: vm.AppliedIndex,
+			Reason:       pendingReason(vm, &status),
+		})
+	}
+	return out, nil
+}
+
+func pendingReason(vm *api.VMStatus, s *api.StatusResponse) string {
+	switch {
+	case !s.Majority:
+		return "no leader answered, so its position is not known here"
+	case !vm.Live:
+		return "its lease has lapsed"
+	}
+	return "it is behind and being fed"
+}
--- /dev/null
+++ b/internal/process/control/probe.go
@@ -0,0 +1,171 @@
+package control
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"heatherport/internal/version"
+	"heatherport/internal/version/roster"
+)
+
+const (
+	probeInterval = time.Second
+	probeTimeout  = 800 * time.Millisecond
+	// probersPerUpstream bounds the members that probe one upstream, so that
+	// probes grow with the number of upstreams and not with its product with
+	// the number of members.
+	probersPerUpstream = 3
+	// probesAtOnce bounds the probes of one member that are under way.
+	probesAtOnce = 64
+)
+
+// probeTarget is an upstream that this member probes.
+type probeTarget struct {
+	id   version.UpstreamID
+	addr netip.AddrPort
+}
+
+// prober connects to upstreams and hands what it saw to the control goroutine.
+type prober struct {
+	c       *Controller
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+	mu      sync.Mutex
+	targets []probeTarget
+
+	// streaks belongs to the prober's goroutine.
+	streaks map[version.UpstreamID]roster.Observation
+}
+
+func newProber(c *Controller) *prober {
+	ctx, cancel := context.WithCancel(c.ctx)
+	return &prober{c: c, ctx: ctx, cancel: cancel}
+}
+
+func (p *prober) start() { p.wg.Go(p.run) }
+
+func (p *prober) stop() {
+	p.cancel()
+	p.wg.Wait()
+}
+
+// setVersion selects the upstreams that the member self probes.
+func (p *prober) setVersion(v *version.Version, self version.MemberID) {
+	var targets []probeTarget
+	for i := range v.Upstream {
+		u := &v.Upstream[i]
+		if u.Probe.IsValid() && probes(v, u.ID, self) {
+			targets = append(targets, probeTarget{id: u.ID, addr: u.Probe})
+		}
+	}
+	p.mu.Lock()
+	p.targets = targets
+	p.mu.Unlock()
+}
+
+// probes reports whether self is among the members that probe an upstream:
+// those with the highest rendezvous scores.
+func probes(v *version.Version, id version.UpstreamID, self version.MemberID) bool {
+	if self == 0 {
+		return false
+	}
+	own := probeScore(id, self)
+	higher := 0
+	for i := range v.Members {
+		m := v.Members[i].ID
+		if m != self && probeScore(id, m) > own {
+			higher++
+		}
+	}
+	return higher < probersPerUpstream
+}
+
+func probeScore(id version.UpstreamID, m version.MemberID) uint64 {
+	b := [8]byte{
+		byte(id), byte(id >> 8), byte(id >> 16), byte(id >> 24),
+		byte(m), byte(m >> 8), byte(m >> 16), byte(m >> 24),
+	}
+	return xxhash.Sum64(b[:])
+}
+
+func (p *prober) run() {
+	ticker := time.NewTicker(probeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-p.ctx.Done():
+			return
+		case <-ticker.C:
+			p.round()
+		}
+	}
+}
+
+// round probes all targets once and reports what it saw.
+func (p *prober) round() {
+	p.mu.Lock()
+	targets := p.targets
+	p.mu.Unlock()
+	if len(targets) == 0 {
+		return
+	}
+	passed := make([]bool, len(targets))
+	slots := make(chan struct{}, probesAtOnce)
+	var wg sync.WaitGroup
+	for i, t := range targets {
+		slots <- struct{}{}
+		wg.Go(func() {
+			passed[i] = p.probe(t)
+			<-slots
+		})
+	}
+	wg.Wait()
+	p.report(targets, passed)
+}
+
+// report hands the streaks of the round to the control goroutine, which sends
+// them with each heartbeat until the next round.
+func (p *prober) report(targets []probeTarget, passed []bool) {
+	streaks := make(map[version.UpstreamID]roster.Observation, len(targets))
+	seen := make([]roster.Observation, 0, len(targets))
+	for i, t := range targets {
+		o := p.count(t.id, passed[i])
+		streaks[t.id] = o
+		seen = append(seen, o)
+	}
+	p.streaks = streaks
+	_ = p.c.post(p.ctx, func() { p.c.observations = seen })
+}
+
+// probe connects once and reports whether that succeeded.
+func (p *prober) probe(t probeTarget) bool {
+	ctx, cancel := context.WithTimeout(p.ctx, probeTimeout)
+	defer cancel()
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", t.addr.String())
+	if err != nil {
+		return false
+	}
+	conn.Close()
+	return true
+}
+
+// count continues the streak of the target with one more result.
+func (p *prober) count(id version.UpstreamID, passed bool) roster.Observation {
+	o := p.streaks[id]
+	o.Upstream = id
+	if passed {
+		o.Passed++
+		o.Failed = 0
+	} else {
+		o.Failed++
+		o.Passed = 0
+	}
+	return o
+}
--- /dev/null
+++ b/internal/process/demo/demo.go
@@ -0,0 +1,345 @@
+package demo
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/netip"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"heatherport/internal/process/app"
+	"heatherport/internal/process/cli"
+	"heatherport/internal/result"
+	"heatherport/internal/standin"
+	"heatherport/internal/version"
+)
+
+// Durations of the demo.
+const (
+	demoTimeout  = 55 * time.Second
+	settleTime   = 4 * time.Second // of traffic between two changes
+	warmUp       = 6 * time.Second
+	leavingGrace = 3 * time.Second // after which a leaving upstream gets nothing new
+)
+
+// service is one service of the demo.
+type service struct {
+	name      string
+	addr      netip.AddrPort
+	protocol  version.Protocol
+	upstreams int
+	slots     int
+	caller    standin.CallerConfig
+}
+
+var services = []service{
+	{
+		name: "permit", addr: netip.MustParseAddrPort("198.51.100.1:443"), protocol: version.TCP,
+		upstreams: 15, slots: 3,
+		caller: standin.CallerConfig{Held: 450, PerSecond: 60, Lifetime: 4 * time.Second, Think: 100 * time.Millisecond},
+	},
+	{
+		name: "allocation", addr: netip.MustParseAddrPort("198.51.100.2:443"), protocol: version.UDP,
+		upstreams: 4, slots: 3,
+		caller: standin.CallerConfig{Held: 24, PerSecond: 4, Lifetime: 4 * time.Second, Think: 200 * time.Millisecond, AnswerSize: 64 << 10},
+	},
+}
+
+// run is one run of the demo.
+type run struct {
+	o         cli.DemoOptions
+	ctx       context.Context
+	fabric    *standin.Fabric
+	stats     *standin.Stats
+	fleet     *Fleet
+	random    *rand.Rand
+	upstreams map[string]*standin.Upstream
+	callers   sync.WaitGroup
+	endCalls  context.CancelFunc
+	left      []string // upstreams that a sheet has taken out
+	report    Report
+
+	upstreamTLS, callerTLS *tls.Config
+	started                time.Time
+}
+
+// Run runs the demo and returns an error if a promise broke.
+func Run(ctx context.Context, o cli.DemoOptions) error {
+	ctx, cancel := context.WithTimeout(ctx, demoTimeout)
+	defer cancel()
+	r := &run{
+		o:         o,
+		ctx:       ctx,
+		stats:     standin.NewStats(),
+		random:    rand.New(rand.NewPCG(o.Seed, 0)),
+		upstreams: make(map[string]*standin.Upstream),
+		started:   time.Now(),
+	}
+	if err := r.prepare(); err != nil {
+		return err
+	}
+	defer r.close()
+	for _, step := range r.steps() {
+		r.progress("%s", step.name)
+		if err := step.do(); err != nil {
+			return err
+		}
+	}
+	return r.finish()
+}
+
+func (r *run) progress(format string, args ...any) {
+	fmt.Fprintf(r.o.Log, "%5.1fs  "+format+"\n", append([]any{time.Since(r.started).Seconds()}, args...)...)
+}
+
+func (r *run) prepare() error {
+	dir, err := os.MkdirTemp("", "heatherport-demo-")
+	if err != nil {
+		return result.Wrapf(err, result.StorageFailed, "folder for the demo")
+	}
+	r.upstreamTLS, r.callerTLS, err = standin.NewTLS()
+	if err != nil {
+		return err
+	}
+	r.fabric, err = standin.NewFabric(netip.AddrPortFrom(loopback, 0), r.o.Seed)
+	if err != nil {
+		return err
+	}
+	log := hclog.New(&hclog.LoggerOptions{Output: io.Discard})
+	if os.Getenv("HEATHERPORT_DEMO_LOG") != "" {
+		log = hclog.New(&hclog.LoggerOptions{Output: r.o.Log, Level: hclog.LevelFromString(os.Getenv("HEATHERPORT_DEMO_LOG"))})
+	}
+	r.fleet, err = NewFleet(dir, r.fabric, log)
+	return err
+}
+
+func (r *run) close() {
+	if r.endCalls != nil {
+		r.endCalls()
+	}
+	for _, u := range r.upstreams {
+		u.Close()
+	}
+	r.fleet.Close()
+	r.fabric.Close()
+}
+
+type step struct {
+	name string
+	do   func() error
+}
+
+func (r *run) steps() []step {
+	return []step{
+		{"starting 8 VMs in 4 failure domains, 3 of them voters", r.startFleet},
+		{"submitting sheet 1", func() error { return r.submit(1, nil) }},
+		{"starting upstreams; they announce themselves", r.startUpstreams},
+		{"starting callers", r.startCallers},
+		{"sheet 2: permit-01 leaves, permit-02 is paused", r.drain},
+		{"a VM stops gracefully while another upstream leaves (sheet 3)", r.stopAndDrain},
+		{"the stopped VM joins again", r.rejoin},
+		{"the leader is killed", r.killLeader},
+		{"ending callers", r.endCallers},
+	}
+}
+
+func (r *run) startFleet() error {
+	if err := r.fleet.StartAll(r.ctx); err != nil {
+		return err
+	}
+	err := r.fleet.Wait(r.ctx, "membership", func(a *app.App) bool { return a.Controller.View().Owned })
+	if err != nil {
+		return err
+	}
+	for _, i := range r.fleet.Live() {
+		r.fleet.Attach(i)
+	}
+	return nil
+}
+
+// submit submits a sheet in which the given upstreams have the given states.
+func (r *run) submit(number int, states map[string]string) error {
+	start := time.Now()
+	out, err := r.fleet.Operator().SubmitSheet(r.ctx, []byte(sheetCSV(number, states)))
+	if err != nil {
+		return err
+	}
+	accepted := time.Now()
+	err = r.fleet.Wait(r.ctx, "sheet", func(a *app.App) bool { return a.Controller.View().Index >= out.Index })
+	if err != nil {
+		return err
+	}
+	inForce := time.Since(accepted)
+	r.report.SheetInForceMax = max(r.report.SheetInForceMax, inForce)
+	r.progress("  accepted after %d ms, in force on all VMs %d ms later", accepted.Sub(start).Milliseconds(), inForce.Milliseconds())
+	return nil
+}
+
+func sheetCSV(number int, states map[string]string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "version,%d\n", number)
+	for _, s := range services {
+		fmt.Fprintf(&b, "service,%s,%s,%s,%d,10m,no\n", s.name, s.addr.Addr(), s.protocol, s.addr.Port())
+		for i := range s.upstreams {
+			name := upstreamName(s.name, i)
+			state := "active"
+			if v, ok := states[name]; ok {
+				state = v
+			}
+			fmt.Fprintf(&b, "upstream,%s,%s,%s,%d,2000\n", s.name, name, state, s.slots)
+		}
+	}
+	return b.String()
+}
+
+func upstreamName(service string, i int) string { return fmt.Sprintf("%s-%02d", service, i+1) }
+
+func (r *run) startUpstreams() error {
+	n := 0
+	for _, s := range services {
+		for i := range s.upstreams {
+			name := upstreamName(s.name, i)
+			announce, err := r.fleet.Announcer(name)
+			if err != nil {
+				return err
+			}
+			u, err := standin.NewUpstream(r.ctx, r.stats, standin.UpstreamConfig{
+				Name: name, Service: s.name, ServiceAddr: s.addr, Protocol: s.protocol, TLS: r.upstreamTLS,
+				Listen: netip.AddrPortFrom(loopback, 0), Return: r.fabric.Addr(),
+				Incarnation: uint64(time.Now().UnixNano()), Slots: s.slots, Waiting: 1000,
+				ServiceTime: 2 * time.Millisecond, Announce: announce,
+			})
+			if err != nil {
+				return err
+			}
+			r.upstreams[name] = u
+			n++
+		}
+	}
+	return r.fleet.Wait(r.ctx, "announcements", func(a *app.App) bool {
+		v := a.Controller.Version()
+		return v != nil && len(v.Upstream) == n
+	})
+}
+
+func (r *run) startCallers() error {
+	ctx, cancel := context.WithCancel(r.ctx)
+	r.endCalls = cancel
+	for i, s := range services {
+		cfg := s.caller
+		cfg.Addr = netip.AddrFrom4([4]byte{203, 0, 113, byte(10 + i)})
+		cfg.Service = s.addr
+		cfg.Name = s.name
+		cfg.Protocol = s.protocol
+		cfg.TLS = r.callerTLS
+		cfg.Seed = r.o.Seed + uint64(i)
+		c := standin.NewCaller(r.fabric, r.stats, cfg)
+		r.callers.Go(func() { c.Run(ctx) })
+	}
+	return r.pause(warmUp)
+}
+
+func (r *run) pause(d time.Duration) error {
+	select {
+	case <-r.ctx.Done():
+		return result.Errorf(result.NotReady, "the demo took longer than %s", demoTimeout)
+	case <-time.After(d):
+		return nil
+	}
+}
+
+// leave submits a sheet and, after the grace, has the stand-ins count what the
+// leaving upstreams still get.
+func (r *run) leave(number int, states map[string]string) error {
+	if err := r.submit(number, states); err != nil {
+		return err
+	}
+	if err := r.pause(leavingGrace); err != nil {
+		return err
+	}
+	for name := range states {
+		r.upstreams[name].Drain()
+		r.left = append(r.left, name)
+	}
+	return nil
+}
+
+func (r *run) drain() error {
+	r.report.note(r.stats.Report(), r.left)
+	if err := r.leave(2, map[string]string{"permit-01": "leaving", "permit-02": "paused"}); err != nil {
+		return err
+	}
+	return r.pause(settleTime)
+}
+
+// planned is the position of the VM that stops gracefully.
+const planned = 5
+
+func (r *run) stopAndDrain() error {
+	stopped := make(chan error, 1)
+	go func() { stopped <- r.fleet.Stop(r.ctx, planned) }()
+	err := r.leave(3, map[string]string{"permit-01": "leaving", "permit-02": "paused", "permit-03": "leaving"})
+	if err != nil {
+		return err
+	}
+	if err := <-stopped; err != nil {
+		return err
+	}
+	r.progress("  %s has handed over and stopped", r.fleet.Name(planned))
+	return nil
+}
+
+func (r *run) rejoin() error {
+	if err := r.fleet.Start(r.ctx, planned); err != nil {
+		return err
+	}
+	err := r.fleet.Wait(r.ctx, "joining", func(a *app.App) bool { return a.Controller.View().Owned })
+	if err != nil {
+		return err
+	}
+	r.fleet.Attach(planned)
+	if err := r.pause(settleTime); err != nil {
+		return err
+	}
+	r.report.BrokenPlanned = r.broken()
+	return nil
+}
+
+func (r *run) broken() uint64 {
+	report := r.stats.Report()
+	return report.BrokenTotal()
+}
+
+func (r *run) killLeader() error {
+	i := r.fleet.Leader()
+	if i < 0 {
+		return result.Errorf(result.NoLeader, "no VM leads")
+	}
+	r.fleet.Kill(i)
+	r.progress("  %s is dead", r.fleet.Name(i))
+	return r.pause(2 * settleTime)
+}
+
+func (r *run) endCallers() error {
+	r.report.note(r.stats.Report(), r.left)
+	r.endCalls()
+	r.callers.Wait()
+	return nil
+}
+
+func (r *run) finish() error {
+	r.report.fill(r.stats.Report())
+	r.report.BrokenKill = r.report.Broken - r.report.BrokenPlanned
+	r.report.Elapsed = time.Since(r.started)
+	if err := r.report.write(r.o.Output, r.o.JSON); err != nil {
+		return err
+	}
+	return r.report.verdict()
+}
--- a/internal/request/api/announcement.go
+++ b/internal/request/api/announcement.go
@@ -41,6 +41,7 @@
 	add(a.Service == "" || len(a.Service) > maxAnnouncedName, "service: missing or too long")
 	add(!a.Address.IsValid() || a.Address.Port() == 0, "address: missing or not IP:PORT")
 	add(a.Address.Addr().IsUnspecified() || a.Address.Addr().IsMulticast(), "address: cannot be a destination")
+	add(a.Probe.IsValid() && a.Probe.Port() == 0, "probe: no port")
 	add(a.Incarnation == 0, "incarnation: missing or zero")
 	add(a.Slots == 0 || a.Slots > maxAnnouncedSlots, "slots: zero or too many")
 	add(a.Load != nil && !(*a.Load >= 0 && *a.Load <= 1), "load: not between 0 and 1")
--- a/internal/request/api/client.go
+++ b/internal/request/api/client.go
@@ -93,6 +93,16 @@
 	return out, c.get(ctx, pathAudit, q.encode(), &out)
 }
 
+// ChangeVoter starts a change of the voters. It is safe to repeat.
+func (c *Client) ChangeVoter(ctx context.Context, req VoterRequest) (VoterResponse, error) {
+	var out VoterResponse
+	b, err := json.Marshal(req)
+	if err != nil {
+		return out, result.Wrapf(err, result.BadArguments, "encode")
+	}
+	return out, c.call(ctx, call{method: http.MethodPost, path: pathVoters, kind: "application/json", body: b}, &out)
+}
+
 // Announce renews the lease of an upstream.
 func (c *Client) Announce(ctx context.Context, a Announcement) (AnnounceResponse, error) {
 	var out AnnounceResponse
--- a/internal/request/api/handler.go
+++ b/internal/request/api/handler.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -34,6 +35,7 @@
 	pathStatus   = "/v1/status"
 	pathExplain  = "/v1/explain"
 	pathAudit    = "/v1/audit"
+	pathVoters   = "/v1/voters"
 	pathAnnounce = "/v1/announce"
 )
 
@@ -61,6 +63,7 @@
 	mux.HandleFunc("GET "+pathStatus, h.serve(identity.Operator, reading, h.status))
 	mux.HandleFunc("GET "+pathExplain, h.serve(identity.Operator, reading, h.explain))
 	mux.HandleFunc("GET "+pathAudit, h.serve(identity.Operator, reading, h.audit))
+	mux.HandleFunc("POST "+pathVoters, h.serve(identity.Operator, changing, h.voter))
 	mux.HandleFunc("POST "+pathAnnounce, h.serve(identity.Upstream, changing, h.announce))
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		writeError(w, result.Errorf(result.NotFound, "no route %s %s", r.Method, r.URL.Path))
@@ -197,6 +200,20 @@
 	return h.control.Audit(ctx, a)
 }
 
+func (h *handler) voter(ctx context.Context, r request) (any, error) {
+	b, err := readBody(r.Request, maxAnnouncementBytes, result.BadArguments)
+	if err != nil {
+		return nil, err
+	}
+	var req VoterRequest
+	d := json.NewDecoder(bytes.NewReader(b))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&req); err != nil || req.Name == "" {
+		return nil, result.Errorf(result.BadArguments, "body is not a voter change")
+	}
+	return h.control.ChangeVoter(ctx, req)
+}
+
 func (h *handler) announce(ctx context.Context, r request) (any, error) {
 	b, err := readBody(r.Request, maxAnnouncementBytes, result.BadAnnouncement)
 	if err != nil {
--- a/internal/request/api/types.go
+++ b/internal/request/api/types.go
@@ -23,6 +23,8 @@
 	ExplainUpstream(ctx context.Context, q UpstreamQuery) (UpstreamExplanation, error)
 	ExplainSheet(ctx context.Context) (SheetExplanation, error)
 	Audit(ctx context.Context, q AuditQuery) (AuditResponse, error)
+	// ChangeVoter starts a change of the voters.
+	ChangeVoter(ctx context.Context, req VoterRequest) (VoterResponse, error)
 	// Announce renews the lease of an upstream. Its name is that of the
 	// certificate.
 	Announce(ctx context.Context, a Announcement) (AnnounceResponse, error)
@@ -214,6 +216,19 @@
 	Reason       string `json:"reason"`
 }
 
+// VoterRequest adds a VM to the voters of the replicated log, or removes it.
+type VoterRequest struct {
+	Name   string `json:"name"`
+	Remove bool   `json:"remove,omitempty"`
+}
+
+// VoterResponse says that a change of the voters has begun. An added VM is a
+// learner until it has caught up.
+type VoterResponse struct {
+	Index  uint64   `json:"index"`
+	Voters []string `json:"voters"`
+}
+
 // Announcement is what an upstream says of itself.
 type Announcement struct {
 	Name        string         `json:"name"`
@@ -223,6 +238,9 @@
 	Slots       uint32         `json:"slots"`
 	// Load is a hint between 0 and 1; nil is none.
 	Load *float64 `json:"load,omitempty"`
+	// Probe is a TCP endpoint that accepts connections while the upstream
+	// works; without one, its health rests on its announcements alone.
+	Probe netip.AddrPort `json:"probe,omitzero"`
 	// Draining asks for no new connections, before a planned stop.
 	Draining bool `json:"draining,omitempty"`
 }
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -91,7 +91,8 @@
 	DropTableFull       Code = 718
 	DropOversize        Code = 719
 
-	Internal Code = 901
+	Internal      Code = 901
+	PromiseBroken Code = 902
 )
 
 // Class returns the class of c.
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -82,6 +82,7 @@
 	{DropTableFull, "drop_table_full", "connection table full", "raise table size"},
 	{DropOversize, "drop_oversize", "packet too large to encapsulate", "lower the MTU"},
 
+	{PromiseBroken, "promise_broken", "the demo saw a promise broken", "report it"},
 	{Internal, "internal", "a defect in heatherport", "report it"},
 })
 
--- a/internal/version/state/command.go
+++ b/internal/version/state/command.go
@@ -44,6 +44,7 @@
 	Incarnation uint64         `cbor:"4,keyasint"`
 	Slots       uint32         `cbor:"5,keyasint,omitempty"` // lowers the sheet's slots; zero leaves them
 	LoadFactor  uint8          `cbor:"6,keyasint,omitempty"`
+	Probe       netip.AddrPort `cbor:"7,keyasint,omitempty"` // zero for none
 }
 
 // UpstreamStatus changes the observed status of upstreams.
--- a/internal/version/state/snapshot.go
+++ b/internal/version/state/snapshot.go
@@ -84,6 +84,7 @@
 	LoadFactor  uint8
 	Ramp        uint8
 	Listed      bool
+	Probe       netip.AddrPort
 }
 
 type memberRecord struct {
@@ -248,6 +249,7 @@
 			LoadFactor:  r.LoadFactor,
 			Ramp:        r.Ramp,
 			Listed:      r.Listed,
+			Probe:       r.Probe,
 		},
 		service:   m.serviceByID(r.Service),
 		announced: r.Announced,
@@ -338,6 +340,7 @@
 		LoadFactor:  u.LoadFactor,
 		Ramp:        u.Ramp,
 		Listed:      u.Listed,
+		Probe:       u.Probe,
 	}
 }
 
--- a/internal/version/state/upstream.go
+++ b/internal/version/state/upstream.go
@@ -94,6 +94,7 @@
 		u.Ramp = 1
 	}
 	u.announced = c.Slots
+	u.Probe = c.Probe
 	u.LoadFactor = c.LoadFactor
 	u.applyRow(m.rows[u.Name])
 	m.recordUpstream(o, u, before, CauseAnnounced)
@@ -108,6 +109,7 @@
 			Incarnation: c.Incarnation,
 			Service:     r.service.ID,
 			Addr:        r.addr,
+			Probe:       c.Probe,
 			Healthy:     true,
 			Leased:      true,
 			LoadFactor:  c.LoadFactor,
--- a/internal/version/version.go
+++ b/internal/version/version.go
@@ -124,6 +124,7 @@
 	Incarnation uint64
 	Service     ServiceID
 	Addr        netip.AddrPort // FOU endpoint of the upstream's VM
+	Probe       netip.AddrPort // TCP endpoint that accepts while the upstream works; zero if none
 	State       UpstreamState
 	Slots       uint32
 	ConnLimit   uint32 // open connections over all balancers
