--- a/internal/process/control/controller.go
+++ b/internal/process/control/controller.go
@@ -114,7 +114,7 @@
 
 	self         version.MemberID
 	known        knownLeader
-	target       int    // position in the list of VMs to ask for the leader
+	target       int // position in the list of VMs to ask for the leader
 	lastReply    time.Duration
 	leaseUntil   time.Duration
 	heartbeatDue time.Duration
--- a/internal/process/control/leader.go
+++ b/internal/process/control/leader.go
@@ -41,9 +41,6 @@
 	until       time.Duration
 }
 
-// proposalTimeout is the time after which a lost proposal is repeated.
-const proposalTimeout = 2 * time.Second
-
 // setSoft follows changes of leadership.
 func (c *Controller) setSoft(s raft.SoftState) {
 	if s == c.soft {
--- a/internal/version/roster/member.go
+++ b/internal/version/roster/member.go
@@ -166,3 +166,19 @@
 		r.stats.WaitsExceeded++
 	}
 }
+
+// MemberStatus is what the leader knows of a member.
+type MemberStatus struct {
+	Live    bool   // its lease runs
+	Applied uint64 // index of its version
+	Settled uint64 // index under which all its exceptions are replicated
+}
+
+// Member returns the status of a member; the zero status if it is unknown.
+func (r *Roster) Member(id version.MemberID) MemberStatus {
+	m := r.members[id]
+	if m == nil {
+		return MemberStatus{}
+	}
+	return MemberStatus{Live: r.now < m.leaseUntil, Applied: m.applied, Settled: m.settled}
+}
--- a/internal/version/roster/message.go
+++ b/internal/version/roster/message.go
@@ -52,6 +52,7 @@
 	Name        string         `cbor:"1,keyasint" json:"name"`
 	Service     string         `cbor:"2,keyasint" json:"service"`
 	Addr        netip.AddrPort `cbor:"3,keyasint" json:"address"`
+	Probe       netip.AddrPort `cbor:"7,keyasint" json:"probe,omitzero"`
 	Incarnation uint64         `cbor:"4,keyasint" json:"incarnation"`
 	Slots       uint32         `cbor:"5,keyasint,omitempty" json:"slots"`
 	LoadFactor  uint8          `cbor:"6,keyasint,omitempty" json:"load"`
--- a/internal/version/roster/upstream.go
+++ b/internal/version/roster/upstream.go
@@ -70,6 +70,7 @@
 		Incarnation: a.Incarnation,
 		Slots:       a.Slots,
 		LoadFactor:  a.LoadFactor,
+		Probe:       a.Probe,
 	}
 	o := registrar.CheckRegister(c)
 	if o.Code != result.OK {
