--- /dev/null
+++ b/internal/process/metrics/collector.go
@@ -0,0 +1,186 @@
+package metrics
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+)
+
+const namespace = "heatherport"
+
+// Outcomes of a packet.
+const (
+	outcomeForwarded = "forwarded"
+	outcomeRelayed   = "relayed"
+	outcomeDropped   = "dropped"
+)
+
+// noCause is the cause of packets that were neither dropped nor refused.
+const noCause = "ok"
+
+// collector turns snapshots into metrics.
+type collector struct {
+	snapshot func() Snapshot
+	descs    []*prometheus.Desc
+
+	received, receivedBytes   *prometheus.Desc
+	packets                   *prometheus.Desc
+	forwardedBytes            *prometheus.Desc
+	relayed, relayedBytes     *prometheus.Desc
+	hints                     *prometheus.Desc
+	open, owned, opened       *prometheus.Desc
+	exceptions, capacity      *prometheus.Desc
+	upstreamOpen, upstreamOK  *prometheus.Desc
+	controlMsgs, controlBytes *prometheus.Desc
+	controlLost               *prometheus.Desc
+	versionIndex, sheet, term *prometheus.Desc
+	liveVMs, drains           *prometheus.Desc
+	lease, cutOff             *prometheus.Desc
+	leader, voter, ready      *prometheus.Desc
+	auditFailures             *prometheus.Desc
+	certificateEnd            *prometheus.Desc
+}
+
+// desc describes a metric of c.
+func (c *collector) desc(name, help string, labels ...string) *prometheus.Desc {
+	d := prometheus.NewDesc(prometheus.BuildFQName(namespace, "", name), help, labels, nil)
+	c.descs = append(c.descs, d)
+	return d
+}
+
+func newCollector(snapshot func() Snapshot) *collector {
+	c := &collector{snapshot: snapshot}
+	c.received = c.desc("received_packets_total", "Packets received from the fabric.")
+	c.receivedBytes = c.desc("received_bytes_total", "Bytes of packets received from the fabric.")
+	c.packets = c.desc("packets_total", "Packets by outcome and, if dropped or refused, the name of the result code.", "outcome", "cause")
+	c.forwardedBytes = c.desc("forwarded_bytes_total", "Bytes of packets forwarded to upstreams.")
+	c.relayed = c.desc("relay_packets_total", "Packets relayed between VMs.", "direction")
+	c.relayedBytes = c.desc("relay_bytes_total", "Bytes of packets relayed between VMs.", "direction")
+	c.hints = c.desc("hints_total", "Hints exchanged between VMs.", "direction")
+	c.open = c.desc("connections_open", "Entries in the connection table.")
+	c.owned = c.desc("connections_owned", "Entries that this VM owns.")
+	c.opened = c.desc("connections_opened_total", "Connections for which this VM chose the upstream.")
+	c.exceptions = c.desc("connection_exceptions", "Entries whose upstream differs from the base ranking.")
+	c.capacity = c.desc("connections_capacity", "Entries that the connection table can hold.")
+	c.upstreamOpen = c.desc("upstream_connections_open", "Connections to an upstream that this VM owns.", "service", "upstream")
+	c.upstreamOK = c.desc("upstream_eligible", "1 if the upstream receives new connections.", "service", "upstream")
+	c.controlMsgs = c.desc("control_messages_total", "Control messages by kind.", "kind", "direction")
+	c.controlBytes = c.desc("control_bytes_total", "Bytes of control messages by kind.", "kind", "direction")
+	c.controlLost = c.desc("control_messages_dropped_total", "Control messages that full queues dropped.")
+	c.versionIndex = c.desc("version_index", "Log index of the version in force on this VM.")
+	c.sheet = c.desc("sheet_number", "Number of the sheet in force on this VM.")
+	c.term = c.desc("term", "Highest term that this VM knows.")
+	c.liveVMs = c.desc("live_vms", "VMs with a live membership lease.")
+	c.drains = c.desc("drains_open", "Drains that are still open.")
+	c.lease = c.desc("lease_live", "1 while the membership lease of this VM runs.")
+	c.cutOff = c.desc("cut_off", "1 while this VM cannot reach a majority of the voters.")
+	c.leader = c.desc("leader", "1 while this VM is the leader.")
+	c.voter = c.desc("voter", "1 if this VM is a voter.")
+	c.ready = c.desc("ready", "1 while this VM is ready for traffic.")
+	c.auditFailures = c.desc("audit_failures_total", "Audit records that could not be kept.")
+	c.certificateEnd = c.desc("certificate_expiry_timestamp_seconds", "Unix time at which the certificate of this VM ends.")
+	return c
+}
+
+// Describe implements prometheus.Collector.
+func (c *collector) Describe(ch chan<- *prometheus.Desc) {
+	for _, d := range c.descs {
+		ch <- d
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (c *collector) Collect(ch chan<- prometheus.Metric) {
+	s := c.snapshot()
+	e := emitter{ch}
+	c.collectTraffic(e, &s)
+	c.collectConnections(e, &s)
+	c.collectControl(e, &s)
+	c.collectProcess(e, &s)
+}
+
+func (c *collector) collectTraffic(e emitter, s *Snapshot) {
+	e.counter(c.received, s.Received.Count)
+	e.counter(c.receivedBytes, s.Received.Bytes)
+	e.counter(c.packets, s.Forwarded.Count, outcomeForwarded, noCause)
+	e.counter(c.packets, s.RelaySent.Count, outcomeRelayed, noCause)
+	for _, cause := range s.Causes {
+		e.counter(c.packets, cause.Packets, outcomeDropped, cause.Code.Name())
+	}
+	e.counter(c.forwardedBytes, s.Forwarded.Bytes)
+	e.counter(c.relayed, s.RelaySent.Count, string(Sent))
+	e.counter(c.relayed, s.RelayGot.Count, string(Received))
+	e.counter(c.relayedBytes, s.RelaySent.Bytes, string(Sent))
+	e.counter(c.relayedBytes, s.RelayGot.Bytes, string(Received))
+	e.counter(c.hints, s.HintsSent.Count, string(Sent))
+	e.counter(c.hints, s.HintsGot.Count, string(Received))
+}
+
+func (c *collector) collectConnections(e emitter, s *Snapshot) {
+	e.gauge(c.open, float64(s.Open))
+	e.gauge(c.owned, float64(s.Owned))
+	e.counter(c.opened, s.Opened)
+	e.gauge(c.exceptions, float64(s.Exceptions))
+	e.gauge(c.capacity, float64(s.Capacity))
+	for _, u := range s.Upstreams {
+		e.gauge(c.upstreamOpen, float64(u.Open), u.Service, u.Upstream)
+		e.flag(c.upstreamOK, u.Eligible, u.Service, u.Upstream)
+	}
+}
+
+func (c *collector) collectControl(e emitter, s *Snapshot) {
+	for _, v := range s.Control {
+		e.counter(c.controlMsgs, v.Count, v.Kind, string(v.Direction))
+		e.counter(c.controlBytes, v.Bytes, v.Kind, string(v.Direction))
+	}
+	e.counter(c.controlLost, s.ControlLost)
+	e.gauge(c.versionIndex, float64(s.VersionIndex))
+	e.gauge(c.sheet, float64(s.SheetNumber))
+	e.gauge(c.term, float64(s.Term))
+	e.gauge(c.liveVMs, float64(s.LiveVMs))
+	e.gauge(c.drains, float64(s.OpenDrains))
+	e.flag(c.lease, s.LeaseLive)
+	e.flag(c.cutOff, s.CutOff)
+	e.flag(c.leader, s.Leader)
+	e.flag(c.voter, s.Voter)
+	e.flag(c.ready, s.Ready)
+}
+
+func (c *collector) collectProcess(e emitter, s *Snapshot) {
+	e.counter(c.auditFailures, s.AuditFailures)
+	if !s.CertificateNotAfter.IsZero() {
+		e.gauge(c.certificateEnd, float64(s.CertificateNotAfter.Unix()))
+	}
+}
+
+// emitter sends constant metrics.
+type emitter struct {
+	ch chan<- prometheus.Metric
+}
+
+func (e emitter) counter(d *prometheus.Desc, v uint64, labels ...string) {
+	e.ch <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, float64(v), labels...)
+}
+
+func (e emitter) gauge(d *prometheus.Desc, v float64, labels ...string) {
+	e.ch <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v, labels...)
+}
+
+func (e emitter) flag(d *prometheus.Desc, v bool, labels ...string) {
+	var f float64
+	if v {
+		f = 1
+	}
+	e.gauge(d, f, labels...)
+}
+
+// NewRegistry returns a registry with the metrics of snapshot, the Go runtime
+// and the process.
+func NewRegistry(snapshot func() Snapshot) *prometheus.Registry {
+	r := prometheus.NewRegistry()
+	r.MustRegister(
+		newCollector(snapshot),
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	return r
+}
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -41,6 +41,9 @@
 	{AddressInUse, "address_in_use", "the address belongs to another live upstream", "correct the address"},
 	{MemberNameTaken, "member_name_taken", "another live VM uses this name", "correct the settings"},
 	{ShuttingDown, "shutting_down", "this VM is stopping", "use another VM"},
+	{LearnerBehind, "learner_behind", "the learner has not caught up with the log", "wait, then repeat"},
+	{QuorumAtRisk, "quorum_at_risk", "the change would leave no live majority of voters", "bring voters back first"},
+	{IncarnationConflict, "incarnation_conflict", "another process announces the same name and incarnation", "stop one of them"},
 
 	{NoLeader, "no_leader", "no leader is known; nothing was changed", "try again"},
 	{NotReady, "not_ready", "this VM holds no version yet", "try again or use another VM"},
@@ -79,6 +82,7 @@
 	{DropTableFull, "drop_table_full", "connection table full", "raise table size"},
 	{DropOversize, "drop_oversize", "packet too large to encapsulate", "lower the MTU"},
 
+	{PromiseBroken, "promise_broken", "the demo saw a promise broken", "report it"},
 	{Internal, "internal", "a defect in heatherport", "report it"},
 })
 
