Accept all relay flags that the engine defines

Cause: the relay codec kept its own list of flags. RelayRecord and RelayAssumed were added to package connection, and every message with one of them was dropped as malformed.

Change: package connection states the set of known flags and marks next to the constants, so that the codec cannot fall behind them.

Tested: TestAllFlagsAndMarksPass; go test -race ./internal/request/wire, relay and forward pass.

--- a/internal/connection/packet.go
+++ b/internal/connection/packet.go
@@ -19,8 +19,13 @@
 	MarkFin                     // TCP FIN
 	MarkReset                   // TCP RST
 	MarkLater                   // proves that earlier packets exist: TCP non-SYN, QUIC short header
+
+	marksEnd
 )
 
+// AllMarks are the marks that this version of the code knows.
+const AllMarks = marksEnd - 1
+
 // Packet is a decoded caller's packet.
 type Packet struct {
 	Key   flow.Key
@@ -50,8 +55,13 @@
 	// RelayAssumed, with RelayRefresh: the sender has Upstream from the
 	// base and not from an opening packet.
 	RelayAssumed
+
+	relayFlagsEnd
 )
 
+// AllRelayFlags are the flags that this version of the code knows.
+const AllRelayFlags = relayFlagsEnd - 1
+
 // Relay is the header of a packet relayed between balancers.
 type Relay struct {
 	From     version.MemberID // sender
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -57,11 +57,6 @@
 	offsetTag      = 28
 )
 
-const (
-	knownFlags = connection.RelayTenure | connection.RelayOwnerSilent | connection.RelayRefresh
-	knownMarks = connection.MarkOpen | connection.MarkFin | connection.MarkReset | connection.MarkLater
-)
-
 // Message is a decoded message.
 type Message struct {
 	Type   Type
@@ -118,7 +113,7 @@
 		return result.DropRelayAuth
 	}
 	getHeader(b, m)
-	if m.Header.Flags&^knownFlags != 0 || m.Header.From == 0 {
+	if m.Header.Flags&^connection.AllRelayFlags != 0 || m.Header.From == 0 {
 		return result.DropRelayMalformed
 	}
 	if m.Header.Hops > connection.MaxRelayHops {
@@ -179,7 +174,7 @@
 	p.Key.Get(b)
 	p.Seq = binary.BigEndian.Uint32(b[flow.KeySize:])
 	p.Marks = connection.Marks(b[flow.KeySize+4])
-	if p.Marks&^knownMarks != 0 {
+	if p.Marks&^connection.AllMarks != 0 {
 		return result.DropRelayMalformed
 	}
 	switch p.Key.Protocol {
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -59,6 +59,16 @@
 	must.Eq(t, h, m.Hint())
 }
 
+func TestAllFlagsAndMarksPass(t *testing.T) {
+	c := testCodec(1)
+	var m Message
+	h := connection.Relay{From: 1, Flags: connection.RelayAssumed | connection.AllRelayFlags}
+	p := connection.Packet{Key: testFlow, Marks: connection.MarkLater | connection.AllMarks}
+	must.Eq(t, result.OK, c.Open(c.SealRefresh(make([]byte, SmallSize), &h, &p), &m))
+	must.Eq(t, h, m.Header)
+	must.Eq(t, p, m.Packet)
+}
+
 func TestOpenRefuses(t *testing.T) {
 	c := testCodec(1)
 	reseal := func(b []byte, change func(b []byte)) []byte {
