Hold relay keys with their own times

Cause: a balancer that restarted during a rotation held the signing key alone and dropped messages signed by the other one as unauthentic.

Change: a Key carries the times from which it signs and until which it is accepted, and Keyring.Replace takes the set in use. The process hands over all accepted keys at its start and after a reload.

Tested: TestRotation and TestKeyringRefuses; go test -race on ./internal/request/wire, relay and forward passes.

--- a/internal/process/app/listen.go
+++ b/internal/process/app/listen.go
@@ -124,28 +124,11 @@
 	}
 	w.log.Info("keys reloaded")
 	w.trail.Append(audit.Record{Time: time.Now().UTC(), VM: w.vm, Kind: api.AuditKeys, Subject: "keys", Cause: "files changed"})
-	if err := w.rotate(time.Now()); err != nil {
+	if err := w.ring.Replace(relayKeys(w.store, time.Now(), w.clock())...); err != nil {
 		w.log.Error("relay keys not rotated", "error", err)
 	}
 }
 
-// rotate takes the newest relay key into the ring.
-func (w *keyWatcher) rotate(now time.Time) error {
-	all := w.store.RelayKeys()
-	if len(all) == 0 || all[len(all)-1].ID == w.ring.CurrentID() {
-		return nil
-	}
-	next := all[len(all)-1]
-	promote := w.clock() + max(0, next.NotBefore.Sub(now))
-	end := promote
-	for _, k := range all {
-		if k.ID == w.ring.CurrentID() && !k.NotAfter.IsZero() {
-			end = max(promote, w.clock()+k.NotAfter.Sub(now))
-		}
-	}
-	return w.ring.Rotate(relay.Key{ID: next.ID, Secret: next.Secret}, promote, end)
-}
-
 // health answers for metrics and readiness.
 type health struct {
 	settings   *settings.Settings
--- a/internal/process/app/parts.go
+++ b/internal/process/app/parts.go
@@ -64,12 +64,26 @@
 	})
 }
 
-func newKeyring(store *keys.Store) (*relay.Keyring, error) {
-	key, ok := store.RelayKeys().Sending(time.Now())
-	if !ok {
+func newKeyring(store *keys.Store, clock Clock) (*relay.Keyring, error) {
+	now := time.Now()
+	if _, ok := store.RelayKeys().Sending(now); !ok {
 		return nil, result.Errorf(result.KeyMissing, "no relay key is valid now")
 	}
-	return relay.NewKeyring(relay.Key{ID: key.ID, Secret: key.Secret}), nil
+	return relay.NewKeyring(relayKeys(store, now, clock())...)
+}
+
+// relayKeys returns the keys that are accepted at now, their times by a clock
+// that reads mono then.
+func relayKeys(store *keys.Store, now time.Time, mono time.Duration) []relay.Key {
+	var out []relay.Key
+	for _, k := range store.RelayKeys().Accepted(now) {
+		key := relay.Key{ID: k.ID, Secret: k.Secret, SignFrom: mono + k.NotBefore.Sub(now)}
+		if !k.NotAfter.IsZero() {
+			key.AcceptUntil = mono + k.NotAfter.Sub(now)
+		}
+		out = append(out, key)
+	}
+	return out
 }
 
 func newForwarder(lc fx.Lifecycle, s *settings.Settings, e *owner.Engine, ring *relay.Keyring, clock Clock) (*forward.Forwarder, error) {
