Limit ICMP answers; check that refused requests did not run

Cause: RFC 1812 and RFC 4443 require a rate limit for ICMP messages, and spoofed UDP packets would otherwise be reflected at line rate. The stand-ins did not check that a refused connection reached no upstream.

Change: a receiver sends at most 1000 ICMP messages a second and counts those withheld. Stats count as RefusedButRun the refused SYNs that reached an upstream before or after the refusal, and shed requests that ran.

Tested: go test -race on ./internal/request/forward and ./internal/standin passes.

--- a/internal/request/forward/config.go
+++ b/internal/request/forward/config.go
@@ -23,6 +23,10 @@
 	minPacketSize     = 1280  // bytes
 )
 
+// maxICMPRate is the number of ICMP messages a second that a receiver sends at
+// most, as RFC 1812, section 4.3.2.8, and RFC 4443, section 2.4, require.
+const maxICMPRate = 1000
+
 // Config is the configuration of a Forwarder.
 type Config struct {
 	// FabricAddr receives the packets of callers, each in a Foo-over-UDP
--- a/internal/request/forward/counters.go
+++ b/internal/request/forward/counters.go
@@ -21,6 +21,7 @@
 	hintsIn
 	hintsOut
 	refusals
+	refusalsLimited
 	readErrors
 	overflows
 	firstCode // counters from here on are per result code
@@ -80,7 +81,9 @@
 	HintsIn      uint64
 	HintsOut     uint64
 	Refusals     uint64 // answers to callers
-	ReadErrors   uint64
+	// RefusalsLimited counts the ICMP answers withheld by the rate limit.
+	RefusalsLimited uint64
+	ReadErrors      uint64
 	// Overflows counts the packets that the system dropped because a
 	// socket's read buffer was full.
 	Overflows uint64
@@ -97,20 +100,21 @@
 		}
 	}
 	return Counters{
-		PacketsIn:    sum[packetsIn],
-		BytesIn:      sum[bytesIn],
-		PacketsOut:   sum[packetsOut],
-		BytesOut:     sum[bytesOut],
-		RelaysIn:     sum[relaysIn],
-		RelaysOut:    sum[relaysOut],
-		RefreshesIn:  sum[refreshesIn],
-		RefreshesOut: sum[refreshesOut],
-		HintsIn:      sum[hintsIn],
-		HintsOut:     sum[hintsOut],
-		Refusals:     sum[refusals],
-		ReadErrors:   sum[readErrors],
-		Overflows:    sum[overflows],
-		Codes:        codeCounts(sum[firstCode:]),
+		PacketsIn:       sum[packetsIn],
+		BytesIn:         sum[bytesIn],
+		PacketsOut:      sum[packetsOut],
+		BytesOut:        sum[bytesOut],
+		RelaysIn:        sum[relaysIn],
+		RelaysOut:       sum[relaysOut],
+		RefreshesIn:     sum[refreshesIn],
+		RefreshesOut:    sum[refreshesOut],
+		HintsIn:         sum[hintsIn],
+		HintsOut:        sum[hintsOut],
+		Refusals:        sum[refusals],
+		RefusalsLimited: sum[refusalsLimited],
+		ReadErrors:      sum[readErrors],
+		Overflows:       sum[overflows],
+		Codes:           codeCounts(sum[firstCode:]),
 	}
 }
 
--- a/internal/request/forward/receiver.go
+++ b/internal/request/forward/receiver.go
@@ -10,11 +10,13 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/net/ipv4"
 	"golang.org/x/sys/unix"
+	"golang.org/x/time/rate"
 
 	"heatherport/internal/connection"
 	"heatherport/internal/request/relay"
 	"heatherport/internal/request/wire"
 	"heatherport/internal/result"
+	"heatherport/internal/version"
 )
 
 const (
@@ -43,6 +45,7 @@
 
 	decoder *wire.Decoder
 	refuser *wire.Refuser
+	icmp    *rate.Limiter
 	codec   *relay.Codec
 	now     time.Duration
 	packet  connection.Packet
@@ -72,6 +75,7 @@
 		relays:  newQueue(relays, batch*(1+maxSideMessages)),
 		decoder: wire.NewDecoder(),
 		refuser: wire.NewRefuser(),
+		icmp:    rate.NewLimiter(maxICMPRate, maxICMPRate),
 		codec:   relay.NewCodec(f.ring, f.clock),
 		side:    makeBuffers(batch*maxSideMessages, relay.SmallSize),
 		answers: makeBuffers(batch, wire.MaxRefusalSize),
@@ -265,6 +269,10 @@
 
 func (r *receiver) refuse(packet []byte, cause result.Code) {
 	r.counts.addCode(cause)
+	if r.packet.Key.Protocol == version.UDP && !r.icmp.Allow() {
+		r.counts.add(refusalsLimited, 1)
+		return
+	}
 	answer, err := r.refuser.Refuse(packet)
 	if err != nil {
 		r.counts.addCode(result.CodeOf(err))
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -209,11 +209,11 @@
 // check counts an answer and what is wrong with it. upstream is the one that
 // gave the connection's earlier answers.
 func (c *Caller) check(q request, a answer, upstream *string) {
+	if a.Shed {
+		c.stats.shed(q)
+	}
 	c.stats.update(func(r *Report) {
 		r.Requests++
-		if a.Shed {
-			r.Shed++
-		}
 		if a.Conn != q.Conn || a.Number != q.Number || a.Service != c.cfg.Name {
 			r.CrossConnection++
 		}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -25,6 +25,7 @@
 	Moved           uint64 // answers from another upstream than the connection's first
 	DuplicateFirst  uint64 // first packets that reached a second upstream
 	DuplicateRuns   uint64 // requests that ran more than once
+	RefusedButRun   uint64 // refused connections that reached an upstream, shed requests that ran
 	Strays          uint64 // packets that reached an upstream without their connection
 	WhileDraining   uint64 // connections that reached a draining upstream
 
@@ -46,11 +47,14 @@
 type Stats struct {
 	mu     sync.Mutex
 	report Report
-	firsts map[firstPacket]string // upstream that got it
+	firsts map[firstPacket]string // upstream that got it, or refusedFirst
 	runs   map[uint64]uint32      // last request that ran, by connection
 	lastID uint64
 }
 
+// refusedFirst stands for the upstream of a connection that was refused.
+const refusedFirst = ""
+
 // firstPacket identifies a connection attempt.
 type firstPacket struct {
 	src, dst netip.AddrPort
@@ -114,12 +118,27 @@
 func (s *Stats) first(p firstPacket, upstream string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if other, ok := s.firsts[p]; ok && other != upstream {
+	other, ok := s.firsts[p]
+	switch {
+	case ok && other == refusedFirst:
+		s.report.RefusedButRun++
+		return
+	case ok && other != upstream:
 		s.report.DuplicateFirst++
 	}
 	s.firsts[p] = upstream
 }
 
+// refused notes that a caller was told that its connection does not exist.
+func (s *Stats) refused(p firstPacket) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.firsts[p]; ok {
+		s.report.RefusedButRun++
+	}
+	s.firsts[p] = refusedFirst
+}
+
 func (s *Stats) forgetFirst(p firstPacket) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -138,6 +157,16 @@
 	s.runs[q.Conn] = q.Number
 }
 
+// shed notes that a caller was told that its request did not run.
+func (s *Stats) shed(q request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.report.Shed++
+	if q.Number <= s.runs[q.Conn] {
+		s.report.RefusedButRun++
+	}
+}
+
 func (s *Stats) forgetRuns(conn uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -132,6 +132,7 @@
 	must.Zero(t, r.Moved)
 	must.Zero(t, r.DuplicateFirst)
 	must.Zero(t, r.DuplicateRuns)
+	must.Zero(t, r.RefusedButRun)
 	must.Zero(t, r.Strays)
 }
 
@@ -219,6 +220,7 @@
 	tcp.PerSecond = 0
 	r := b.run(func(r Report) bool { return r.Refused == uint64(tcp.Held+udp.Held+udp6.Held) }, tcp, udp, udp6)
 	must.Eq(t, r.Opened, r.Refused)
+	must.Zero(t, r.RefusedButRun)
 }
 
 func TestMisroutedPacketsAreCounted(t *testing.T) {
--- a/internal/standin/tcp.go
+++ b/internal/standin/tcp.go
@@ -39,8 +39,10 @@
 func (t *tcpCall) send(p *packet) { t.c.fabric.send(p.encode()) }
 
 func (t *tcpCall) connect() error {
-	p, err := t.exchange(t.segment(flagSYN, nil), func(p *packet) bool { return p.has(flagSYN | flagACK) })
+	syn := t.segment(flagSYN, nil)
+	p, err := t.exchange(syn, func(p *packet) bool { return p.has(flagSYN | flagACK) })
 	if errors.Is(err, errReset) {
+		t.c.stats.refused(firstPacket{syn.src, syn.dst, syn.seq})
 		return errRefused
 	}
 	if err != nil {
