Expose relay, hint and refresh bytes, refusals and socket losses

Cause: relay_bytes_total was always zero, and what balancers spend on hints and refreshes could not be compared with their byte budget.

Change: the forwarder counts the bytes of relayed packets; the metrics give packets and bytes of relays, hints and refreshes in either direction, refusals, those withheld, socket overflows and read errors.

Tested: go test -race ./internal/request/... passes; vet and staticcheck are clean.

--- a/internal/process/app/listen.go
+++ b/internal/process/app/listen.go
@@ -202,10 +202,16 @@
 	c := h.forwarder.Counters()
 	s.Received = metrics.Volume{Count: c.PacketsIn, Bytes: c.BytesIn}
 	s.Forwarded = metrics.Volume{Count: c.PacketsOut, Bytes: c.BytesOut}
-	s.RelaySent.Count = c.RelaysOut
-	s.RelayGot.Count = c.RelaysIn
-	s.HintsSent.Count = c.HintsOut
-	s.HintsGot.Count = c.HintsIn
+	s.RelaySent = metrics.Volume{Count: c.RelaysOut, Bytes: c.RelayBytesOut}
+	s.RelayGot = metrics.Volume{Count: c.RelaysIn, Bytes: c.RelayBytesIn}
+	s.HintsSent = metrics.Volume{Count: c.HintsOut, Bytes: c.HintsOut * relay.SmallSize}
+	s.HintsGot = metrics.Volume{Count: c.HintsIn, Bytes: c.HintsIn * relay.SmallSize}
+	s.RefreshesSent = metrics.Volume{Count: c.RefreshesOut, Bytes: c.RefreshesOut * relay.SmallSize}
+	s.RefreshesGot = metrics.Volume{Count: c.RefreshesIn, Bytes: c.RefreshesIn * relay.SmallSize}
+	s.Refusals = c.Refusals
+	s.RefusalsLimited = c.RefusalsLimited
+	s.Overflows = c.Overflows
+	s.ReadErrors = c.ReadErrors
 	for code, n := range c.Codes {
 		s.Causes = append(s.Causes, metrics.Cause{Code: code, Packets: n})
 	}
--- a/internal/process/metrics/collector.go
+++ b/internal/process/metrics/collector.go
@@ -26,7 +26,10 @@
 	packets                   *prometheus.Desc
 	forwardedBytes            *prometheus.Desc
 	relayed, relayedBytes     *prometheus.Desc
-	hints                     *prometheus.Desc
+	hints, hintBytes          *prometheus.Desc
+	refreshes, refreshBytes   *prometheus.Desc
+	refusals, refusalsLimited *prometheus.Desc
+	overflows, readErrors     *prometheus.Desc
 	open, owned, opened       *prometheus.Desc
 	exceptions, capacity      *prometheus.Desc
 	upstreamOpen, upstreamOK  *prometheus.Desc
@@ -56,6 +59,13 @@
 	c.relayed = c.desc("relay_packets_total", "Packets relayed between VMs.", "direction")
 	c.relayedBytes = c.desc("relay_bytes_total", "Bytes of packets relayed between VMs.", "direction")
 	c.hints = c.desc("hints_total", "Hints exchanged between VMs.", "direction")
+	c.hintBytes = c.desc("hint_bytes_total", "Bytes of hints exchanged between VMs.", "direction")
+	c.refreshes = c.desc("refreshes_total", "Renewals of entries exchanged between VMs.", "direction")
+	c.refreshBytes = c.desc("refresh_bytes_total", "Bytes of renewals of entries exchanged between VMs.", "direction")
+	c.refusals = c.desc("refusals_total", "Answers to callers that refuse a packet.")
+	c.refusalsLimited = c.desc("refusals_limited_total", "Refusals withheld by a rate limit.")
+	c.overflows = c.desc("socket_overflows_total", "Packets that the system dropped because a read buffer was full.")
+	c.readErrors = c.desc("socket_read_errors_total", "Failed reads of a traffic socket.")
 	c.open = c.desc("connections_open", "Entries in the connection table.")
 	c.owned = c.desc("connections_owned", "Entries that this VM owns.")
 	c.opened = c.desc("connections_opened_total", "Connections for which this VM chose the upstream.")
@@ -93,6 +103,7 @@
 	s := c.snapshot()
 	e := emitter{ch}
 	c.collectTraffic(e, &s)
+	c.collectRelays(e, &s)
 	c.collectConnections(e, &s)
 	c.collectControl(e, &s)
 	c.collectProcess(e, &s)
@@ -107,12 +118,19 @@
 		e.counter(c.packets, cause.Packets, outcomeDropped, cause.Code.Name())
 	}
 	e.counter(c.forwardedBytes, s.Forwarded.Bytes)
-	e.counter(c.relayed, s.RelaySent.Count, string(Sent))
-	e.counter(c.relayed, s.RelayGot.Count, string(Received))
-	e.counter(c.relayedBytes, s.RelaySent.Bytes, string(Sent))
-	e.counter(c.relayedBytes, s.RelayGot.Bytes, string(Received))
-	e.counter(c.hints, s.HintsSent.Count, string(Sent))
-	e.counter(c.hints, s.HintsGot.Count, string(Received))
+	e.counter(c.refusals, s.Refusals)
+	e.counter(c.refusalsLimited, s.RefusalsLimited)
+	e.counter(c.overflows, s.Overflows)
+	e.counter(c.readErrors, s.ReadErrors)
+}
+
+func (c *collector) collectRelays(e emitter, s *Snapshot) {
+	e.volume(c.relayed, c.relayedBytes, s.RelaySent, Sent)
+	e.volume(c.relayed, c.relayedBytes, s.RelayGot, Received)
+	e.volume(c.hints, c.hintBytes, s.HintsSent, Sent)
+	e.volume(c.hints, c.hintBytes, s.HintsGot, Received)
+	e.volume(c.refreshes, c.refreshBytes, s.RefreshesSent, Sent)
+	e.volume(c.refreshes, c.refreshBytes, s.RefreshesGot, Received)
 }
 
 func (c *collector) collectConnections(e emitter, s *Snapshot) {
@@ -165,6 +183,11 @@
 	e.ch <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v, labels...)
 }
 
+func (e emitter) volume(count, bytes *prometheus.Desc, v Volume, d Direction) {
+	e.counter(count, v.Count, string(d))
+	e.counter(bytes, v.Bytes, string(d))
+}
+
 func (e emitter) flag(d *prometheus.Desc, v bool, labels ...string) {
 	var f float64
 	if v {
--- a/internal/process/metrics/snapshot.go
+++ b/internal/process/metrics/snapshot.go
@@ -48,14 +48,20 @@
 // Snapshot holds all values of one scrape. Counters never go down.
 type Snapshot struct {
 	// Traffic.
-	Received    Volume  // packets from the fabric
-	Forwarded   Volume  // packets to upstreams
-	RelaySent   Volume  // packets to other VMs
-	RelayGot    Volume  // packets from other VMs
-	HintsSent   Volume  // hints to other VMs
-	HintsGot    Volume  // hints from other VMs
-	Causes      []Cause // packets dropped or refused
-	ControlLost uint64  // control messages that full queues dropped
+	Received        Volume  // packets from the fabric
+	Forwarded       Volume  // packets to upstreams
+	RelaySent       Volume  // packets to other VMs
+	RelayGot        Volume  // packets from other VMs
+	HintsSent       Volume  // hints to other VMs
+	HintsGot        Volume  // hints from other VMs
+	RefreshesSent   Volume  // renewals of entries to other VMs
+	RefreshesGot    Volume  // renewals of entries from other VMs
+	Refusals        uint64  // answers that refuse a packet
+	RefusalsLimited uint64  // refusals withheld by a rate limit
+	Overflows       uint64  // packets that the system dropped before they were read
+	ReadErrors      uint64  // failed reads
+	Causes          []Cause // packets dropped or refused
+	ControlLost     uint64  // control messages that full queues dropped
 
 	// Connections.
 	Open       uint64 // entries in the table
--- a/internal/request/forward/counters.go
+++ b/internal/request/forward/counters.go
@@ -16,6 +16,8 @@
 	bytesOut
 	relaysIn
 	relaysOut
+	relayBytesIn
+	relayBytesOut
 	refreshesIn
 	refreshesOut
 	hintsIn
@@ -70,17 +72,19 @@
 
 // Counters are the totals of a Forwarder since its start.
 type Counters struct {
-	PacketsIn    uint64 // from the fabric
-	BytesIn      uint64 // from the fabric, without UDP headers
-	PacketsOut   uint64 // to upstreams
-	BytesOut     uint64 // to upstreams, without UDP headers
-	RelaysIn     uint64
-	RelaysOut    uint64
-	RefreshesIn  uint64
-	RefreshesOut uint64
-	HintsIn      uint64
-	HintsOut     uint64
-	Refusals     uint64 // answers to callers
+	PacketsIn     uint64 // from the fabric
+	BytesIn       uint64 // from the fabric, without UDP headers
+	PacketsOut    uint64 // to upstreams
+	BytesOut      uint64 // to upstreams, without UDP headers
+	RelaysIn      uint64
+	RelaysOut     uint64
+	RelayBytesIn  uint64 // of relayed packets with their headers
+	RelayBytesOut uint64
+	RefreshesIn   uint64
+	RefreshesOut  uint64
+	HintsIn       uint64
+	HintsOut      uint64
+	Refusals      uint64 // answers to callers
 	// RefusalsLimited counts the ICMP answers withheld by the rate limit.
 	RefusalsLimited uint64
 	ReadErrors      uint64
@@ -106,6 +110,8 @@
 		BytesOut:        sum[bytesOut],
 		RelaysIn:        sum[relaysIn],
 		RelaysOut:       sum[relaysOut],
+		RelayBytesIn:    sum[relayBytesIn],
+		RelayBytesOut:   sum[relayBytesOut],
 		RefreshesIn:     sum[refreshesIn],
 		RefreshesOut:    sum[refreshesOut],
 		HintsIn:         sum[hintsIn],
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -235,7 +235,8 @@
 	must.Eq(t, 100, m.Packet.Seq)
 	must.Eq(t, 40000, m.Packet.Key.SrcPort)
 	x.eventually(t, func(c Counters) bool {
-		return c.RelaysOut == 1 && c.HintsOut == 1 && c.RefreshesOut == 1
+		return c.RelaysOut == 1 && c.HintsOut == 1 && c.RefreshesOut == 1 &&
+			c.RelayBytesOut == uint64(relay.HeaderSize+len(packet))
 	})
 }
 
--- a/internal/request/forward/queue.go
+++ b/internal/request/forward/queue.go
@@ -78,9 +78,13 @@
 }
 
 func (q *queue) count(c *counts, i int) {
+	size := len(q.ms[i].Buffers[0])
 	c.add(q.kind[i], 1)
-	if q.kind[i] == packetsOut {
-		c.add(bytesOut, len(q.ms[i].Buffers[0]))
+	switch q.kind[i] {
+	case packetsOut:
+		c.add(bytesOut, size)
+	case relaysOut:
+		c.add(relayBytesOut, size)
 	}
 }
 
--- a/internal/request/forward/receiver.go
+++ b/internal/request/forward/receiver.go
@@ -200,6 +200,7 @@
 	switch r.message.Type {
 	case relay.TypePacket:
 		r.counts.add(relaysIn, 1)
+		r.counts.add(relayBytesIn, len(full))
 		r.relayed(full)
 	case relay.TypeRefresh:
 		r.counts.add(refreshesIn, 1)
