Measure the forwarder with the engine that owns connections

Cause: the loopback benchmark ran a stub engine and one connection only, so the cost of the table was not in the figure.

Change: BenchmarkLoopbackOwner runs package owner's engine over 16384 connections, beside the stub and the bare copy loop; the receiver drains before its processor time is read, and dropped packets fail the run.

--- a/internal/request/forward/bench_test.go
+++ b/internal/request/forward/bench_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"encoding/binary"
 	"net"
 	"net/netip"
 	"runtime"
@@ -14,12 +15,14 @@
 	"golang.org/x/sys/unix"
 
 	"heatherport/internal/connection"
+	"heatherport/internal/connection/owner"
 	"heatherport/internal/version"
 )
 
 const (
 	benchBatch      = 64
 	benchBufferSize = 4 << 20 // bytes
+	benchFlows      = 1 << 14
 )
 
 // fixedEngine forwards every packet to one address.
@@ -43,9 +46,10 @@
 	const senders = 3
 	var stop atomic.Bool
 	var sending sync.WaitGroup
+	packets := flowPackets(b)
 	for range senders {
 		c := benchSocket(b)
-		sending.Go(func() { send(c, synPacket(b), to, &stop) })
+		sending.Go(func() { send(c, packets, to, &stop) })
 	}
 	collect(b, sink, benchBatch*benchBatch) // until the flow is steady
 	b.ResetTimer()
@@ -56,13 +60,28 @@
 	sending.Wait()
 }
 
-func send(c *net.UDPConn, packet []byte, to netip.AddrPort, stop *atomic.Bool) {
+// flowPackets returns a packet of each of benchFlows connections.
+func flowPackets(b *testing.B) [][]byte {
+	const sourcePort = 20 // offset in an IPv4 packet without options
+	out := make([][]byte, benchFlows)
+	for i := range out {
+		out[i] = synPacket(b)
+		binary.BigEndian.PutUint16(out[i][sourcePort:], uint16(1+i))
+	}
+	return out
+}
+
+func send(c *net.UDPConn, packets [][]byte, to netip.AddrPort, stop *atomic.Bool) {
 	conn := ipv4.NewPacketConn(c)
 	out := make([]ipv4.Message, benchBatch)
 	for i := range out {
-		out[i] = ipv4.Message{Buffers: [][]byte{packet}, Addr: net.UDPAddrFromAddrPort(to)}
+		out[i] = ipv4.Message{Buffers: make([][]byte, 1), Addr: net.UDPAddrFromAddrPort(to)}
 	}
-	for !stop.Load() {
+	for next := 0; !stop.Load(); {
+		for i := range out {
+			out[i].Buffers[0] = packets[next%len(packets)]
+			next++
+		}
 		if _, err := conn.WriteBatch(out, 0); err != nil {
 			return
 		}
@@ -107,20 +126,57 @@
 	}
 }
 
-// BenchmarkLoopback sends packets through one receiver.
+// BenchmarkLoopback sends packets through one receiver with a stub engine.
 func BenchmarkLoopback(b *testing.B) {
 	sink := benchSocket(b)
+	benchForwarder(b, sink, &fixedEngine{to: sink.LocalAddr().(*net.UDPAddr).AddrPort()})
+}
+
+// BenchmarkLoopbackOwner sends packets through one receiver with the engine
+// that owns all connections.
+func BenchmarkLoopbackOwner(b *testing.B) {
+	const self, service, upstream = 1, 1, 1
+	sink := benchSocket(b)
+	ranking := version.Ranking{{Upstream: upstream, Weight: version.WeightPerSlot}}
+	v := &version.Version{
+		Index: 1,
+		Services: []version.Service{{
+			ID:          service,
+			Key:         version.ServiceKey{Addr: netip.MustParseAddr("198.51.100.7"), Port: 443, Protocol: version.TCP},
+			IdleTimeout: time.Hour,
+			Current:     ranking,
+			Base:        ranking,
+		}},
+		Upstream: []version.Upstream{{
+			ID: upstream, Service: service, Addr: sink.LocalAddr().(*net.UDPAddr).AddrPort(),
+			Slots: 1, ConnLimit: benchFlows, Healthy: true, Leased: true, Ramp: version.RampFull, Listed: true,
+		}},
+		Members: []version.Member{{ID: self, State: version.MemberActive}},
+		Owners:  version.Owners{Epoch: 1, Current: []version.MemberID{self}},
+	}
+	engine := owner.New(owner.Config{Self: self, Capacity: 2 * benchFlows})
+	engine.SetLease(0, true)
+	engine.Publish(0, v.Seal())
+	benchForwarder(b, sink, engine)
+}
+
+func benchForwarder(b *testing.B, sink *net.UDPConn, engine Engine) {
 	cfg := Config{FabricAddr: loopback, RelayAddr: loopback, ReturnAddr: loopback, Receivers: 1,
 		Batch: benchBatch, ReadBuffer: benchBufferSize, WriteBuffer: benchBufferSize}
-	engine := &fixedEngine{to: sink.LocalAddr().(*net.UDPAddr).AddrPort()}
 	start := time.Now()
 	f, err := New(b.Context(), cfg, engine, testKeyring(b), func() time.Duration { return time.Since(start) })
 	must.NoError(b, err)
-	wait := onThread(b, func() { f.receivers[0].run(b.Context()) })
+	packets := uint64(0)
+	wait := onThread(b, func() {
+		f.receivers[0].run(b.Context())
+		packets = f.Counters().PacketsOut
+	})
 	saturate(b, sink, f.FabricAddr())
-	f.close()
-	packets := f.Counters().PacketsOut
+	f.stopping.Store(true)
+	must.NoError(b, f.fabric[0].UDPConn.SetReadDeadline(time.Now()))
 	wait(&packets)
+	f.close()
+	must.MapEmpty(b, f.Counters().Codes)
 }
 
 // BenchmarkCopyLoop sends packets through a loop of ReadBatch and WriteBatch.
