Accept every relay flag that engines use

Cause: the relay codec kept its own list of flags; the engine's RelayRecord and RelayAssumed were missing, so every opening packet that went through the standby was dropped as malformed, and its connection opened only after the record window of 3 s. Ruled out: reuse of caller ports, a lost FIN refresh, a stale version. Change: package connection says which flags are valid; the codec asks it. Test: TestEveryFlagPasses fails before and passes after.

--- a/internal/connection/packet.go
+++ b/internal/connection/packet.go
@@ -50,8 +50,14 @@
 	// RelayAssumed, with RelayRefresh: the sender has Upstream from the
 	// base and not from an opening packet.
 	RelayAssumed
+
+	// RelayFlagsEnd is one above all flags.
+	RelayFlagsEnd
 )
 
+// Valid reports whether f holds known flags only.
+func (f RelayFlags) Valid() bool { return f < RelayFlagsEnd }
+
 // Relay is the header of a packet relayed between balancers.
 type Relay struct {
 	From     version.MemberID // sender
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -57,10 +57,7 @@
 	offsetTag      = 28
 )
 
-const (
-	knownFlags = connection.RelayTenure | connection.RelayOwnerSilent | connection.RelayRefresh
-	knownMarks = connection.MarkOpen | connection.MarkFin | connection.MarkReset | connection.MarkLater
-)
+const knownMarks = connection.MarkOpen | connection.MarkFin | connection.MarkReset | connection.MarkLater
 
 // Message is a decoded message.
 type Message struct {
@@ -118,7 +115,7 @@
 		return result.DropRelayAuth
 	}
 	getHeader(b, m)
-	if m.Header.Flags&^knownFlags != 0 || m.Header.From == 0 {
+	if !m.Header.Flags.Valid() || m.Header.From == 0 {
 		return result.DropRelayMalformed
 	}
 	if m.Header.Hops > connection.MaxRelayHops {
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -59,6 +59,20 @@
 	must.Eq(t, h, m.Hint())
 }
 
+// TestEveryFlagPasses: a flag that the codec refuses loses all packets that
+// carry it.
+func TestEveryFlagPasses(t *testing.T) {
+	c := testCodec(1)
+	for flag := connection.RelayFlags(1); flag < connection.RelayFlagsEnd; flag <<= 1 {
+		h := connection.Relay{From: 3, Origin: 4, Upstream: 5, Flags: flag}
+		b := append(make([]byte, HeaderSize), "packet"...)
+		c.SealPacket(b, &h)
+		var m Message
+		must.Eq(t, result.OK, c.Open(b, &m))
+		must.Eq(t, flag, m.Header.Flags)
+	}
+}
+
 func TestOpenRefuses(t *testing.T) {
 	c := testCodec(1)
 	reseal := func(b []byte, change func(b []byte)) []byte {
