--- a/internal/connection/owner/receive.go
+++ b/internal/connection/owner/receive.go
@@ -51,10 +51,7 @@
 	p.doubt.Store(l.Doubt)
 	p.applied.Store(l.Applied)
 	e.mergeCounts(p, l)
-	if l.Synced > p.synced {
-		p.synced = l.Synced
-		e.purge(p)
-	}
+	p.synced = max(p.synced, l.Synced)
 }
 
 // mergeCounts replaces the counts that p reports.
--- a/internal/connection/owner/replicate.go
+++ b/internal/connection/owner/replicate.go
@@ -18,12 +18,13 @@
 type scan struct {
 	shard  int
 	done   bool
-	marked bool
+	marked bool // all that the scan found is queued and marked
+	final  bool // so is what predecessors handed over
 }
 
 // restart begins a scan if the step from old to w changes owners or bases.
 func (s *scan) restart(old, w *view) {
-	s.marked = false
+	s.marked, s.final = false, false
 	if s.done && old != nil && !changesReplication(old, w) {
 		return
 	}
@@ -142,12 +143,19 @@
 		e.events.push(item{hash: hash})
 		return true
 	}
-	if !h.confirmed && age > unconfirmedLife {
+	if !h.confirmed && age > unconfirmedLife || e.superseded(w, slot, h) {
 		return true
 	}
 	return e.scan.done && !e.concerns(w, slot)
 }
 
+// superseded reports whether the owner of the slot has confirmed all of its
+// exceptions and h is none of them.
+func (e *Engine) superseded(w *view, slot uint16, h held) bool {
+	owner := w.peers[w.owners.cur.Owner(slot)]
+	return owner != nil && h.from != owner.id && owner.synced == w.owners.epoch
+}
+
 // concerns reports whether this member must hold the exceptions of a slot.
 func (e *Engine) concerns(w *view, slot uint16) bool {
 	o := w.owners
@@ -157,43 +165,44 @@
 	return o.next != nil && (o.next.Owner(slot) == w.self || o.next.Standby(slot) == w.self)
 }
 
-// purge drops the exceptions of slots that p owns and that p has not confirmed
-// itself, once p holds all exceptions of the epoch.
-func (e *Engine) purge(p *peer) {
-	w := e.view.Load()
-	if w == nil || p.synced != w.owners.epoch {
-		return
-	}
-	for i := range heldShards {
-		e.held.sweep(i, func(hash uint64, h held) bool {
-			return h.from != p.id && w.owners.cur.Owner(placement.Slot(hash)) == p.id
-		})
-	}
-}
-
 // settle advances Settled.
 func (e *Engine) settle(w *view) {
 	if !e.scan.done {
 		return
 	}
 	if !e.scan.marked {
-		for _, r := range w.peers {
-			r.marker = r.out.queued
-		}
+		w.mark()
 		e.scan.marked = true
 	}
+	if e.settled >= w.version.Index || !e.tenureSettled() {
+		return
+	}
+	if !e.scan.final {
+		w.mark()
+		e.scan.final = true
+	}
 	for _, r := range w.peers {
 		if r.out.acked < r.marker {
 			return
 		}
 	}
-	if !e.handedOver() {
-		return
+	e.settled = w.version.Index
+}
+
+// mark makes settle and tenureFor wait for what is queued so far.
+func (w *view) mark() {
+	for _, r := range w.peers {
+		r.marker = r.out.queued
 	}
+}
+
+// tenureSettled reports whether this member has handed over what it gave up
+// and received what it took.
+func (e *Engine) tenureSettled() bool {
 	for _, p := range e.preds {
 		if !p.handed() {
-			return
+			return false
 		}
 	}
-	e.settled = w.version.Index
+	return e.handedOver()
 }
