Check engines against an oracle, and hand over all connections

Cause: stateful tests found connections that moved when a base advanced after a change of owners: the new owner did not know the base connections of the old one and could not replicate them as exceptions. Change: the old owner also sends the connections without an exception, paced; SettledBase tells when a base may advance. Connections of removed upstreams count for the SYN horizon. A doubt about a lost owner's opening packets goes along with the tenure.

--- a/internal/connection/owner/engine.go
+++ b/internal/connection/owner/engine.go
@@ -54,18 +54,21 @@
 	stats   stats
 
 	// The rest belongs to the control goroutine.
-	self      version.MemberID
-	counters  map[version.UpstreamID]*counter
-	peers     map[version.MemberID]*peer
-	preds     []*predecessor
-	handovers map[version.MemberID]*handover
-	tables    []cachedTable
-	scan      scan
-	report    report
-	spend     spend
-	settled   uint64
-	sweepAt   int
-	leaving   bool
+	self       version.MemberID
+	counters   map[version.UpstreamID]*counter
+	peers      map[version.MemberID]*peer
+	preds      []*predecessor
+	handovers  map[version.MemberID]*handover
+	tables     []cachedTable
+	scan       scan
+	report     report
+	spend      spend
+	settled    uint64
+	based      uint64        // see SettledBase
+	doubtUntil time.Duration // latest doubt of any slot
+	knownAt    time.Duration // when this member knows all connections of its slots
+	sweepAt    int
+	leaving    bool
 }
 
 // New returns an engine without a version.
@@ -186,7 +189,12 @@
 			return false
 		}
 	}
-	return e.handedOver() && e.settled >= w.version.Index
+	for _, h := range e.handovers {
+		if !h.complete {
+			return false
+		}
+	}
+	return e.settled >= w.version.Index
 }
 
 // handedOver reports whether every new owner has acknowledged its tenure.
@@ -204,6 +212,11 @@
 // that of its predecessors received.
 func (e *Engine) Settled() uint64 { return e.settled }
 
+// SettledBase returns the highest version index that is settled and under
+// which this member knows every connection of its slots. A base may advance
+// only then: the owner cannot replicate an exception that it does not know.
+func (e *Engine) SettledBase() uint64 { return e.based }
+
 // lost is called by the table, with a shard locked, for an entry that it drops.
 func (e *Engine) lost(ent *table.Entry, why table.Loss) {
 	w := e.view.Load()
--- a/internal/connection/owner/hint.go
+++ b/internal/connection/owner/hint.go
@@ -69,6 +69,7 @@
 // own counts an entry that this owner learned from another member and queues
 // its exception.
 func (e *Engine) own(hash uint64, ent *table.Entry, t *target, deviates bool) {
+	e.held.remove(hash)
 	ent.Flags |= table.Counted
 	t.counter.Add(1)
 	if deviates {
--- a/internal/connection/owner/message.go
+++ b/internal/connection/owner/message.go
@@ -28,6 +28,7 @@
 	Seq    uint64 `cbor:"1,keyasint"`
 	Items  []byte `cbor:"2,keyasint"` // see appendItem
 	Urgent bool   `cbor:"3,keyasint,omitempty"`
+	Index  uint64 `cbor:"4,keyasint"` // version index of the sender
 }
 
 // Ack acknowledges all batches up to Seq.
@@ -36,9 +37,17 @@
 }
 
 // Tenure hands over all slots that the sender owned before Epoch and does not
-// own under it. It is sent once all exceptions of those slots are acknowledged.
+// own under it. It is sent once all exceptions of those slots are acknowledged,
+// and again, as complete, once all their connections are.
 type Tenure struct {
-	Epoch uint64 `cbor:"1,keyasint"`
+	Epoch    uint64 `cbor:"1,keyasint"`
+	Complete bool   `cbor:"2,keyasint,omitempty"`
+	// Wait is the time in seconds for which the sender itself may still
+	// not know all connections of its slots.
+	Wait uint32 `cbor:"3,keyasint,omitempty"`
+	// Doubt is the time in seconds for which callers may retransmit opening
+	// packets that a lost owner has forwarded.
+	Doubt uint32 `cbor:"4,keyasint,omitempty"`
 }
 
 // Outbound is a message to send to a member.
--- a/internal/connection/owner/miss.go
+++ b/internal/connection/owner/miss.go
@@ -43,7 +43,7 @@
 	if !st.pred.handed() {
 		return true
 	}
-	return r.opening() && r.now < st.since+synHorizon
+	return r.opening() && r.now < st.since+synHorizon && !st.pred.finished()
 }
 
 // missAtOther handles a miss at a member that does not own the slot.
@@ -53,6 +53,9 @@
 		var flags connection.RelayFlags
 		if st.gave == owner.id {
 			flags = connection.RelayTenure
+			if r.now < st.doubtUntil {
+				flags |= connection.RelayDoubt
+			}
 		}
 		return e.relayTo(r, owner, flags)
 	}
@@ -77,12 +80,17 @@
 	if !e.lease.Load() {
 		return e.openPlainly(r, s)
 	}
-	if r.now < st.doubtUntil || st.pred != nil && r.now < st.since+synHorizon && !st.pred.alive(r.now) {
+	if r.now < st.doubt() || r.inDoubt() || st.pred != nil && !st.pred.finished() && r.now < st.since+synHorizon && !st.pred.alive(r.now) {
 		return e.openAfterLoss(r, s, st)
 	}
 	return e.open(r, s, st)
 }
 
+// inDoubt reports whether the previous owner relayed the packet with a doubt.
+func (r *request) inDoubt() bool {
+	return r.via != nil && r.via.Flags&connection.RelayDoubt != 0
+}
+
 // decideInDoubt decides although another member may decide about the same
 // connection.
 func (e *Engine) decideInDoubt(r *request, s *service) connection.Decision {
@@ -103,19 +111,16 @@
 		return connection.Decision{}, false
 	}
 	t := r.view.targets[h.upstream]
-	if t == nil || t.service != s {
-		if r.opening() || t != nil {
-			return connection.Decision{}, false
-		}
+	if t == nil && (!r.opening() || !s.idempotent && young(r.now, h.at)) {
 		return drop(result.DropUpstreamGone), true
 	}
+	if t == nil || t.service != s {
+		return connection.Decision{}, false
+	}
 	up, ok := e.store(r, t, table.Counted)
 	if !ok {
 		return e.forward(r, t.id, 0, 0), true
 	}
-	if r.owner() == r.view.self {
-		e.held.remove(r.hash)
-	}
 	return e.forward(r, up, 0, 0), true
 }
 
@@ -138,7 +143,7 @@
 // the base, so the base is the only safe choice while it takes connections.
 func (e *Engine) openAfterLoss(r *request, s *service, st *slotState) connection.Decision {
 	t := r.view.targets[s.first(r.bucket())]
-	if t != nil && (t.active || r.unmarked() && r.now < st.doubtUntil-synHorizon+unmarkedGrace) {
+	if t != nil && (t.active || r.unmarked() && r.now < st.doubt()-synHorizon+unmarkedGrace) {
 		return e.openAt(r, t)
 	}
 	recent := t == nil || t.counter.leftAt > r.now-synHorizon
@@ -208,6 +213,9 @@
 		ent.ISN = r.packet.Seq
 	}
 	ent.Epoch = r.view.owners.slots[r.slot].moved
+	if r.owner() == r.view.self {
+		e.held.remove(r.hash)
+	}
 	if r.packet.Marks&(connection.MarkFin|connection.MarkReset) != 0 {
 		ent.Flags = ent.Flags&^table.Counted | table.Closed
 	}
--- a/internal/connection/owner/ownership.go
+++ b/internal/connection/owner/ownership.go
@@ -28,6 +28,15 @@
 	pred       *predecessor     // owner before this member, while it is a member
 }
 
+// doubt returns the time until which opening packets of the slot may be
+// retransmissions of packets that a lost owner has forwarded.
+func (st *slotState) doubt() time.Duration {
+	if st.pred == nil {
+		return st.doubtUntil
+	}
+	return max(st.doubtUntil, time.Duration(st.pred.doubtUntil.Load()))
+}
+
 // predecessor is the member that owned slots before this one.
 type predecessor struct {
 	*peer
@@ -37,11 +46,15 @@
 // handed reports whether p has handed its tenure over.
 func (p *predecessor) handed() bool { return p.tenure.Load() >= p.epoch }
 
+// finished reports whether p has also sent all connections of its slots.
+func (p *predecessor) finished() bool { return p.complete.Load() >= p.epoch }
+
 // handover is the tenure that this member still has to hand to a new owner.
 type handover struct {
-	epoch  uint64
-	done   bool
-	sentAt time.Duration
+	epoch    uint64
+	done     bool // acknowledged
+	complete bool // acknowledged as complete
+	sentAt   time.Duration
 }
 
 // newOwnership derives the slot states for w from those before. It runs on the
@@ -62,7 +75,7 @@
 			o.slots[slot] = e.enterSlot(now, w, o, old, prev, uint16(slot))
 		}
 	}
-	o.dropLostPredecessors(now, w)
+	e.dropLostPredecessors(now, w, o)
 	return o
 }
 
@@ -96,6 +109,7 @@
 	case owner != w.self:
 		if held || before == w.self {
 			e.giveUp(&st, owner, o.epoch)
+			st.doubtUntil = old.doubtOf(slot)
 		}
 	case held:
 		st = old.slots[slot]
@@ -105,6 +119,13 @@
 	return st
 }
 
+func (o *ownership) doubtOf(slot uint16) time.Duration {
+	if o == nil {
+		return 0
+	}
+	return o.slots[slot].doubt()
+}
+
 // giveUp notes that a slot goes to a new owner.
 func (e *Engine) giveUp(st *slotState, owner version.MemberID, epoch uint64) {
 	if owner == 0 {
@@ -125,7 +146,7 @@
 	}
 	r := w.peers[before]
 	if r == nil {
-		st.doubtUntil = now + synHorizon
+		e.loseOwner(now, w, st)
 		return
 	}
 	st.pred = e.predecessor(r.peer, o.epoch)
@@ -143,16 +164,30 @@
 	return pred
 }
 
-// dropLostPredecessors puts the slots of predecessors that are no longer
-// members in doubt until retransmissions of opening packets have ended.
-func (o *ownership) dropLostPredecessors(now time.Duration, w *view) {
+// dropLostPredecessors notes the predecessors that are no longer members.
+func (e *Engine) dropLostPredecessors(now time.Duration, w *view, o *ownership) {
 	for slot := range o.slots {
 		st := &o.slots[slot]
 		if st.pred == nil || w.peers[st.pred.id] != nil {
 			continue
 		}
+		st.doubtUntil = st.doubt()
+		if !st.pred.finished() {
+			e.loseOwner(now, w, st)
+		}
 		st.pred = nil
-		st.doubtUntil = now + synHorizon
+	}
+}
+
+// loseOwner notes that the owner before this member was lost with what it
+// knew. The slot is in doubt until retransmissions of opening packets have
+// ended, and all connections are known when each of them has had to send a
+// packet.
+func (e *Engine) loseOwner(now time.Duration, w *view, st *slotState) {
+	st.doubtUntil = now + synHorizon
+	e.doubtUntil = st.doubtUntil
+	for i := range w.version.Services {
+		e.knownAt = max(e.knownAt, now+w.version.Services[i].IdleTimeout)
 	}
 }
 
--- a/internal/connection/owner/peer.go
+++ b/internal/connection/owner/peer.go
@@ -15,18 +15,21 @@
 	doubt      atomic.Bool  // it has lately decided without the owner
 	applied    atomic.Uint64
 	tenure     atomic.Uint64 // highest epoch for which it has handed its slots over
+	doubtUntil atomic.Int64  // until then, connections of owners before it may be in doubt
+	complete   atomic.Uint64 // highest epoch for which it has also sent all their connections
 
 	// The rest belongs to the control goroutine.
-	out      stream
-	in       uint64 // last batch applied
-	ackDue   bool
-	ackNow   bool
-	counts   map[version.UpstreamID]int32
-	loadSeq  uint64
-	synced   uint64 // owner epoch for which its exceptions are complete
-	member   bool   // it has been in a published version
-	marker   uint64 // items of out that Settled waits for
-	needFull bool   // the next load report to it must be complete
+	out       stream
+	in        uint64 // last batch applied
+	ackDue    bool
+	ackNow    bool
+	counts    map[version.UpstreamID]int32
+	loadSeq   uint64
+	synced    uint64 // owner epoch for which its exceptions are complete
+	member    bool   // it has been in a published version
+	marker    uint64 // items of out that Settled waits for
+	allMarker uint64 // items of out that a complete Tenure waits for
+	needFull  bool   // the next load report to it must be complete
 }
 
 // newPeer returns a peer that counts as heard now. It has made no decisions
--- a/internal/connection/owner/receive.go
+++ b/internal/connection/owner/receive.go
@@ -34,8 +34,8 @@
 		}
 	}
 	if m.Tenure != nil {
-		p.tenure.Store(max(p.tenure.Load(), m.Tenure.Epoch))
-		answer.TenureAck = &Tenure{m.Tenure.Epoch}
+		e.receiveTenure(now, p, m.Tenure)
+		answer.TenureAck = &Tenure{Epoch: m.Tenure.Epoch, Complete: m.Tenure.Complete}
 	}
 	if answer == (Message{}) {
 		return nil
@@ -49,7 +49,7 @@
 	}
 	p.loadSeq = l.Seq
 	p.doubt.Store(l.Doubt)
-	p.applied.Store(l.Applied)
+	p.applied.Store(max(p.applied.Load(), l.Applied))
 	e.mergeCounts(p, l)
 	p.synced = max(p.synced, l.Synced)
 }
@@ -88,6 +88,7 @@
 // is ignored; its sender repeats it.
 func (e *Engine) receiveExceptions(now time.Duration, p *peer, x *Exceptions) {
 	p.ackDue = true
+	p.applied.Store(max(p.applied.Load(), x.Index))
 	if x.Seq != p.in+1 {
 		return
 	}
@@ -113,9 +114,23 @@
 	}
 }
 
+func (e *Engine) receiveTenure(now time.Duration, p *peer, t *Tenure) {
+	if t.Doubt > 0 {
+		e.doubtUntil = max(e.doubtUntil, now+time.Duration(t.Doubt)*time.Second)
+		p.doubtUntil.Store(int64(e.doubtUntil))
+	}
+	p.tenure.Store(max(p.tenure.Load(), t.Epoch))
+	if t.Complete && t.Epoch > p.complete.Load() {
+		p.complete.Store(t.Epoch)
+		e.knownAt = max(e.knownAt, now+time.Duration(t.Wait)*time.Second)
+	}
+}
+
 func (e *Engine) receiveTenureAck(p *peer, t *Tenure) {
 	h := e.handovers[p.id]
-	if h != nil && h.epoch <= t.Epoch {
-		h.done = true
+	if h == nil || t.Epoch < h.epoch {
+		return
 	}
+	h.done = true
+	h.complete = h.complete || t.Complete
 }
--- a/internal/connection/owner/replicate.go
+++ b/internal/connection/owner/replicate.go
@@ -20,6 +20,10 @@
 	done   bool
 	marked bool // all that the scan found is queued and marked
 	final  bool // so is what predecessors handed over
+	// The connections without an exception of slots that were given up
+	// follow, at the pace of the byte budget.
+	allShard int
+	sentAll  bool
 }
 
 // restart begins a scan if the step from old to w changes owners or bases.
@@ -29,6 +33,7 @@
 		return
 	}
 	s.shard, s.done = 0, false
+	s.allShard, s.sentAll = 0, false
 }
 
 func changesReplication(old, w *view) bool {
@@ -46,12 +51,15 @@
 }
 
 // scanStep advances the scan.
-func (e *Engine) scanStep(w *view) {
+func (e *Engine) scanStep(now time.Duration, w *view) {
 	if e.scan.done {
 		return
 	}
+	if e.scan.shard == 0 {
+		e.pruneShadows(w)
+	}
 	for range scanShards {
-		e.table.Scan(e.scan.shard, func(ent *table.Entry) { e.scanEntry(w, ent) })
+		e.table.Scan(e.scan.shard, func(ent *table.Entry) { e.scanEntry(now, w, ent) })
 		e.scan.shard++
 	}
 	if e.scan.shard < table.ShardCount {
@@ -59,24 +67,106 @@
 	}
 	for i := range heldShards {
 		e.held.sweep(i, func(hash uint64, h held) bool {
-			e.replicate(w, item{hash, h.upstream})
+			e.scanHeld(now, w, hash, h)
 			return false
 		})
 	}
 	e.scan.done = true
 }
 
+// pruneShadows forgets what members hold for slots of which they are no longer
+// replicas: they drop it without a message.
+func (e *Engine) pruneShadows(w *view) {
+	for id, r := range w.peers {
+		for hash := range r.out.shadow {
+			if replicas := w.replicas(placement.Slot(hash)); !slices.Contains(replicas[:], id) {
+				delete(r.out.shadow, hash)
+			}
+		}
+	}
+}
+
+func (e *Engine) scanHeld(now time.Duration, w *view, hash uint64, h held) {
+	t := w.targets[h.upstream]
+	switch {
+	case t == nil && !young(now, h.at):
+	case t == nil || t.service.deviates(t.id, placement.Bucket(hash)):
+		e.replicate(w, item{hash, h.upstream})
+	}
+}
+
+// young reports whether the opening packet of a connection may still be
+// retransmitted. Until then, the connection counts even if its upstream is
+// gone, so that no second upstream gets the packet.
+func young(now time.Duration, at table.Time) bool {
+	return now-time.Duration(at)*table.Unit < synHorizon
+}
+
+// sendAllAhead bounds the items queued for a new owner beyond its exceptions,
+// which would otherwise wait behind them.
+const sendAllAhead = 200
+
+// sendAllStep queues all connections of slots that were given up for their new
+// owners, a shard at a time.
+func (e *Engine) sendAllStep(now time.Duration, w *view) {
+	if !e.scan.marked || e.scan.sentAll {
+		return
+	}
+	for e.scan.allShard < table.ShardCount && len(e.handovers) > 0 {
+		if !e.handoversIdle(w) {
+			return
+		}
+		e.table.Scan(e.scan.allShard, func(ent *table.Entry) {
+			if ent.Flags&table.Closed == 0 {
+				e.sendGiven(now, w, item{ent.Hash, ent.Upstream}, ent.Seen)
+			}
+		})
+		e.scan.allShard++
+	}
+	for i := range heldShards {
+		e.held.sweep(i, func(hash uint64, h held) bool {
+			e.sendGiven(now, w, item{hash, h.upstream}, h.at)
+			return false
+		})
+	}
+	for _, r := range w.peers {
+		r.allMarker = r.out.queued
+	}
+	e.scan.sentAll = true
+}
+
+// handoversIdle reports whether the queues to all new owners are short.
+func (e *Engine) handoversIdle(w *view) bool {
+	for id := range e.handovers {
+		if r := w.peers[id]; r != nil && len(r.out.queue) > sendAllAhead {
+			return false
+		}
+	}
+	return true
+}
+
+func (e *Engine) sendGiven(now time.Duration, w *view, it item, at table.Time) {
+	gave := w.owners.slots[placement.Slot(it.hash)].gave
+	if r := w.peers[gave]; r != nil && (w.targets[it.upstream] != nil || young(now, at)) {
+		r.out.set(it.hash, it.upstream)
+	}
+}
+
 // scanEntry brings one entry in line with the view: whether it is counted,
 // whether it is at the base, and which replicas hold it.
-func (e *Engine) scanEntry(w *view, ent *table.Entry) {
+func (e *Engine) scanEntry(now time.Duration, w *view, ent *table.Entry) {
 	t := w.targets[ent.Upstream]
 	if t == nil {
+		if young(now, ent.Seen) {
+			e.replicate(w, item{ent.Hash, ent.Upstream})
+		}
 		return
 	}
 	slot := placement.Slot(ent.Hash)
 	owned := w.owners.cur.Owner(slot) == w.self
 	switch {
 	case !owned:
+		e.reportAlone(w, ent)
 		e.stopCounting(w, ent)
 	case ent.Flags&(table.Counted|table.Closed) == 0:
 		ent.Flags |= table.Counted
@@ -90,6 +180,18 @@
 	e.replicate(w, item{ent.Hash, t.id})
 }
 
+// reportAlone tells the owner of a connection that this member opened without
+// it.
+func (e *Engine) reportAlone(w *view, ent *table.Entry) {
+	slot := placement.Slot(ent.Hash)
+	if ent.Flags&(table.Counted|table.Assumed) != table.Counted || w.owners.slots[slot].gave != 0 {
+		return
+	}
+	if r := w.peers[w.owners.cur.Owner(slot)]; r != nil {
+		r.out.set(ent.Hash, ent.Upstream)
+	}
+}
+
 // replicas returns the members that must hold the exceptions of a slot.
 func (w *view) replicas(slot uint16) [3]version.MemberID {
 	o := w.owners
@@ -133,7 +235,7 @@
 	age := now - time.Duration(h.at)*table.Unit
 	t := w.targets[h.upstream]
 	if t == nil {
-		return h.upstream <= w.newest
+		return h.upstream <= w.newest && !young(now, h.at)
 	}
 	slot := placement.Slot(hash)
 	if w.owners.cur.Owner(slot) == w.self {
@@ -146,7 +248,18 @@
 	if !h.confirmed && age > unconfirmedLife || e.superseded(w, slot, h) {
 		return true
 	}
-	return e.scan.done && !e.concerns(w, slot)
+	return e.scan.done && !e.concerns(w, slot) && !e.behind(w)
+}
+
+// behind reports whether a peer has applied a newer version. Under that, this
+// member may be a replica of more slots.
+func (e *Engine) behind(w *view) bool {
+	for _, p := range e.peers {
+		if p.applied.Load() > w.version.Index {
+			return true
+		}
+	}
+	return false
 }
 
 // superseded reports whether the owner of the slot has confirmed all of its
@@ -166,7 +279,7 @@
 }
 
 // settle advances Settled.
-func (e *Engine) settle(w *view) {
+func (e *Engine) settle(now time.Duration, w *view) {
 	if !e.scan.done {
 		return
 	}
@@ -174,9 +287,16 @@
 		w.mark()
 		e.scan.marked = true
 	}
-	if e.settled >= w.version.Index || !e.tenureSettled() {
-		return
+	if e.settled < w.version.Index && e.tenureSettled() {
+		e.settleExceptions(w)
+	}
+	if e.settled == w.version.Index && now >= e.knownAt && e.allKnown() {
+		e.based = e.settled
 	}
+}
+
+// settleExceptions advances Settled once all that was queued is acknowledged.
+func (e *Engine) settleExceptions(w *view) {
 	if !e.scan.final {
 		w.mark()
 		e.scan.final = true
@@ -189,6 +309,16 @@
 	e.settled = w.version.Index
 }
 
+// allKnown reports whether predecessors have sent all their connections.
+func (e *Engine) allKnown() bool {
+	for _, p := range e.preds {
+		if !p.finished() {
+			return false
+		}
+	}
+	return true
+}
+
 // mark makes settle and tenureFor wait for what is queued so far.
 func (w *view) mark() {
 	for _, r := range w.peers {
--- /dev/null
+++ b/internal/connection/owner/stateful_test.go
@@ -0,0 +1,465 @@
+package owner_test
+
+import (
+	"flag"
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"heatherport/internal/connection"
+	"heatherport/internal/connection/flow"
+	"heatherport/internal/measure/fleet"
+	"heatherport/internal/version"
+)
+
+// TestMain fixes the seed, so that CI runs the same histories each time.
+func TestMain(m *testing.M) {
+	seed := flag.Lookup("rapid.seed")
+	flag.Parse()
+	if seed != nil && seed.Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "20261204")
+	}
+	os.Exit(m.Run())
+}
+
+// conn is what the oracle knows of one connection.
+type conn struct {
+	key      flow.Key
+	isn      uint32
+	service  version.ServiceID
+	upstream version.UpstreamID // at which it began
+	opened   map[version.UpstreamID]bool
+	at       time.Duration // of the first opening packet
+	refused  bool
+	closed   bool
+	moved    bool
+	log      []string
+}
+
+// model drives a fleet and checks every decision against the oracle.
+type model struct {
+	*fleet.Fleet
+	t        *rapid.T
+	services []version.ServiceID
+	conns    []*conn
+	byKey    map[flow.Key]*conn
+	left     map[version.UpstreamID]time.Duration // when all members had applied that it takes no new connections
+	kills    int
+	cuts     bool // a partition has happened
+	loss     bool
+	next     uint64
+	failure  string
+}
+
+const (
+	nonIdempotent = 0
+	historyLines  = 40
+	idleTimeout   = 10 * time.Minute
+	synHorizon    = 60 * time.Second // in which callers retransmit
+)
+
+func newModel(t *rapid.T, faults bool) *model {
+	cfg := fleet.Config{
+		Seed:   rapid.Uint64().Draw(t, "seed"),
+		Delay:  time.Millisecond,
+		Jitter: time.Duration(rapid.IntRange(0, 20).Draw(t, "jitter")) * time.Millisecond,
+		Lag:    time.Duration(rapid.IntRange(0, 800).Draw(t, "lag")) * time.Millisecond,
+		Skew:   time.Duration(rapid.IntRange(0, 100).Draw(t, "skew")) * time.Second,
+	}
+	if faults {
+		cfg.Loss = float64(rapid.IntRange(0, 10).Draw(t, "loss")) / 100
+		cfg.Repeat = float64(rapid.IntRange(0, 10).Draw(t, "repeat")) / 100
+	}
+	m := &model{
+		Fleet: fleet.New(cfg), t: t, loss: cfg.Loss > 0,
+		byKey: make(map[flow.Key]*conn), left: make(map[version.UpstreamID]time.Duration),
+	}
+	m.OnPacket = m.check
+	m.OnDecision = m.note
+	for i := range 2 {
+		id := m.Leader.AddService(i != nonIdempotent, idleTimeout)
+		m.services = append(m.services, id)
+		for range 4 {
+			m.Leader.AddUpstream(id, 2, 0, netip.AddrPort{})
+		}
+	}
+	for range 4 {
+		m.Leader.Join(m.Start())
+	}
+	m.Leader.Begin()
+	m.Run(3 * time.Second)
+	return m
+}
+
+// note keeps the last decisions about a connection for reports.
+func (m *model) note(n *fleet.Node, p *connection.Packet, via *connection.Relay, d *connection.Decision) {
+	c := m.byKey[p.Key]
+	line := fmt.Sprintf("%v member %d marks %d:", m.Now, n.ID, p.Marks)
+	if via != nil {
+		line += fmt.Sprintf(" from %d flags %d,", via.From, via.Flags)
+	}
+	line += fmt.Sprintf(" action %d code %d upstream %d peer %d", d.Action, d.Code, d.Upstream, d.Peer)
+	x := n.Engine.Explain(m.Now, p.Key)
+	line += fmt.Sprintf(" (version %d owner %d standby %d base %d held %d)", n.Applied.Index, x.Owner, x.Standby, x.Base, x.Held)
+	c.log = append(c.log, line)
+}
+
+// failConn reports a violation with the history of the connection.
+func (m *model) failConn(c *conn, format string, args ...any) {
+	history := strings.Join(c.log[max(len(c.log)-historyLines, 0):], "\n  ")
+	m.fail("%s\n  %s", fmt.Sprintf(format, args...), history)
+}
+
+func (m *model) fail(format string, args ...any) {
+	if m.failure == "" {
+		m.failure = fmt.Sprintf("%v: %s", m.Now, fmt.Sprintf(format, args...))
+	}
+}
+
+// check compares one decision with the oracle.
+func (m *model) check(n *fleet.Node, p *connection.Packet, d *connection.Decision) {
+	c := m.byKey[p.Key]
+	opening := p.Marks&connection.MarkOpen != 0
+	switch d.Action {
+	case connection.Refuse:
+		c.refused = true
+		if len(c.opened) > 0 {
+			m.failConn(c, "member %d refused %v after a forward", n.ID, p.Key.Caller())
+		}
+	case connection.Forward:
+		m.checkService(n, c, d)
+		if opening {
+			m.checkOpening(n, c, d)
+		} else if c.upstream != d.Upstream {
+			m.moved(n, c, d.Upstream)
+		}
+	case connection.Drop:
+		if !opening && c.upstream != 0 && !c.closed && fleet.Rejected(d) && m.Leader.Upstream(c.upstream) != nil {
+			m.moved(n, c, 0)
+		}
+	}
+}
+
+func (m *model) checkService(n *fleet.Node, c *conn, d *connection.Decision) {
+	u := n.Applied.UpstreamByID(d.Upstream)
+	if u == nil || u.Service != c.service || u.Addr != d.Addr {
+		m.failConn(c, "member %d sent a packet of service %d to upstream %d at %v", n.ID, c.service, d.Upstream, d.Addr)
+	}
+}
+
+func (m *model) checkOpening(n *fleet.Node, c *conn, d *connection.Decision) {
+	if c.upstream == 0 {
+		c.upstream = d.Upstream
+		if at, gone := m.left[d.Upstream]; gone && m.Now > at+time.Second && !m.cuts {
+			m.failConn(c, "member %d opened %v at leaving upstream %d", n.ID, c.key.Caller(), d.Upstream)
+		}
+	}
+	c.opened[d.Upstream] = true
+	if len(c.opened) > 1 && c.service == m.services[nonIdempotent] {
+		m.failConn(c, "member %d sent the first packet of %v to a second upstream: %v", n.ID, c.key.Caller(), c.opened)
+	}
+	if len(c.opened) > 1 {
+		m.moved(n, c, d.Upstream)
+	}
+}
+
+// moved notes that a connection has lost its upstream. Planned changes and the
+// loss of one member must not do that.
+func (m *model) moved(n *fleet.Node, c *conn, to version.UpstreamID) {
+	c.moved = true
+	if m.kills <= 1 && !m.cuts {
+		m.failConn(c, "member %d moved %v from %d to %d", n.ID, c.key.Caller(), c.upstream, to)
+	}
+}
+
+// Check is run by rapid after every operation.
+func (m *model) Check(t *rapid.T) {
+	for id := range m.left {
+		if u := m.Leader.Upstream(id); u == nil || u.State <= version.Joining {
+			delete(m.left, id)
+		}
+	}
+	if m.failure != "" {
+		t.Fatal(m.failure)
+	}
+}
+
+func (m *model) member(label string) *fleet.Node {
+	up := m.Running()
+	return up[rapid.IntRange(0, len(up)-1).Draw(m.t, label)]
+}
+
+func (m *model) open(t *rapid.T) {
+	m.next++
+	s := rapid.SampledFrom(m.services).Draw(t, "service")
+	c := &conn{
+		key: fleet.Key(m.Leader.Service(s).Key, m.next), isn: uint32(m.next), at: m.Now,
+		service: s, opened: make(map[version.UpstreamID]bool),
+	}
+	m.conns = append(m.conns, c)
+	m.byKey[c.key] = c
+	m.sendOpening(c)
+	m.Run(time.Duration(rapid.IntRange(0, 50).Draw(t, "ms")) * time.Millisecond)
+}
+
+func (m *model) sendOpening(c *conn) {
+	m.Send(m.member("at"), connection.Packet{Key: c.key, Marks: connection.MarkOpen, Seq: c.isn})
+}
+
+// openMany opens enough connections to make choices deviate from the hash.
+func (m *model) openMany(t *rapid.T) {
+	for range rapid.IntRange(5, 30).Draw(t, "count") {
+		m.open(t)
+	}
+}
+
+func (m *model) conn(t *rapid.T) *conn {
+	if len(m.conns) == 0 {
+		t.Skip("no connections")
+	}
+	return m.conns[rapid.IntRange(0, len(m.conns)-1).Draw(t, "connection")]
+}
+
+func (m *model) retransmit(t *rapid.T) {
+	c := m.conn(t)
+	if c.closed || c.refused || m.Now > c.at+synHorizon {
+		t.Skip("ended")
+	}
+	m.sendOpening(c)
+	m.Run(20 * time.Millisecond)
+}
+
+// packets sends later packets of a connection to several members.
+func (m *model) packets(t *rapid.T) {
+	c := m.conn(t)
+	if !m.alive(c) {
+		t.Skip("ended")
+	}
+	for range rapid.IntRange(1, 5).Draw(t, "count") {
+		m.Send(m.member("at"), connection.Packet{Key: c.key, Marks: connection.MarkLater})
+		m.Run(10 * time.Millisecond)
+	}
+}
+
+func (m *model) alive(c *conn) bool {
+	return c.upstream != 0 && !c.closed && !c.moved && m.Leader.Upstream(c.upstream) != nil
+}
+
+func (m *model) closeConn(t *rapid.T) {
+	c := m.conn(t)
+	if !m.alive(c) {
+		t.Skip("ended")
+	}
+	c.closed = true
+	m.Send(m.member("at"), connection.Packet{Key: c.key, Marks: connection.MarkLater | connection.MarkFin})
+	m.Run(20 * time.Millisecond)
+}
+
+func (m *model) wait(t *rapid.T) {
+	m.Run(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+}
+
+func (m *model) joinUpstream(t *rapid.T) {
+	s := rapid.SampledFrom(m.services).Draw(t, "service")
+	if len(m.Leader.Upstreams(s, version.Active)) >= 8 {
+		t.Skip("enough upstreams")
+	}
+	m.Leader.AddUpstream(s, uint32(rapid.IntRange(1, 3).Draw(t, "slots")), 0, netip.AddrPort{})
+}
+
+// stopUpstream makes an upstream leave or pause.
+func (m *model) stopUpstream(t *rapid.T) {
+	s := rapid.SampledFrom(m.services).Draw(t, "service")
+	active := m.Leader.Upstreams(s, version.Active)
+	if len(active) < 2 {
+		t.Skip("last upstream")
+	}
+	id := rapid.SampledFrom(active).Draw(t, "upstream")
+	m.Leader.SetState(id, rapid.SampledFrom([]version.UpstreamState{version.Leaving, version.Paused}).Draw(t, "state"))
+	m.watchLeft(id)
+}
+
+// watchLeft notes when every member has applied that id takes no connections.
+func (m *model) watchLeft(id version.UpstreamID) {
+	m.After(100*time.Millisecond, func() {
+		u := m.Leader.Upstream(id)
+		if u == nil || u.State <= version.Joining {
+			return
+		}
+		for _, n := range m.Running() {
+			if n.Applied == nil {
+				continue
+			}
+			if a := n.Applied.UpstreamByID(id); a == nil || a.State <= version.Joining {
+				m.watchLeft(id)
+				return
+			}
+		}
+		m.left[id] = m.Now
+	})
+}
+
+func (m *model) resumeUpstream(t *rapid.T) {
+	s := rapid.SampledFrom(m.services).Draw(t, "service")
+	paused := m.Leader.Upstreams(s, version.Paused)
+	if len(paused) == 0 {
+		t.Skip("none paused")
+	}
+	m.Leader.SetState(rapid.SampledFrom(paused).Draw(t, "upstream"), version.Active)
+}
+
+// takeOver gives the address of a leaving upstream to one of another service,
+// or to a new incarnation of the same one.
+func (m *model) takeOver(t *rapid.T) {
+	from := rapid.SampledFrom(m.services).Draw(t, "service")
+	leaving := m.Leader.Upstreams(from, version.Leaving)
+	if len(leaving) == 0 {
+		t.Skip("none leaving")
+	}
+	old := *m.Leader.Upstream(leaving[0])
+	m.Leader.RemoveUpstream(old.ID)
+	m.Leader.AddUpstream(rapid.SampledFrom(m.services).Draw(t, "new service"), 2, 0, old.Addr)
+}
+
+func (m *model) joinMember(t *rapid.T) {
+	if len(m.Running()) >= 7 {
+		t.Skip("enough members")
+	}
+	n := m.Start()
+	m.Leader.Join(n)
+	m.waitApplied(n)
+}
+
+// waitApplied keeps callers' packets off a new member until it is ready.
+func (m *model) waitApplied(n *fleet.Node) {
+	for range 20 {
+		if n.Applied != nil {
+			return
+		}
+		m.Run(200 * time.Millisecond)
+	}
+}
+
+// stopMember stops a member gracefully and waits until it has drained.
+func (m *model) stopMember(t *rapid.T) {
+	if len(m.Running()) <= 3 {
+		t.Skip("too few members")
+	}
+	n := m.member("member")
+	m.Leader.Leave(n)
+	wait := rapid.Bool().Draw(t, "wait")
+	stop := func() {}
+	stop = func() {
+		if n.Up && n.Engine.Drained() {
+			m.Fleet.Kill(n)
+			return
+		}
+		m.After(300*time.Millisecond, stop)
+	}
+	m.After(300*time.Millisecond, stop)
+	if wait {
+		m.Run(10 * time.Second)
+	}
+}
+
+// killMember stops a member without notice and waits for the take-over.
+func (m *model) killMember(t *rapid.T) {
+	if len(m.Running()) <= 3 {
+		t.Skip("too few members")
+	}
+	m.kills++
+	m.Fleet.Kill(m.member("member"))
+}
+
+func (m *model) partition(t *rapid.T) {
+	up := m.Running()
+	m.cuts = true
+	side := rapid.IntRange(1, len(up)-1).Draw(t, "size")
+	oneWay := rapid.Bool().Draw(t, "one way")
+	for _, a := range up[:side] {
+		for _, b := range up[side:] {
+			m.Cut(a, b)
+			if !oneWay {
+				m.Cut(b, a)
+			}
+		}
+		if !oneWay {
+			m.CutLeader(a)
+		}
+	}
+}
+
+func (m *model) heal(*rapid.T) { m.Heal() }
+
+// quiet ends all faults, lets the fleet settle and checks that all members
+// agree on every live connection.
+func (m *model) quiet() {
+	m.Heal()
+	m.Run(45 * time.Second)
+	for _, c := range m.conns {
+		if !m.alive(c) {
+			continue
+		}
+		for _, n := range m.Running() {
+			m.Send(n, connection.Packet{Key: c.key, Marks: connection.MarkLater})
+		}
+		m.Run(30 * time.Millisecond)
+	}
+}
+
+func (m *model) planned() map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"open": m.open, "openMany": m.openMany, "retransmit": m.retransmit, "packets": m.packets,
+		"packets again": m.packets, "close": m.closeConn, "wait": m.wait,
+		"joinUpstream": m.joinUpstream, "stopUpstream": m.stopUpstream, "resumeUpstream": m.resumeUpstream,
+		"takeOver": m.takeOver, "joinMember": m.joinMember, "stopMember": m.stopMember,
+		"": m.Check,
+	}
+}
+
+func TestPlannedChangesMoveNoConnection(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t, false)
+		t.Repeat(m.planned())
+		m.quiet()
+		m.Check(t)
+	})
+}
+
+func TestPlannedChangesOverLossyLinks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t, true)
+		t.Repeat(m.planned())
+		m.quiet()
+		m.Check(t)
+	})
+}
+
+func TestKilledMembers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t, false)
+		actions := m.planned()
+		actions["killMember"] = m.killMember
+		t.Repeat(actions)
+		m.quiet()
+		m.Check(t)
+	})
+}
+
+func TestPartitions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t, true)
+		actions := m.planned()
+		actions["killMember"] = m.killMember
+		actions["partition"] = m.partition
+		actions["heal"] = m.heal
+		t.Repeat(actions)
+		m.quiet()
+		m.Check(t)
+	})
+}
--- a/internal/connection/owner/tick.go
+++ b/internal/connection/owner/tick.go
@@ -34,10 +34,11 @@
 	e.events.drain(func(it item) {
 		e.spend.steady += e.replicate(w, it) * itemBytes
 	})
-	e.scanStep(w)
+	e.scanStep(now, w)
+	e.sendAllStep(now, w)
 	e.heldStep(now, w)
 	e.adapt(now)
-	e.settle(w)
+	e.settle(now, w)
 	return e.collect(now, w)
 }
 
@@ -62,7 +63,7 @@
 // urgent reports whether the leader may be waiting for this member.
 func (e *Engine) urgent() bool {
 	w := e.view.Load()
-	return w != nil && e.settled < w.version.Index
+	return w != nil && (e.settled < w.version.Index || !e.scan.sentAll)
 }
 
 // collect builds the messages of one tick.
@@ -102,7 +103,7 @@
 		}
 		e.spend.tokens -= float64(len(b.items))
 		e.spend.sent += uint64(len(b.items))
-		m.Exceptions = &Exceptions{Seq: b.seq, Items: b.items, Urgent: urgent}
+		m.Exceptions = &Exceptions{Seq: b.seq, Items: b.items, Urgent: urgent, Index: w.version.Index}
 		out = append(out, Outbound{p.id, m})
 		m = Message{}
 	}
@@ -115,14 +116,23 @@
 // tenureFor returns the handover to send to p now, or nil.
 func (e *Engine) tenureFor(now time.Duration, p *peer) *Tenure {
 	h := e.handovers[p.id]
-	if h == nil || h.done || !e.scan.marked || p.out.acked < p.marker {
+	if h == nil || h.complete || !e.scan.marked || p.out.acked < p.marker {
 		return nil
 	}
-	if h.sentAt != 0 && now-h.sentAt < resendUrgent {
+	complete := e.scan.sentAll && p.out.acked >= p.allMarker
+	if h.done && !complete || h.sentAt != 0 && now-h.sentAt < resendUrgent {
 		return nil
 	}
 	h.sentAt = now
-	return &Tenure{h.epoch}
+	return &Tenure{
+		Epoch: h.epoch, Complete: complete,
+		Wait:  secondsUntil(now, e.knownAt),
+		Doubt: secondsUntil(now, e.doubtUntil),
+	}
+}
+
+func secondsUntil(now, at time.Duration) uint32 {
+	return uint32((max(at-now, 0) + time.Second - 1) / time.Second)
 }
 
 // report is the state of the periodic load reports.
--- a/internal/connection/packet.go
+++ b/internal/connection/packet.go
@@ -50,6 +50,9 @@
 	// RelayAssumed, with RelayRefresh: the sender has Upstream from the
 	// base and not from an opening packet.
 	RelayAssumed
+	// RelayDoubt, with RelayTenure: an earlier owner of the slot was lost,
+	// and the opening packet may be a retransmission.
+	RelayDoubt
 )
 
 // Relay is the header of a packet relayed between balancers.
--- a/internal/measure/fleet/fleet.go
+++ b/internal/measure/fleet/fleet.go
@@ -41,6 +41,9 @@
 	// OnPacket is called for every final decision about a caller's packet.
 	OnPacket func(n *Node, p *connection.Packet, d *connection.Decision)
 
+	// OnDecision is called for every decision, relays included.
+	OnDecision func(n *Node, p *connection.Packet, via *connection.Relay, d *connection.Decision)
+
 	// Counters of the run.
 	Packets, Relays, Records, Refreshes, Hints uint64
 
@@ -229,6 +232,9 @@
 
 func (f *Fleet) handle(n *Node, p *connection.Packet, via *connection.Relay) {
 	d := n.Engine.Decide(f.clock(n), p, via)
+	if f.OnDecision != nil {
+		f.OnDecision(n, p, via, &d)
+	}
 	f.sideEffects(n, p, &d)
 	if d.Action != connection.RelayTo {
 		if f.OnPacket != nil {
--- a/internal/measure/fleet/leader.go
+++ b/internal/measure/fleet/leader.go
@@ -26,6 +26,7 @@
 	nextUp   version.UpstreamID
 	baseAt   uint64 // index that prepared a base; zero when none is
 	ownersAt uint64 // index that prepared owners; zero when none is
+	epochAt  uint64 // index that changed owners last
 	dirty    bool
 	// HoldBase keeps the leader from preparing bases.
 	HoldBase bool
@@ -202,7 +203,7 @@
 		Previous: l.owners.Current,
 		Current:  slices.DeleteFunc(slices.Clone(l.owners.Current), lost),
 	}
-	l.ownersAt = 0
+	l.ownersAt, l.epochAt = 0, l.Index+1
 }
 
 func (l *Leader) isMember(id version.MemberID) bool {
@@ -229,11 +230,21 @@
 	return true
 }
 
+// settledBase reports whether every member lets a base advance.
+func (l *Leader) settledBase(index uint64) bool {
+	for _, m := range l.members {
+		if !m.node.Up || m.node.Engine.SettledBase() < index {
+			return false
+		}
+	}
+	return true
+}
+
 // moveBase prepares the current rankings as the next bases and advances the
 // bases once all members have settled.
 func (l *Leader) moveBase() {
 	if l.baseAt != 0 {
-		if !l.settled(l.baseAt) {
+		if !l.settledBase(max(l.baseAt, l.epochAt)) {
 			return
 		}
 		for i := range l.services {
@@ -263,11 +274,11 @@
 			return
 		}
 		l.owners = version.Owners{Epoch: l.owners.Epoch + 1, Current: l.owners.Next, Previous: l.owners.Current}
-		l.ownersAt, l.dirty = 0, true
+		l.ownersAt, l.epochAt, l.dirty = 0, l.Index+1, true
 		return
 	}
 	want := l.wanted()
-	if l.baseAt != 0 || len(want) == 0 || slices.Equal(want, l.owners.Current) || !l.settled(l.Index) {
+	if len(want) == 0 || slices.Equal(want, l.owners.Current) || !l.settled(l.Index) {
 		return
 	}
 	l.owners.Next = want
