Finish handovers across owner epochs

Cause: a second change of owners could begin before the first had sent all connections, and an exception from two senders lost the name of the owner. Change: handovers continue over epochs, a member hands over only what it has received in full, and a received exception keeps both senders.

--- a/internal/connection/owner/choose.go
+++ b/internal/connection/owner/choose.go
@@ -193,7 +193,7 @@
 		return drop(result.DropServiceMismatch)
 	}
 	if h, ok := e.held.get(r.hash); !ok || !h.confirmed || h.upstream != t.id {
-		e.held.put(r.hash, held{t.id, r.via.From, table.At(r.now), false})
+		e.held.put(r.hash, held{upstream: t.id, from: r.via.From, at: table.At(r.now)})
 	}
 	e.lend(r.now, r.view, &r.packet.Key, r.hash, t, r.packet.Seq, 0)
 	return e.forward(r, t.id, r.packet.Seq, 0)
--- a/internal/connection/owner/engine.go
+++ b/internal/connection/owner/engine.go
@@ -230,7 +230,7 @@
 		return
 	}
 	if why == table.Evicted {
-		e.held.put(ent.Hash, held{ent.Upstream, w.self, ent.Seen, true})
+		e.held.put(ent.Hash, held{upstream: ent.Upstream, from: w.self, at: ent.Seen, confirmed: true})
 		return
 	}
 	e.events.push(item{hash: ent.Hash})
--- a/internal/connection/owner/exceptions.go
+++ b/internal/connection/owner/exceptions.go
@@ -12,6 +12,7 @@
 type held struct {
 	upstream  version.UpstreamID
 	from      version.MemberID
+	also      version.MemberID // another member that sent the same
 	at        table.Time
 	confirmed bool // came in a batch, so its removal will come in one too
 }
@@ -61,11 +62,24 @@
 	s.mu.Unlock()
 }
 
+// receive stores what a member sent. While ownership changes, the old and the
+// new owner may both send the same.
+func (x *exceptions) receive(hash uint64, h held) {
+	s := x.shard(hash)
+	s.mu.Lock()
+	old := s.m[hash]
+	if old.upstream == h.upstream && old.from != h.from {
+		h.also = old.from
+	}
+	s.m[hash] = h
+	s.mu.Unlock()
+}
+
 // removeFrom deletes the exception of hash if it came from the member.
 func (x *exceptions) removeFrom(hash uint64, from version.MemberID) {
 	s := x.shard(hash)
 	s.mu.Lock()
-	if s.m[hash].from == from {
+	if h := s.m[hash]; h.from == from || h.also == from {
 		delete(s.m, hash)
 	}
 	s.mu.Unlock()
--- a/internal/connection/owner/ownership.go
+++ b/internal/connection/owner/ownership.go
@@ -70,7 +70,7 @@
 	if old != nil && old.epoch == o.epoch {
 		o.slots = old.slots
 	} else {
-		e.dropHandovers(own.Epoch)
+		e.dropHandovers()
 		for slot := range o.slots {
 			o.slots[slot] = e.enterSlot(now, w, o, old, prev, uint16(slot))
 		}
@@ -110,6 +110,8 @@
 		if held || before == w.self {
 			e.giveUp(&st, owner, o.epoch)
 			st.doubtUntil = old.doubtOf(slot)
+		} else if old != nil && e.stillGiving(old.slots[slot].gave) {
+			st.gave, st.doubtUntil = old.slots[slot].gave, old.slots[slot].doubtUntil
 		}
 	case held:
 		st = old.slots[slot]
@@ -132,11 +134,17 @@
 		return
 	}
 	st.gave = owner
-	if e.handovers[owner] == nil {
+	if h := e.handovers[owner]; h == nil || h.epoch < epoch {
 		e.handovers[owner] = &handover{epoch: epoch}
 	}
 }
 
+// stillGiving reports whether a handover of an earlier epoch goes on.
+func (e *Engine) stillGiving(to version.MemberID) bool {
+	h := e.handovers[to]
+	return h != nil && !h.complete
+}
+
 // takeSlot notes that this member becomes the owner of a slot.
 func (e *Engine) takeSlot(now time.Duration, w *view, o *ownership, st *slotState, before version.MemberID) {
 	st.since = now
@@ -191,10 +199,10 @@
 	}
 }
 
-// dropHandovers forgets the handovers of earlier epochs.
-func (e *Engine) dropHandovers(epoch uint64) {
+// dropHandovers forgets the complete handovers.
+func (e *Engine) dropHandovers() {
 	for id, h := range e.handovers {
-		if h.epoch < epoch {
+		if h.complete {
 			delete(e.handovers, id)
 		}
 	}
--- a/internal/connection/owner/receive.go
+++ b/internal/connection/owner/receive.go
@@ -108,9 +108,10 @@
 		e.held.removeFrom(it.hash, p.id)
 		return
 	}
-	e.held.put(it.hash, held{it.upstream, p.id, table.At(now), true})
-	if w := e.view.Load(); w != nil && w.owners.cur.Owner(placement.Slot(it.hash)) == w.self {
-		e.events.push(it)
+	at := table.At(now)
+	e.held.receive(it.hash, held{upstream: it.upstream, from: p.id, at: at, confirmed: true})
+	if w := e.view.Load(); w != nil && w.replicates(placement.Slot(it.hash)) {
+		e.scanHeld(now, w, it.hash, held{upstream: it.upstream, at: at})
 	}
 }
 
--- a/internal/connection/owner/replicate.go
+++ b/internal/connection/owner/replicate.go
@@ -16,10 +16,9 @@
 // scan is the walk over the own connections that a new version makes
 // necessary: it queues the exceptions that replicas do not hold yet.
 type scan struct {
-	shard  int
-	done   bool
-	marked bool // all that the scan found is queued and marked
-	final  bool // so is what predecessors handed over
+	shard int
+	done  bool
+	final bool // all that the scan found and predecessors handed over is queued and marked
 	// The connections without an exception of slots that were given up
 	// follow, at the pace of the byte budget.
 	allShard int
@@ -28,7 +27,7 @@
 
 // restart begins a scan if the step from old to w changes owners or bases.
 func (s *scan) restart(old, w *view) {
-	s.marked, s.final = false, false
+	s.final = false
 	if s.done && old != nil && !changesReplication(old, w) {
 		return
 	}
@@ -109,7 +108,7 @@
 // sendAllStep queues all connections of slots that were given up for their new
 // owners, a shard at a time.
 func (e *Engine) sendAllStep(now time.Duration, w *view) {
-	if !e.scan.marked || e.scan.sentAll {
+	if !e.scan.final || e.scan.sentAll || !e.allKnown() {
 		return
 	}
 	for e.scan.allShard < table.ShardCount && len(e.handovers) > 0 {
@@ -208,6 +207,11 @@
 	return out
 }
 
+// replicates reports whether this member replicates the exceptions of a slot.
+func (w *view) replicates(slot uint16) bool {
+	return w.owners.cur.Owner(slot) == w.self || w.owners.slots[slot].gave != 0
+}
+
 // replicate queues one exception for the replicas of its slot, and returns for
 // how many it had to.
 func (e *Engine) replicate(w *view, it item) int {
@@ -266,7 +270,7 @@
 // exceptions and h is none of them.
 func (e *Engine) superseded(w *view, slot uint16, h held) bool {
 	owner := w.peers[w.owners.cur.Owner(slot)]
-	return owner != nil && h.from != owner.id && owner.synced == w.owners.epoch
+	return owner != nil && h.from != owner.id && h.also != owner.id && owner.synced == w.owners.epoch
 }
 
 // concerns reports whether this member must hold the exceptions of a slot.
@@ -283,30 +287,26 @@
 	if !e.scan.done {
 		return
 	}
-	if !e.scan.marked {
+	if !e.scan.final && e.tenureReceived() {
 		w.mark()
-		e.scan.marked = true
+		e.scan.final = true
 	}
-	if e.settled < w.version.Index && e.tenureSettled() {
-		e.settleExceptions(w)
+	if e.scan.final && e.settled < w.version.Index && e.handedOver() && w.acknowledged() {
+		e.settled = w.version.Index
 	}
 	if e.settled == w.version.Index && now >= e.knownAt && e.allKnown() {
 		e.based = e.settled
 	}
 }
 
-// settleExceptions advances Settled once all that was queued is acknowledged.
-func (e *Engine) settleExceptions(w *view) {
-	if !e.scan.final {
-		w.mark()
-		e.scan.final = true
-	}
+// acknowledged reports whether the replicas hold all that was marked.
+func (w *view) acknowledged() bool {
 	for _, r := range w.peers {
 		if r.out.acked < r.marker {
-			return
+			return false
 		}
 	}
-	e.settled = w.version.Index
+	return true
 }
 
 // allKnown reports whether predecessors have sent all their connections.
@@ -326,13 +326,12 @@
 	}
 }
 
-// tenureSettled reports whether this member has handed over what it gave up
-// and received what it took.
-func (e *Engine) tenureSettled() bool {
+// tenureReceived reports whether predecessors have handed over their slots.
+func (e *Engine) tenureReceived() bool {
 	for _, p := range e.preds {
 		if !p.handed() {
 			return false
 		}
 	}
-	return e.handedOver()
+	return true
 }
--- a/internal/connection/owner/tick.go
+++ b/internal/connection/owner/tick.go
@@ -116,7 +116,7 @@
 // tenureFor returns the handover to send to p now, or nil.
 func (e *Engine) tenureFor(now time.Duration, p *peer) *Tenure {
 	h := e.handovers[p.id]
-	if h == nil || h.complete || !e.scan.marked || p.out.acked < p.marker {
+	if h == nil || h.complete || !e.scan.final || p.out.acked < p.marker {
 		return nil
 	}
 	complete := e.scan.sentAll && p.out.acked >= p.allMarker
