--- a/Makefile
+++ b/Makefile
@@ -10,3 +10,6 @@
 	@test -z "$$(gofmt -l cmd internal)" || { gofmt -l cmd internal; exit 1; }
 	go vet ./...
 	go tool staticcheck ./...
+
+measure:
+	go run ./internal/measure/cmd
--- /dev/null
+++ b/internal/connection/owner/bench_test.go
@@ -0,0 +1,36 @@
+package owner_test
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"heatherport/internal/connection"
+	"heatherport/internal/connection/flow"
+	"heatherport/internal/measure/fleet"
+)
+
+// BenchmarkKnownConnection decides about packets of 300,000 known connections.
+func BenchmarkKnownConnection(b *testing.B) {
+	f := fleet.New(fleet.Config{Capacity: 600_000})
+	s := f.Leader.AddService(true, idleTimeout)
+	for range 15 {
+		f.Leader.AddUpstream(s, 3, 0, netip.AddrPort{})
+	}
+	n := f.Start()
+	f.Leader.Join(n)
+	f.Leader.Begin()
+	f.Run(2 * time.Second)
+	known := make([]flow.Key, 300_000)
+	for i := range known {
+		known[i] = fleet.Key(f.Leader.Service(s).Key, uint64(i))
+		n.Engine.Decide(f.Now, &connection.Packet{Key: known[i], Marks: connection.MarkOpen, Seq: 1}, nil)
+	}
+	rand.New(rand.NewPCG(1, 1)).Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
+	p := connection.Packet{Marks: connection.MarkLater}
+	for i := 0; b.Loop(); i++ {
+		p.Key = known[i%len(known)]
+		n.Engine.Decide(f.Now, &p, nil)
+	}
+}
--- a/internal/measure/fleet/traffic.go
+++ b/internal/measure/fleet/traffic.go
@@ -17,6 +17,8 @@
 	Lifetime time.Duration // mean; the distribution is heavy-tailed
 	Packets  int           // a connection, opening and closing ones included
 	Stopped  bool
+	OnOpen   func(*Conn) // may be nil
+	OnClose  func(*Conn) // may be nil
 
 	Opened, Refused uint64
 	Broken          uint64 // connections of which a packet reached another upstream or was rejected
@@ -125,6 +127,9 @@
 	c.Upstream = id
 	t.Opened++
 	t.Open[id]++
+	if t.OnOpen != nil {
+		t.OnOpen(c)
+	}
 	life := t.lifetime()
 	gap := life / time.Duration(max(c.packets-1, 1))
 	for i := 1; i < c.packets-1; i++ {
@@ -148,6 +153,9 @@
 func (t *Traffic) close(c *Conn) {
 	t.send(c, connection.MarkLater|connection.MarkFin)
 	t.Open[c.Upstream]--
+	if t.OnClose != nil {
+		t.OnClose(c)
+	}
 	t.fleet.After(time.Second, func() { delete(t.conns, c.Key) })
 }
 
@@ -158,6 +166,12 @@
 	}
 }
 
+// Known reports whether the connection of a key has begun.
+func (t *Traffic) Known(k flow.Key) bool {
+	c := t.conns[k]
+	return c != nil && c.Upstream != 0
+}
+
 // Conns returns the number of open connections.
 func (t *Traffic) Conns() int {
 	n := 0
