--- a/internal/connection/packet.go
+++ b/internal/connection/packet.go
@@ -50,13 +50,15 @@
 	// RelayAssumed, with RelayRefresh: the sender has Upstream from the
 	// base and not from an opening packet.
 	RelayAssumed
+	// RelayDoubt, with RelayTenure: an earlier owner of the slot was lost,
+	// and the opening packet may be a retransmission.
+	RelayDoubt
 
-	// RelayFlagsEnd is one above all flags.
-	RelayFlagsEnd
+	relayFlagsEnd
 )
 
-// Valid reports whether f holds known flags only.
-func (f RelayFlags) Valid() bool { return f < RelayFlagsEnd }
+// AllRelayFlags are the flags that this version of the code knows.
+const AllRelayFlags = relayFlagsEnd - 1
 
 // Relay is the header of a packet relayed between balancers.
 type Relay struct {
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -115,7 +115,7 @@
 		return result.DropRelayAuth
 	}
 	getHeader(b, m)
-	if !m.Header.Flags.Valid() || m.Header.From == 0 {
+	if m.Header.Flags&^connection.AllRelayFlags != 0 || m.Header.From == 0 {
 		return result.DropRelayMalformed
 	}
 	if m.Header.Hops > connection.MaxRelayHops {
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -63,7 +63,7 @@
 // carry it.
 func TestEveryFlagPasses(t *testing.T) {
 	c := testCodec(1)
-	for flag := connection.RelayFlags(1); flag < connection.RelayFlagsEnd; flag <<= 1 {
+	for flag := connection.RelayFlags(1); flag&connection.AllRelayFlags != 0; flag <<= 1 {
 		h := connection.Relay{From: 3, Origin: 4, Upstream: 5, Flags: flag}
 		b := append(make([]byte, HeaderSize), "packet"...)
 		c.SealPacket(b, &h)
