--- a/internal/connection/packet.go
+++ b/internal/connection/packet.go
@@ -19,8 +19,13 @@
 	MarkFin                     // TCP FIN
 	MarkReset                   // TCP RST
 	MarkLater                   // proves that earlier packets exist: TCP non-SYN, QUIC short header
+
+	marksEnd
 )
 
+// AllMarks are the marks that this version of the code knows.
+const AllMarks = marksEnd - 1
+
 // Packet is a decoded caller's packet.
 type Packet struct {
 	Key   flow.Key
--- a/internal/process/app/listen.go
+++ b/internal/process/app/listen.go
@@ -124,28 +124,11 @@
 	}
 	w.log.Info("keys reloaded")
 	w.trail.Append(audit.Record{Time: time.Now().UTC(), VM: w.vm, Kind: api.AuditKeys, Subject: "keys", Cause: "files changed"})
-	if err := w.rotate(time.Now()); err != nil {
+	if err := w.ring.Replace(relayKeys(w.store, time.Now(), w.clock())...); err != nil {
 		w.log.Error("relay keys not rotated", "error", err)
 	}
 }
 
-// rotate takes the newest relay key into the ring.
-func (w *keyWatcher) rotate(now time.Time) error {
-	all := w.store.RelayKeys()
-	if len(all) == 0 || all[len(all)-1].ID == w.ring.CurrentID() {
-		return nil
-	}
-	next := all[len(all)-1]
-	promote := w.clock() + max(0, next.NotBefore.Sub(now))
-	end := promote
-	for _, k := range all {
-		if k.ID == w.ring.CurrentID() && !k.NotAfter.IsZero() {
-			end = max(promote, w.clock()+k.NotAfter.Sub(now))
-		}
-	}
-	return w.ring.Rotate(relay.Key{ID: next.ID, Secret: next.Secret}, promote, end)
-}
-
 // health answers for metrics and readiness.
 type health struct {
 	settings   *settings.Settings
@@ -219,10 +202,16 @@
 	c := h.forwarder.Counters()
 	s.Received = metrics.Volume{Count: c.PacketsIn, Bytes: c.BytesIn}
 	s.Forwarded = metrics.Volume{Count: c.PacketsOut, Bytes: c.BytesOut}
-	s.RelaySent.Count = c.RelaysOut
-	s.RelayGot.Count = c.RelaysIn
-	s.HintsSent.Count = c.HintsOut
-	s.HintsGot.Count = c.HintsIn
+	s.RelaySent = metrics.Volume{Count: c.RelaysOut, Bytes: c.RelayBytesOut}
+	s.RelayGot = metrics.Volume{Count: c.RelaysIn, Bytes: c.RelayBytesIn}
+	s.HintsSent = metrics.Volume{Count: c.HintsOut, Bytes: c.HintsOut * relay.SmallSize}
+	s.HintsGot = metrics.Volume{Count: c.HintsIn, Bytes: c.HintsIn * relay.SmallSize}
+	s.RefreshesSent = metrics.Volume{Count: c.RefreshesOut, Bytes: c.RefreshesOut * relay.SmallSize}
+	s.RefreshesGot = metrics.Volume{Count: c.RefreshesIn, Bytes: c.RefreshesIn * relay.SmallSize}
+	s.Refusals = c.Refusals
+	s.RefusalsLimited = c.RefusalsLimited
+	s.Overflows = c.Overflows
+	s.ReadErrors = c.ReadErrors
 	for code, n := range c.Codes {
 		s.Causes = append(s.Causes, metrics.Cause{Code: code, Packets: n})
 	}
--- a/internal/request/forward/config.go
+++ b/internal/request/forward/config.go
@@ -23,6 +23,10 @@
 	minPacketSize     = 1280  // bytes
 )
 
+// maxICMPRate is the number of ICMP messages a second that a receiver sends at
+// most, as RFC 1812, section 4.3.2.8, and RFC 4443, section 2.4, require.
+const maxICMPRate = 1000
+
 // Config is the configuration of a Forwarder.
 type Config struct {
 	// FabricAddr receives the packets of callers, each in a Foo-over-UDP
@@ -65,6 +69,8 @@
 		return result.Errorf(result.BadSettings, "no fabric address")
 	case !c.RelayAddr.IsValid():
 		return result.Errorf(result.BadSettings, "no relay address")
+	case !c.ReturnAddr.IsValid():
+		return result.Errorf(result.BadSettings, "no return address")
 	case c.Receivers < 1 || c.Receivers > maxReceivers:
 		return result.Errorf(result.BadSettings, "%d receivers: must be 1 to %d", c.Receivers, maxReceivers)
 	case c.Batch < 1 || c.Batch > maxBatch:
--- a/internal/request/forward/counters.go
+++ b/internal/request/forward/counters.go
@@ -16,12 +16,16 @@
 	bytesOut
 	relaysIn
 	relaysOut
+	relayBytesIn
+	relayBytesOut
 	refreshesIn
 	refreshesOut
 	hintsIn
 	hintsOut
 	refusals
+	refusalsLimited
 	readErrors
+	overflows
 	firstCode // counters from here on are per result code
 )
 
@@ -68,18 +72,25 @@
 
 // Counters are the totals of a Forwarder since its start.
 type Counters struct {
-	PacketsIn    uint64 // from the fabric
-	BytesIn      uint64 // from the fabric, without UDP headers
-	PacketsOut   uint64 // to upstreams
-	BytesOut     uint64 // to upstreams, without UDP headers
-	RelaysIn     uint64
-	RelaysOut    uint64
-	RefreshesIn  uint64
-	RefreshesOut uint64
-	HintsIn      uint64
-	HintsOut     uint64
-	Refusals     uint64 // answers to callers
-	ReadErrors   uint64
+	PacketsIn     uint64 // from the fabric
+	BytesIn       uint64 // from the fabric, without UDP headers
+	PacketsOut    uint64 // to upstreams
+	BytesOut      uint64 // to upstreams, without UDP headers
+	RelaysIn      uint64
+	RelaysOut     uint64
+	RelayBytesIn  uint64 // of relayed packets with their headers
+	RelayBytesOut uint64
+	RefreshesIn   uint64
+	RefreshesOut  uint64
+	HintsIn       uint64
+	HintsOut      uint64
+	Refusals      uint64 // answers to callers
+	// RefusalsLimited counts the ICMP answers withheld by the rate limit.
+	RefusalsLimited uint64
+	ReadErrors      uint64
+	// Overflows counts the packets that the system dropped because a
+	// socket's read buffer was full.
+	Overflows uint64
 	// Codes counts by cause the packets that were dropped or refused. A
 	// cause without packets is absent.
 	Codes map[result.Code]uint64
@@ -93,19 +104,23 @@
 		}
 	}
 	return Counters{
-		PacketsIn:    sum[packetsIn],
-		BytesIn:      sum[bytesIn],
-		PacketsOut:   sum[packetsOut],
-		BytesOut:     sum[bytesOut],
-		RelaysIn:     sum[relaysIn],
-		RelaysOut:    sum[relaysOut],
-		RefreshesIn:  sum[refreshesIn],
-		RefreshesOut: sum[refreshesOut],
-		HintsIn:      sum[hintsIn],
-		HintsOut:     sum[hintsOut],
-		Refusals:     sum[refusals],
-		ReadErrors:   sum[readErrors],
-		Codes:        codeCounts(sum[firstCode:]),
+		PacketsIn:       sum[packetsIn],
+		BytesIn:         sum[bytesIn],
+		PacketsOut:      sum[packetsOut],
+		BytesOut:        sum[bytesOut],
+		RelaysIn:        sum[relaysIn],
+		RelaysOut:       sum[relaysOut],
+		RelayBytesIn:    sum[relayBytesIn],
+		RelayBytesOut:   sum[relayBytesOut],
+		RefreshesIn:     sum[refreshesIn],
+		RefreshesOut:    sum[refreshesOut],
+		HintsIn:         sum[hintsIn],
+		HintsOut:        sum[hintsOut],
+		Refusals:        sum[refusals],
+		RefusalsLimited: sum[refusalsLimited],
+		ReadErrors:      sum[readErrors],
+		Overflows:       sum[overflows],
+		Codes:           codeCounts(sum[firstCode:]),
 	}
 }
 
--- a/internal/request/forward/queue.go
+++ b/internal/request/forward/queue.go
@@ -35,8 +35,13 @@
 	return q
 }
 
-// add queues b, which must stay unchanged until the flush.
-func (q *queue) add(b []byte, to netip.AddrPort, kind counter) {
+// add queues b, which must stay unchanged until the flush. Without a valid
+// destination it drops and counts b.
+func (q *queue) add(c *counts, b []byte, to netip.AddrPort, kind counter) {
+	if !to.IsValid() {
+		c.addCode(result.DropSendFailed)
+		return
+	}
 	q.ms[q.n].Buffers[0] = b
 	setUDPAddr(&q.dst[q.n], to)
 	q.kind[q.n] = kind
@@ -73,9 +78,13 @@
 }
 
 func (q *queue) count(c *counts, i int) {
+	size := len(q.ms[i].Buffers[0])
 	c.add(q.kind[i], 1)
-	if q.kind[i] == packetsOut {
-		c.add(bytesOut, len(q.ms[i].Buffers[0]))
+	switch q.kind[i] {
+	case packetsOut:
+		c.add(bytesOut, size)
+	case relaysOut:
+		c.add(relayBytesOut, size)
 	}
 }
 
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -57,8 +57,6 @@
 	offsetTag      = 28
 )
 
-const knownMarks = connection.MarkOpen | connection.MarkFin | connection.MarkReset | connection.MarkLater
-
 // Message is a decoded message.
 type Message struct {
 	Type   Type
@@ -176,7 +174,7 @@
 	p.Key.Get(b)
 	p.Seq = binary.BigEndian.Uint32(b[flow.KeySize:])
 	p.Marks = connection.Marks(b[flow.KeySize+4])
-	if p.Marks&^knownMarks != 0 {
+	if p.Marks&^connection.AllMarks != 0 {
 		return result.DropRelayMalformed
 	}
 	switch p.Key.Protocol {
