--- /dev/null
+++ b/internal/version/raft/cluster_test.go
@@ -0,0 +1,423 @@
+package raft
+
+import (
+	"encoding/binary"
+	"flag"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Timing of the nodes under test, in ticks.
+const (
+	testElectionTicks  = 10
+	testHeartbeatTicks = 2
+	testMarginTicks    = 3
+	// testMaxDebt is how many ticks a node may trail the others.
+	testMaxDebt = 1
+)
+
+// TestMain fixes the seed and the size of the rapid runs unless the command
+// line gives others.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	defaults := map[string]string{"rapid.seed": "1", "rapid.checks": "100", "rapid.steps": "150", "rapid.nofailfile": "true"}
+	flag.Visit(func(f *flag.Flag) { delete(defaults, f.Name) })
+	for name, value := range defaults {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// fataler is the part of testing.TB and rapid.T that the cluster needs.
+type fataler interface {
+	Fatalf(format string, args ...any)
+}
+
+// link is one direction between two VMs.
+type link struct{ from, to string }
+
+// entryID names an entry; by the log matching property it determines the entry
+// and all entries before it.
+type entryID struct{ index, term uint64 }
+
+type entryFacts struct {
+	prevTerm uint64
+	kind     EntryKind
+	data     string
+}
+
+// committedFacts describe an entry that some node has applied.
+type committedFacts struct {
+	term     uint64
+	data     string
+	seenTerm uint64 // the term of the node that applied it first
+	state    uint64 // the application's state after it
+}
+
+// member is a VM: a node, its disk and its application.
+type member struct {
+	id      string
+	node    *Node
+	disk    State
+	applied uint64
+	state   uint64 // hash over all applied entries
+	debt    int    // ticks by which it trails
+	down    bool
+	boots   uint64
+}
+
+// cluster is a set of VMs on a network that loses, duplicates, reorders and
+// cuts.
+type cluster struct {
+	t         fataler
+	members   map[string]*member
+	ids       []string // sorted
+	net       []Message
+	cut       map[link]bool
+	profile   *profile
+	seed      uint64
+	entries   map[entryID]entryFacts
+	committed map[uint64]committedFacts
+	leaders   map[uint64]string
+	maxCommit uint64
+	reads     map[uint64]uint64 // context to the least index allowed
+	readsDone int
+	nextRead  uint64
+	proposals int
+	adjust    func(*Config)
+	filter    func(*Message) bool // a message for which it returns false is lost
+}
+
+func newCluster(t fataler, seed uint64, voters, spares int) *cluster {
+	c := &cluster{
+		t: t, seed: seed,
+		members: make(map[string]*member), cut: make(map[link]bool), profile: &profiles[0],
+		entries: make(map[entryID]entryFacts), committed: make(map[uint64]committedFacts),
+		leaders: make(map[uint64]string), reads: make(map[uint64]uint64),
+	}
+	for i := range voters + spares {
+		c.ids = append(c.ids, fmt.Sprintf("vm%d", i+1))
+	}
+	boot, err := Bootstrap(Configuration{Voters: c.ids[:voters]})
+	c.check(err)
+	for i, id := range c.ids {
+		m := &member{id: id}
+		if i < voters {
+			m.disk = boot
+		}
+		c.members[id] = m
+		c.boot(m)
+	}
+	return c
+}
+
+func (c *cluster) check(err error) {
+	if err != nil {
+		c.t.Fatalf("seed %d: %v", c.seed, err)
+	}
+}
+
+// boot starts a VM from what its disk holds.
+func (c *cluster) boot(m *member) {
+	m.boots++
+	cfg := Config{
+		ID: m.id, ElectionTicks: testElectionTicks, HeartbeatTicks: testHeartbeatTicks,
+		LeaseMarginTicks: testMarginTicks, MaxEntriesPerMessage: 4, MaxInflight: 3,
+		MaxSnapshotPieceBytes: 3, TrailingEntries: 2, MaxLearnerLag: 8,
+		Rand: rand.New(rand.NewPCG(c.seed, binary.LittleEndian.Uint64(append([]byte(m.id), 0, 0, 0, 0, 0))+m.boots)),
+	}
+	if c.adjust != nil {
+		c.adjust(&cfg)
+	}
+	disk := m.disk
+	disk.Entries = slices.Clone(disk.Entries)
+	node, err := New(cfg, disk)
+	c.check(err)
+	m.node = node
+	m.down = false
+	m.debt = 0
+	m.restore(disk.Snapshot)
+}
+
+func (m *member) restore(s Snapshot) {
+	m.applied = s.Index
+	m.state = 0
+	if s.Index > 0 {
+		m.state = binary.BigEndian.Uint64(s.Data)
+	}
+}
+
+// persist applies a Ready to the disk.
+func (m *member) persist(rd *Ready) {
+	if rd.Snapshot != nil {
+		m.disk.Snapshot = *rd.Snapshot
+		m.disk.Entries = nil
+	}
+	if rd.HardState != nil {
+		m.disk.HardState = *rd.HardState
+	}
+	if len(rd.Entries) > 0 {
+		keep := rd.Entries[0].Index - m.disk.Snapshot.Index - 1
+		m.disk.Entries = append(slices.Clone(m.disk.Entries[:keep]), rd.Entries...)
+	}
+}
+
+// process carries out the effects of a VM.
+func (c *cluster) process(m *member) {
+	for !m.down {
+		rd, ok := m.node.Ready()
+		if !ok {
+			return
+		}
+		m.persist(&rd)
+		for _, msg := range rd.Messages {
+			c.post(msg)
+		}
+		if rd.Snapshot != nil {
+			m.restore(*rd.Snapshot)
+			c.checkRestored(m)
+		}
+		for _, e := range rd.Committed {
+			c.apply(m, e)
+		}
+		for _, r := range rd.ReadStates {
+			c.checkRead(m, r)
+		}
+		m.node.Advance()
+	}
+}
+
+// post encodes and decodes the message as a link does.
+func (c *cluster) post(msg Message) {
+	data, err := cbor.Marshal(msg)
+	c.check(err)
+	var copied Message
+	c.check(cbor.Unmarshal(data, &copied))
+	if c.filter != nil && !c.filter(&copied) {
+		return
+	}
+	c.net = append(c.net, copied)
+}
+
+// crash stops a VM. With persisted, it happens after the pending effects reached
+// the disk and before any message left.
+func (c *cluster) crash(m *member, persisted bool) {
+	if m.down {
+		return
+	}
+	if rd, ok := m.node.Ready(); ok && persisted {
+		m.persist(&rd)
+	}
+	m.down = true
+}
+
+func (c *cluster) apply(m *member, e Entry) {
+	if e.Index != m.applied+1 {
+		c.t.Fatalf("seed %d: %s applies %d after %d", c.seed, m.id, e.Index, m.applied)
+	}
+	m.applied = e.Index
+	m.state = chain(m.state, e)
+	seen, ok := c.committed[e.Index]
+	if !ok {
+		c.committed[e.Index] = committedFacts{term: e.Term, data: string(e.Data), seenTerm: m.node.term, state: m.state}
+		c.maxCommit = max(c.maxCommit, e.Index)
+		return
+	}
+	if seen.term != e.Term || seen.data != string(e.Data) || seen.state != m.state {
+		c.t.Fatalf("seed %d: state machine safety: %s applies %d of term %d, another applied term %d",
+			c.seed, m.id, e.Index, e.Term, seen.term)
+	}
+	seen.seenTerm = min(seen.seenTerm, m.node.term)
+	c.committed[e.Index] = seen
+}
+
+func chain(state uint64, e Entry) uint64 {
+	h := fnv.New64a()
+	fmt.Fprintf(h, "%d %d %d %q", state, e.Index, e.Term, e.Data)
+	return h.Sum64()
+}
+
+func (c *cluster) checkRestored(m *member) {
+	if want := c.committed[m.applied].state; want != m.state {
+		c.t.Fatalf("seed %d: %s restored a wrong state at %d", c.seed, m.id, m.applied)
+	}
+}
+
+func (c *cluster) checkRead(m *member, r ReadState) {
+	least, ok := c.reads[r.Context]
+	if !ok {
+		return // answered already; a response may be duplicated
+	}
+	delete(c.reads, r.Context)
+	c.readsDone++
+	if r.Index < least {
+		c.t.Fatalf("seed %d: stale read on %s at %d, %d was committed before", c.seed, m.id, r.Index, least)
+	}
+}
+
+// invariants checks the safety properties of Raft.
+func (c *cluster) invariants() {
+	for _, id := range c.ids {
+		m := c.members[id]
+		if m.down {
+			continue
+		}
+		if m.node.role == Leader {
+			c.checkLeader(m.node)
+		}
+		c.checkLog(m.node)
+	}
+}
+
+func (c *cluster) checkLeader(n *Node) {
+	if other, ok := c.leaders[n.term]; ok && other != n.cfg.ID {
+		c.t.Fatalf("seed %d: election safety: %s and %s lead term %d", c.seed, other, n.cfg.ID, n.term)
+	}
+	c.leaders[n.term] = n.cfg.ID
+	for i := n.log.firstIndex(); i <= c.maxCommit; i++ {
+		want, ok := c.committed[i]
+		if ok && want.seenTerm < n.term && !n.log.matches(i, want.term) {
+			c.t.Fatalf("seed %d: leader completeness: %s in term %d lacks %d", c.seed, n.cfg.ID, n.term, i)
+		}
+	}
+}
+
+func (c *cluster) checkLog(n *Node) {
+	prev := n.log.prevTerm
+	for _, e := range n.log.entries {
+		facts := entryFacts{prevTerm: prev, kind: e.Kind, data: string(e.Data)}
+		seen, ok := c.entries[entryID{e.Index, e.Term}]
+		if ok && seen != facts {
+			c.t.Fatalf("seed %d: log matching: %s differs at %d of term %d", c.seed, n.cfg.ID, e.Index, e.Term)
+		}
+		c.entries[entryID{e.Index, e.Term}] = facts
+		prev = e.Term
+	}
+}
+
+// leader returns the leader of the highest term, or nil.
+func (c *cluster) leader() *member {
+	var best *member
+	for _, id := range c.ids {
+		m := c.members[id]
+		if m.down || m.node.role != Leader {
+			continue
+		}
+		if best == nil || m.node.term > best.node.term {
+			best = m
+		}
+	}
+	return best
+}
+
+// tick gives each VM a tick; lag picks VMs that fall behind or catch up.
+func (c *cluster) tick(lag func(id string) bool) {
+	for _, id := range c.ids {
+		m := c.members[id]
+		switch {
+		case m.down:
+			continue
+		case lag(id) && m.debt < testMaxDebt:
+			m.debt++
+			continue
+		case lag(id):
+			m.node.Tick()
+			m.debt--
+		}
+		m.node.Tick()
+	}
+}
+
+func (c *cluster) deliver(i int) {
+	msg := c.net[i]
+	c.net = slices.Delete(c.net, i, i+1)
+	m := c.members[msg.To]
+	if m.down || c.cut[link{msg.From, msg.To}] {
+		return
+	}
+	c.check(m.node.Step(msg))
+}
+
+// run lets the network work without faults for some ticks.
+func (c *cluster) run(ticks int) {
+	for range ticks {
+		c.tick(func(string) bool { return false })
+		c.settle()
+	}
+}
+
+// settle delivers messages until none are left.
+func (c *cluster) settle() {
+	for {
+		for _, id := range c.ids {
+			c.process(c.members[id])
+		}
+		c.invariants()
+		if len(c.net) == 0 {
+			return
+		}
+		for range len(c.net) {
+			c.deliver(0)
+		}
+	}
+}
+
+// elect runs until there is a leader that has committed in its term.
+func (c *cluster) elect() *member {
+	for range 20 {
+		c.run(testElectionTicks)
+		if l := c.leader(); l != nil && l.node.commitIndex >= l.node.noopIndex {
+			return l
+		}
+	}
+	c.t.Fatalf("seed %d: no leader", c.seed)
+	return nil
+}
+
+func (c *cluster) propose(m *member) error {
+	c.proposals++
+	_, _, err := m.node.Propose(fmt.Appendf(nil, "p%d", c.proposals))
+	return err
+}
+
+func (c *cluster) read(m *member) {
+	c.nextRead++
+	c.reads[c.nextRead] = c.maxCommit
+	if err := m.node.ReadIndex(c.nextRead); err != nil {
+		delete(c.reads, c.nextRead)
+	}
+}
+
+func (c *cluster) compact(m *member) {
+	if m.applied <= m.node.snapshot.Index {
+		return
+	}
+	snap, err := m.node.Compact(m.applied, binary.BigEndian.AppendUint64(nil, m.state))
+	c.check(err)
+	drop := snap.Index - m.disk.Snapshot.Index
+	m.disk.Entries = slices.Clone(m.disk.Entries[drop:])
+	m.disk.Snapshot = snap
+}
+
+// change asks the leader for a change of membership as an operator would: first
+// learner, then voter; removal only of what is a member.
+func (c *cluster) change(m *member, id string, remove bool) error {
+	config := m.node.config()
+	change := ConfigChange{Kind: AddLearner, ID: id}
+	switch {
+	case remove:
+		change.Kind = RemoveMember
+	case config.IsLearner(id):
+		change.Kind = PromoteLearner
+	}
+	_, err := m.node.ProposeConfig(change)
+	return err
+}
--- a/internal/version/raft/election.go
+++ b/internal/version/raft/election.go
@@ -10,14 +10,14 @@
 	n.recordVote(n.cfg.ID, true)
 }
 
-// startElection begins a new term as a candidate.
+// startElection begins a new term as a candidate. Advance counts the own vote,
+// once it is durable.
 func (n *Node) startElection(force bool) {
 	n.becomeFollower(n.term+1, "")
 	n.role = Candidate
 	n.vote = n.cfg.ID
 	n.votes = make(map[string]bool)
 	n.requestVotes(MessageVote, n.term, force)
-	n.recordVote(n.cfg.ID, true)
 }
 
 func (n *Node) requestVotes(t MessageType, term uint64, force bool) {
--- /dev/null
+++ b/internal/version/raft/fuzz_test.go
@@ -0,0 +1,264 @@
+package raft
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+// chooser draws choices from rapid or from a seeded source.
+type chooser func(n int) int
+
+// profile holds the weights of the actions of one kind of run.
+type profile struct {
+	tick, deliver, settle, process, client, read, membership, cut, boot, crash, compact, transfer, lose int
+}
+
+var profiles = [...]profile{
+	// Reordered messages.
+	{tick: 12, deliver: 24, settle: 1, process: 8, client: 5, read: 2, membership: 2, cut: 1, boot: 3, crash: 1, compact: 2, transfer: 1, lose: 4},
+	// Crashes.
+	{tick: 12, deliver: 24, settle: 1, process: 10, client: 4, read: 1, membership: 1, cut: 0, boot: 6, crash: 5, compact: 1, transfer: 1, lose: 1},
+	// Partitions on a fast network.
+	{tick: 6, deliver: 4, settle: 8, process: 2, client: 4, read: 8, membership: 1, cut: 4, boot: 2, crash: 1, compact: 1, transfer: 2, lose: 1},
+	// Changes of membership between partitions.
+	{tick: 6, deliver: 8, settle: 6, process: 4, client: 2, read: 2, membership: 10, cut: 3, boot: 3, crash: 2, compact: 1, transfer: 1, lose: 1},
+}
+
+// step takes one random step and checks the invariants.
+func (c *cluster) step(pick chooser) {
+	m := c.members[c.ids[pick(len(c.ids))]]
+	p := c.profile
+	actions := [...]struct {
+		weight int
+		do     func()
+	}{
+		{p.tick, func() { c.tick(func(string) bool { return pick(8) == 0 }) }},
+		{p.deliver, func() { c.deliverSome(pick) }},
+		{p.settle, func() { c.run(pick(testElectionTicks + 2)) }},
+		{p.process, func() { c.process(m) }},
+		{p.client, func() { c.stepClient(m, pick) }},
+		{p.read, func() { c.stepRead(m, pick) }},
+		{p.membership, func() { c.stepMembership(pick) }},
+		{p.cut, func() { c.stepCut(pick) }},
+		{p.boot, func() { c.stepBoot(m) }},
+		{p.crash, func() { c.crash(m, pick(2) == 0) }},
+		{p.compact, func() { c.stepCompact(m) }},
+		{p.transfer, func() { c.stepTransfer(pick) }},
+		{p.lose, func() { c.loseSome(pick) }},
+	}
+	total := 0
+	for _, a := range actions {
+		total += a.weight
+	}
+	at := pick(total)
+	for _, a := range actions {
+		if at < a.weight {
+			a.do()
+			break
+		}
+		at -= a.weight
+	}
+	c.invariants()
+}
+
+func (c *cluster) stepBoot(m *member) {
+	if m.down {
+		c.boot(m)
+	}
+}
+
+func (c *cluster) stepCompact(m *member) {
+	if m.down {
+		return
+	}
+	c.process(m)
+	c.compact(m)
+}
+
+func (c *cluster) stepTransfer(pick chooser) {
+	if l := c.leader(); l != nil {
+		_ = l.node.TransferLeadership(c.ids[pick(len(c.ids))])
+	}
+}
+
+func (c *cluster) stepClient(m *member, pick chooser) {
+	if l := c.leader(); l != nil && pick(4) > 0 {
+		m = l
+	}
+	if m.down {
+		return
+	}
+	for range 1 + pick(4) {
+		_ = c.propose(m)
+	}
+}
+
+// stepRead reads on a leader, if possible an old one.
+func (c *cluster) stepRead(m *member, pick chooser) {
+	newest := c.leader()
+	for _, id := range c.ids {
+		other := c.members[id]
+		if !other.down && other.node.role == Leader && other != newest && pick(4) > 0 {
+			m = other
+		}
+	}
+	if !m.down {
+		c.read(m)
+	}
+}
+
+func (c *cluster) stepMembership(pick chooser) {
+	if l := c.leader(); l != nil {
+		_ = c.change(l, c.ids[pick(len(c.ids))], pick(3) == 0)
+	}
+}
+
+// stepCut heals the network or cuts it in groups, around the leader, or on
+// single links.
+func (c *cluster) stepCut(pick chooser) {
+	clear(c.cut)
+	group := make(map[string]int)
+	switch pick(5) {
+	case 0, 1:
+		return
+	case 2:
+		for _, id := range c.ids {
+			group[id] = pick(2)
+		}
+	case 3:
+		if l := c.leader(); l != nil {
+			group[l.id] = 1
+		}
+	}
+	for _, from := range c.ids {
+		for _, to := range c.ids {
+			isSplit := group[from] != group[to]
+			if isSplit || len(group) == 0 && pick(4) == 0 {
+				c.cut[link{from, to}] = true
+			}
+		}
+	}
+}
+
+func (c *cluster) deliverSome(pick chooser) {
+	for range 1 + pick(6) {
+		if len(c.net) == 0 {
+			return
+		}
+		c.deliver(pick(len(c.net)))
+	}
+}
+
+func (c *cluster) loseSome(pick chooser) {
+	if len(c.net) == 0 {
+		return
+	}
+	i := pick(len(c.net))
+	if pick(3) == 0 {
+		c.net = append(c.net, c.net[i])
+		return
+	}
+	c.net[i] = c.net[len(c.net)-1]
+	c.net = c.net[:len(c.net)-1]
+}
+
+// heal ends all faults and checks that the group makes progress again.
+func (c *cluster) heal() {
+	clear(c.cut)
+	for _, id := range c.ids {
+		if m := c.members[id]; m.down {
+			c.boot(m)
+		}
+	}
+	l := c.elect()
+	before := c.maxCommit
+	for range 10 {
+		if c.propose(l) == nil {
+			break
+		}
+		l = c.elect()
+	}
+	c.run(2 * testElectionTicks)
+	if c.maxCommit <= before {
+		c.t.Fatalf("seed %d: no progress after all faults ended", c.seed)
+	}
+	l = c.leader()
+	for _, id := range l.node.config().Members() {
+		if m := c.members[id]; m.applied != c.maxCommit {
+			c.t.Fatalf("seed %d: %s applied %d of %d", c.seed, id, m.applied, c.maxCommit)
+		}
+	}
+}
+
+// TestSafety searches for schedules that break a safety property, and shrinks
+// them.
+func TestSafety(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		c := newCluster(rt, rapid.Uint64().Draw(rt, "seed"), rapid.IntRange(1, 5).Draw(rt, "voters"), 2)
+		c.profile = &profiles[rapid.IntRange(0, len(profiles)-1).Draw(rt, "profile")]
+		pick := func(n int) int {
+			if n <= 1 {
+				return 0
+			}
+			return rapid.IntRange(0, n-1).Draw(rt, "pick")
+		}
+		rt.Repeat(map[string]func(*rapid.T){
+			"step": func(*rapid.T) { c.step(pick) },
+		})
+		c.heal()
+	})
+}
+
+// runSeed takes many random steps from one seed.
+func runSeed(t *testing.T, seed uint64, steps int) *cluster {
+	rng := rand.New(rand.NewPCG(seed, 0))
+	c := newCluster(t, seed, 1+rng.IntN(5), 2)
+	c.profile = &profiles[rng.IntN(len(profiles))]
+	for range steps {
+		c.step(rng.IntN)
+	}
+	c.heal()
+	return c
+}
+
+// TestLongRuns takes longer schedules than TestSafety does.
+func TestLongRuns(t *testing.T) {
+	const (
+		seeds = 60
+		steps = 1500
+	)
+	var total coverage
+	for seed := range uint64(seeds) {
+		total.add(runSeed(t, seed, steps))
+	}
+	t.Logf("%+v", total)
+	must.Greater(t, seeds*20, total.commits)
+	must.Greater(t, seeds*5, total.reads)
+	must.Greater(t, seeds*2, total.leaders)
+	must.Greater(t, seeds*2, total.configs)
+	must.Greater(t, seeds, total.snapshots)
+}
+
+// coverage tells what the runs have exercised.
+type coverage struct {
+	commits, reads, leaders, configs, snapshots int
+}
+
+func (v *coverage) add(c *cluster) {
+	v.commits += int(c.maxCommit)
+	v.reads += c.readsDone
+	v.leaders += len(c.leaders)
+	for _, e := range c.entries {
+		if e.kind == EntryConfig {
+			v.configs++
+		}
+	}
+	for _, m := range c.members {
+		if m.disk.Snapshot.Index > 0 {
+			v.snapshots++
+		}
+	}
+}
--- a/internal/version/raft/node.go
+++ b/internal/version/raft/node.go
@@ -475,7 +475,10 @@
 	n.messages = nil
 	n.readStates = nil
 	n.shownSoft = n.softState()
-	if n.role == Leader {
+	switch n.role {
+	case Candidate:
+		n.recordVote(n.cfg.ID, true)
+	case Leader:
 		n.maybeCommit()
 	}
 }
