Test the log store against faults at every step

Cause: acknowledged state must survive crashes, failed syncs and damage. Change: a folder in memory that fails, writes short and loses unsynced sectors; tests of every operation of a script, of damage at every byte, and random runs. Conclusion: what was acknowledged is recovered or the open is refused, but for the case that the package documents.

--- /dev/null
+++ b/internal/version/logstore/memfs_test.go
@@ -0,0 +1,233 @@
+package logstore
+
+import (
+	"io"
+	"io/fs"
+	"maps"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"heatherport/internal/result"
+)
+
+// sectorSize is the unit in bytes that a disk writes atomically.
+const sectorSize = 512
+
+// errPowerLoss is returned by all operations after the simulated power loss.
+var errPowerLoss = errors.New("power loss")
+
+// pendingWrite is a write that is not yet durable.
+type pendingWrite struct {
+	offset int64
+	data   []byte
+}
+
+type inode struct {
+	data    []byte // as processes see it
+	durable []byte // as the disk holds it
+	pending []pendingWrite
+}
+
+// memFS is a data folder in memory that fails on demand and loses unsynced
+// state on a power loss.
+type memFS struct {
+	names    map[string]*inode
+	durable  map[string]*inode
+	locked   bool
+	ops      int
+	failAt   int // number of the operation that fails; 0 for none
+	failWith error
+	partial  bool // a failing write is carried out by half
+}
+
+func newMemFS() *memFS {
+	return &memFS{names: make(map[string]*inode), durable: make(map[string]*inode)}
+}
+
+// op counts an operation that changes state and returns its injected failure.
+func (m *memFS) op() error {
+	m.ops++
+	if m.failAt > 0 && (m.ops == m.failAt || m.ops > m.failAt && m.failWith == errPowerLoss) {
+		return m.failWith
+	}
+	return nil
+}
+
+type memLock struct{ m *memFS }
+
+func (l memLock) Close() error {
+	l.m.locked = false
+	return nil
+}
+
+func (m *memFS) Lock(string) (io.Closer, error) {
+	if m.locked {
+		return nil, result.Errorf(result.StorageLocked, "locked")
+	}
+	m.locked = true
+	return memLock{m}, nil
+}
+
+func (m *memFS) Open(name string) (File, error) {
+	n, ok := m.names[name]
+	if !ok {
+		return nil, fs.ErrNotExist
+	}
+	return &memFile{m, n}, nil
+}
+
+func (m *memFS) Create(name string) (File, error) {
+	if err := m.op(); err != nil {
+		return nil, err
+	}
+	n := &inode{}
+	m.names[name] = n
+	return &memFile{m, n}, nil
+}
+
+func (m *memFS) Rename(oldName, newName string) error {
+	if err := m.op(); err != nil {
+		return err
+	}
+	m.names[newName] = m.names[oldName]
+	delete(m.names, oldName)
+	return nil
+}
+
+func (m *memFS) Remove(name string) error {
+	if _, ok := m.names[name]; !ok {
+		return fs.ErrNotExist
+	}
+	if err := m.op(); err != nil {
+		return err
+	}
+	delete(m.names, name)
+	return nil
+}
+
+func (m *memFS) SyncDir() error {
+	if err := m.op(); err != nil {
+		return err
+	}
+	m.durable = maps.Clone(m.names)
+	return nil
+}
+
+type memFile struct {
+	m *memFS
+	n *inode
+}
+
+func (f *memFile) ReadAt(p []byte, off int64) (int, error) {
+	if off >= int64(len(f.n.data)) {
+		return 0, io.EOF
+	}
+	n := copy(p, f.n.data[off:])
+	if n < len(p) {
+		return n, io.EOF
+	}
+	return n, nil
+}
+
+func (f *memFile) WriteAt(p []byte, off int64) (int, error) {
+	err := f.m.op()
+	if err != nil && !f.m.partial {
+		return 0, err
+	}
+	if err != nil {
+		p = p[:len(p)/2]
+	}
+	f.n.data = writeAt(f.n.data, p, off)
+	f.n.pending = append(f.n.pending, pendingWrite{off, slices.Clone(p)})
+	return len(p), err
+}
+
+func writeAt(data, p []byte, off int64) []byte {
+	if need := int(off) + len(p); need > len(data) {
+		data = append(data, make([]byte, need-len(data))...)
+	}
+	copy(data[off:], p)
+	return data
+}
+
+// Sync after a failure reports success without having written the pages, as
+// operating systems do.
+func (f *memFile) Sync() error {
+	err := f.m.op()
+	if err == nil {
+		for _, w := range f.n.pending {
+			f.n.durable = writeAt(f.n.durable, w.data, w.offset)
+		}
+	}
+	if err != errPowerLoss {
+		f.n.pending = nil
+	}
+	return err
+}
+
+func (f *memFile) Size() (int64, error) { return int64(len(f.n.data)), nil }
+
+func (f *memFile) Close() error { return nil }
+
+// loss decides what a power loss leaves of unsynced state.
+type loss struct {
+	name       string
+	keepSector func(i int) bool // whether the i-th unsynced sector survives
+	keepNames  bool             // whether unsynced renames survive
+}
+
+var losses = []loss{
+	{"none survives", func(int) bool { return false }, false},
+	{"renames survive", func(int) bool { return false }, true},
+	{"all survives", func(int) bool { return true }, true},
+	{"data survives", func(int) bool { return true }, false},
+	{"first sector survives", func(i int) bool { return i == 0 }, true},
+	{"first sector is lost", func(i int) bool { return i > 0 }, true},
+	{"every other sector survives", func(i int) bool { return i%2 == 0 }, true},
+}
+
+// afterPowerLoss returns the folder as it is found after a power loss.
+func (m *memFS) afterPowerLoss(l loss) *memFS {
+	names := m.durable
+	if l.keepNames {
+		names = m.names
+	}
+	out := newMemFS()
+	for name, n := range names {
+		data := slices.Clone(n.durable)
+		sector := 0
+		for _, w := range n.pending {
+			for off := 0; off < len(w.data); {
+				end := min(len(w.data), off+sectorSize-int(w.offset+int64(off))%sectorSize)
+				if l.keepSector(sector) {
+					data = writeAt(data, w.data[off:end], w.offset+int64(off))
+				}
+				sector++
+				off = end
+			}
+		}
+		out.names[name] = &inode{data: data, durable: slices.Clone(data)}
+	}
+	out.durable = maps.Clone(out.names)
+	return out
+}
+
+// afterProcessCrash returns the folder as the next process finds it.
+func (m *memFS) afterProcessCrash() *memFS {
+	out := *m
+	out.locked = false
+	out.failAt = 0
+	out.names = maps.Clone(m.names)
+	return &out
+}
+
+// clone returns a copy with everything durable.
+func (m *memFS) clone() *memFS {
+	out := newMemFS()
+	for name, n := range m.names {
+		out.names[name] = &inode{data: slices.Clone(n.data), durable: slices.Clone(n.data)}
+	}
+	out.durable = maps.Clone(out.names)
+	return out
+}
--- /dev/null
+++ b/internal/version/logstore/store_test.go
@@ -0,0 +1,432 @@
+package logstore
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"golang.org/x/sys/unix"
+	"pgregory.net/rapid"
+
+	"heatherport/internal/result"
+	"heatherport/internal/version/raft"
+)
+
+// TestMain fixes the seed and the size of the rapid runs unless the command
+// line gives others.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	defaults := map[string]string{"rapid.seed": "1", "rapid.checks": "300", "rapid.steps": "40", "rapid.nofailfile": "true"}
+	flag.Visit(func(f *flag.Flag) { delete(defaults, f.Name) })
+	for name, value := range defaults {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// write is one call of Save or SaveSnapshot.
+type write struct {
+	hard     *raft.HardState
+	entries  []raft.Entry
+	snapshot *raft.Snapshot
+}
+
+func (w *write) do(s *Store) error {
+	if w.snapshot != nil {
+		return s.SaveSnapshot(*w.snapshot)
+	}
+	return s.Save(w.hard, w.entries)
+}
+
+// model is what the store must hold.
+type model raft.State
+
+func (m model) after(w *write) model {
+	if w.hard != nil {
+		m.HardState = *w.hard
+	}
+	if w.snapshot != nil {
+		return m.afterSnapshot(*w.snapshot)
+	}
+	if len(w.entries) > 0 {
+		keep := w.entries[0].Index - m.Snapshot.Index - 1
+		m.Entries = append(slices.Clone(m.Entries[:keep]), w.entries...)
+	}
+	return m
+}
+
+func (m model) afterSnapshot(s raft.Snapshot) model {
+	var rest []raft.Entry
+	for i, e := range m.Entries {
+		if e.Index == s.Index && e.Term == s.Term {
+			rest = slices.Clone(m.Entries[i+1:])
+		}
+	}
+	m.Snapshot = s
+	m.Entries = rest
+	return m
+}
+
+func (m model) equal(s raft.State) bool {
+	return m.HardState == s.HardState &&
+		m.Snapshot.Index == s.Snapshot.Index && m.Snapshot.Term == s.Snapshot.Term &&
+		bytes.Equal(m.Snapshot.Data, s.Snapshot.Data) &&
+		slices.Equal(m.Snapshot.Config.Voters, s.Snapshot.Config.Voters) &&
+		slices.EqualFunc(m.Entries, s.Entries, func(a, b raft.Entry) bool {
+			return a.Term == b.Term && a.Index == b.Index && a.Kind == b.Kind && bytes.Equal(a.Data, b.Data)
+		})
+}
+
+func entriesFrom(index, term uint64, n, size int) []raft.Entry {
+	var out []raft.Entry
+	for i := range n {
+		data := bytes.Repeat([]byte{byte(index) + byte(i)}, size)
+		out = append(out, raft.Entry{Term: term, Index: index + uint64(i), Data: data})
+	}
+	return out
+}
+
+func snapshotAt(index, term uint64) *raft.Snapshot {
+	return &raft.Snapshot{
+		Index: index, Term: term, Config: raft.Configuration{Voters: []string{"vm1", "vm2"}},
+		Data: fmt.Appendf(nil, "state at %d", index),
+	}
+}
+
+// script takes every path of the store: appends, a replaced suffix, compaction,
+// a snapshot that replaces the log, and appends after each.
+var script = []write{
+	{hard: &raft.HardState{Term: 1, Joined: true}, entries: entriesFrom(1, 1, 2, 10)},
+	{entries: entriesFrom(3, 1, 4, 300)},
+	{hard: &raft.HardState{Term: 2, Vote: "vm2", Joined: true}},
+	{hard: &raft.HardState{Term: 3, Commit: 2, Joined: true}, entries: entriesFrom(4, 3, 2, 20)},
+	{snapshot: snapshotAt(4, 3)},
+	{entries: entriesFrom(6, 3, 1, 700)},
+	{snapshot: snapshotAt(20, 4)},
+	{hard: &raft.HardState{Term: 4, Commit: 20, Joined: true}, entries: entriesFrom(21, 4, 3, 5)},
+}
+
+// runScript runs the script until a write fails. It returns the state that was
+// acknowledged, the write that failed if any, and its error.
+func runScript(folder FS) (acked model, failed *write, err error) {
+	s, _, err := Open(folder)
+	if err != nil {
+		return model{}, nil, err
+	}
+	defer s.Close()
+	for i := range script {
+		if err := script[i].do(s); err != nil {
+			return acked, &script[i], err
+		}
+		acked = acked.after(&script[i])
+	}
+	return acked, nil, nil
+}
+
+func mustHold(t must.T, folder FS, acked model, inFlight *write, settings ...must.Setting) *Store {
+	t.Helper()
+	s, rec, err := Open(folder)
+	must.NoError(t, err, settings...)
+	if inFlight != nil && acked.after(inFlight).equal(rec.State) {
+		return s
+	}
+	must.True(t, acked.equal(rec.State), append(settings, must.Sprintf("recovered %+v, acknowledged %+v", rec.State, acked))...)
+	return s
+}
+
+// mustGoOn checks that the store takes and keeps a further write.
+func mustGoOn(t must.T, folder *memFS, s *Store, settings ...must.Setting) {
+	t.Helper()
+	w := &write{hard: &raft.HardState{Term: 99, Joined: true}}
+	acked := model(s.state()).after(w)
+	must.NoError(t, w.do(s), settings...)
+	again := mustHold(t, folder.afterPowerLoss(losses[0]), acked, nil, settings...)
+	must.NoError(t, again.Close(), settings...)
+}
+
+// countOps returns the number of operations in a script without faults.
+func countOps(t *testing.T) int {
+	t.Helper()
+	folder := newMemFS()
+	_, failed, err := runScript(folder)
+	must.NoError(t, err)
+	must.Nil(t, failed)
+	return folder.ops
+}
+
+func TestPowerLossAtEveryStep(t *testing.T) {
+	for failAt := range countOps(t) {
+		for _, l := range losses {
+			for _, partial := range []bool{false, true} {
+				folder := newMemFS()
+				folder.failAt = failAt + 1
+				folder.failWith = errPowerLoss
+				folder.partial = partial
+				acked, failed, _ := runScript(folder)
+				where := must.Sprintf("operation %d, %s, partial %v", failAt+1, l.name, partial)
+				found := folder.afterPowerLoss(l)
+				mustGoOn(t, found, mustHold(t, found, acked, failed, where), where)
+			}
+		}
+	}
+}
+
+func TestProcessCrashAtEveryStep(t *testing.T) {
+	for failAt := range countOps(t) {
+		folder := newMemFS()
+		folder.failAt = failAt + 1
+		folder.failWith = errPowerLoss
+		folder.partial = true
+		acked, failed, _ := runScript(folder)
+		where := must.Sprintf("operation %d", failAt+1)
+		found := folder.afterProcessCrash()
+		mustGoOn(t, found, mustHold(t, found, acked, failed, where), where)
+	}
+}
+
+// After a failure the store refuses all writes; the next process recovers what
+// was acknowledged and keeps it although the failed sync left pages that look
+// written.
+func TestFailureAtEveryStep(t *testing.T) {
+	codes := map[error]result.Code{unix.EIO: result.StorageFailed, unix.ENOSPC: result.StorageFull}
+	for failAt := range countOps(t) {
+		for cause, code := range codes {
+			for _, partial := range []bool{false, true} {
+				folder := newMemFS()
+				folder.failAt = failAt + 1
+				folder.failWith = cause
+				folder.partial = partial
+				where := must.Sprintf("operation %d, %v, partial %v", failAt+1, cause, partial)
+				acked, failed, err := runScript(folder)
+				if err == nil {
+					continue // the sync of Close
+				}
+				must.Eq(t, code, result.CodeOf(err), where)
+				found := folder.afterProcessCrash()
+				mustGoOn(t, found, mustHold(t, found, acked, failed, where), where)
+			}
+		}
+	}
+}
+
+func TestFailedStoreRefusesWrites(t *testing.T) {
+	folder := newMemFS()
+	s, _, err := Open(folder)
+	must.NoError(t, err)
+	folder.failAt = folder.ops + 2 // the sync
+	folder.failWith = unix.EIO
+	must.Eq(t, result.StorageFailed, result.CodeOf(script[0].do(s)))
+	ops := folder.ops
+	for i := range script {
+		must.Eq(t, result.StorageFailed, result.CodeOf(script[i].do(s)))
+	}
+	must.Eq(t, ops, folder.ops)
+	must.Eq(t, result.StorageFailed, result.CodeOf(s.Err()))
+	must.Eq(t, result.StorageFailed, result.CodeOf(s.Close()))
+}
+
+func TestSaveTakesOneSync(t *testing.T) {
+	folder := newMemFS()
+	s, _, err := Open(folder)
+	must.NoError(t, err)
+	before := folder.ops
+	must.NoError(t, s.Save(&raft.HardState{Term: 1}, entriesFrom(1, 1, 1000, 10)))
+	must.Eq(t, 3, folder.ops-before, must.Sprint("record, sync, synced length"))
+}
+
+// damaged opens a copy of the folder with one change of a file.
+func damaged(folder *memFS, name string, change func([]byte) []byte) (*Store, *Recovered, error) {
+	found := folder.clone()
+	n := found.names[name]
+	n.data = change(n.data)
+	n.durable = slices.Clone(n.data)
+	return Open(found)
+}
+
+// mustKeepOrRefuse opens the damaged folder; it must hold the acknowledged
+// state or be refused with the file and offset.
+func mustKeepOrRefuse(t *testing.T, folder *memFS, acked model, name, what string, change func([]byte) []byte) {
+	t.Helper()
+	_, rec, err := damaged(folder, name, change)
+	if err == nil {
+		must.True(t, acked.equal(rec.State), must.Sprintf("%s: %s", name, what))
+		return
+	}
+	must.Eq(t, result.StorageCorrupt, result.CodeOf(err), must.Sprintf("%s: %s", name, what))
+	must.StrContains(t, err.Error(), "at byte")
+}
+
+// closedFolder returns the folder after the whole script and what it holds.
+func closedFolder(t *testing.T) (*memFS, model) {
+	t.Helper()
+	folder := newMemFS()
+	acked, failed, err := runScript(folder)
+	must.NoError(t, err)
+	must.Nil(t, failed)
+	return folder, acked
+}
+
+func TestDamageAtEveryByte(t *testing.T) {
+	folder, acked := closedFolder(t)
+	for _, name := range []string{logName, snapshotName} {
+		for i := range folder.names[name].data {
+			for _, mask := range []byte{0x01, 0x80, 0xff} {
+				mustKeepOrRefuse(t, folder, acked, name, fmt.Sprintf("byte %d ^ %#x", i, mask), func(data []byte) []byte {
+					data[i] ^= mask
+					return data
+				})
+			}
+			mustKeepOrRefuse(t, folder, acked, name, fmt.Sprintf("zeros from byte %d", i), func(data []byte) []byte {
+				clear(data[i:])
+				return data
+			})
+			mustKeepOrRefuse(t, folder, acked, name, fmt.Sprintf("cut to %d bytes", i), func(data []byte) []byte {
+				return data[:i]
+			})
+		}
+	}
+}
+
+func TestDamageInRecordsIsAlwaysRefused(t *testing.T) {
+	folder, _ := closedFolder(t)
+	for i := headerSize; i < len(folder.names[logName].data); i++ {
+		_, _, err := damaged(folder, logName, func(data []byte) []byte {
+			data[i] ^= 0x01
+			return data
+		})
+		must.Eq(t, result.StorageCorrupt, result.CodeOf(err))
+	}
+}
+
+// After a power loss that also took the synced length of the last write, damage
+// is refused in every record but the last one.
+func TestDamageAfterPowerLoss(t *testing.T) {
+	folder := newMemFS()
+	s, _, err := Open(folder)
+	must.NoError(t, err)
+	var acked [4]model
+	var ends [4]int64
+	for i := range acked {
+		w := &write{hard: &raft.HardState{Term: uint64(i) + 1, Joined: true}, entries: entriesFrom(uint64(i)+1, 1, 1, 9)}
+		must.NoError(t, w.do(s))
+		acked[i] = model(s.state())
+		ends[i] = s.log.end
+	}
+	found := folder.afterPowerLoss(losses[0])
+	must.Eq(t, ends[3], int64(len(found.names[logName].data)))
+	for i := headerSize; i < int(ends[3]); i++ {
+		_, rec, err := damaged(found, logName, func(data []byte) []byte {
+			data[i] ^= 0x10
+			return data
+		})
+		if i < int(ends[2]) {
+			must.Eq(t, result.StorageCorrupt, result.CodeOf(err), must.Sprintf("byte %d", i))
+			continue
+		}
+		must.NoError(t, err)
+		must.True(t, acked[2].equal(rec.State))
+		must.Eq(t, ends[3]-ends[2], rec.CutBytes)
+	}
+}
+
+func TestDamageBeforeIntactRecordIsRefused(t *testing.T) {
+	folder, _ := closedFolder(t)
+	data := folder.names[logName].data
+	old := slot{sequence: 9, synced: headerSize}
+	copy(data[old.offset():], old.encode())
+	next := slot{sequence: 8, synced: headerSize}
+	copy(data[next.offset():], next.encode())
+	_, _, err := damaged(folder, logName, func(data []byte) []byte {
+		data[headerSize+recordHeaderSize] ^= 1
+		return data
+	})
+	must.Eq(t, result.StorageCorrupt, result.CodeOf(err))
+	must.StrContains(t, err.Error(), fmt.Sprintf("log at byte %d", headerSize))
+}
+
+func TestMissingFilesAreRefused(t *testing.T) {
+	folder, _ := closedFolder(t)
+	for _, name := range []string{logName, snapshotName} {
+		found := folder.clone()
+		delete(found.names, name)
+		_, _, err := Open(found)
+		must.Eq(t, result.StorageCorrupt, result.CodeOf(err), must.Sprint(name))
+	}
+}
+
+func TestDirFS(t *testing.T) {
+	path := t.TempDir() + "/data"
+	folder, err := DirFS(path)
+	must.NoError(t, err)
+	acked, _, err := runScript(folder)
+	must.NoError(t, err)
+	s := mustHold(t, folder, acked, nil)
+	_, _, err = Open(folder)
+	must.Eq(t, result.StorageLocked, result.CodeOf(err))
+	must.NoError(t, s.Close())
+	must.NoError(t, mustHold(t, folder, acked, nil).Close())
+}
+
+// TestRandomFaults runs random writes with faults, power losses and restarts
+// against the model.
+func TestRandomFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		folder := newMemFS()
+		s, _, err := Open(folder)
+		must.NoError(rt, err)
+		var acked model
+		reopen := func(found *memFS, inFlight *write) {
+			folder = found
+			s = mustHold(rt, folder, acked, inFlight)
+			acked = model(s.state())
+		}
+		save := func(w *write) {
+			if err := w.do(s); err != nil {
+				l := losses[rapid.IntRange(0, len(losses)-1).Draw(rt, "loss")]
+				if rapid.Bool().Draw(rt, "power loss") {
+					reopen(folder.afterPowerLoss(l), w)
+				} else {
+					s.release()
+					reopen(folder.afterProcessCrash(), w)
+				}
+				return
+			}
+			acked = acked.after(w)
+		}
+		last := func() uint64 { return acked.Snapshot.Index + uint64(len(acked.Entries)) }
+		rt.Repeat(map[string]func(*rapid.T){
+			"save": func(rt *rapid.T) {
+				first := rapid.Uint64Range(acked.Snapshot.Index+1, last()+1).Draw(rt, "first")
+				term := rapid.Uint64Range(1, 9).Draw(rt, "term")
+				save(&write{
+					hard:    &raft.HardState{Term: term, Joined: true},
+					entries: entriesFrom(first, term, rapid.IntRange(0, 4).Draw(rt, "n"), rapid.IntRange(0, 900).Draw(rt, "size")),
+				})
+			},
+			"compact": func(rt *rapid.T) {
+				if len(acked.Entries) > 0 {
+					e := acked.Entries[rapid.IntRange(0, len(acked.Entries)-1).Draw(rt, "at")]
+					save(&write{snapshot: snapshotAt(e.Index, e.Term)})
+				}
+			},
+			"install": func(rt *rapid.T) {
+				save(&write{snapshot: snapshotAt(last()+rapid.Uint64Range(1, 5).Draw(rt, "ahead"), 9)})
+			},
+			"fault": func(rt *rapid.T) {
+				folder.failAt = folder.ops + rapid.IntRange(1, 12).Draw(rt, "in")
+				folder.failWith = rapid.SampledFrom([]error{unix.EIO, unix.ENOSPC, errPowerLoss}).Draw(rt, "cause")
+				folder.partial = rapid.Bool().Draw(rt, "partial")
+			},
+			"restart": func(rt *rapid.T) {
+				s.release()
+				reopen(folder.afterProcessCrash(), nil)
+			},
+		})
+	})
+}
