--- a/internal/version/logstore/log.go
+++ b/internal/version/logstore/log.go
@@ -32,8 +32,12 @@
 			return false
 		}
 	}
-	keep := first - c.base.Index - 1
-	c.entries = append(c.entries[:keep:keep], entries...)
+	if first <= c.lastIndex() {
+		// Entries that were handed out are not overwritten.
+		keep := first - c.base.Index - 1
+		c.entries = c.entries[:keep:keep]
+	}
+	c.entries = append(c.entries, entries...)
 	return true
 }
 
--- a/internal/version/logstore/store_test.go
+++ b/internal/version/logstore/store_test.go
@@ -350,6 +350,17 @@
 	must.StrContains(t, err.Error(), fmt.Sprintf("log at byte %d", headerSize))
 }
 
+// A record counts only at its own offset, so that the data of an entry is not
+// taken for one.
+func TestRecordIsBoundToItsOffset(t *testing.T) {
+	buf, err := appendRecord(nil, 0, &record{Entries: entriesFrom(1, 1, 1, 10)})
+	must.NoError(t, err)
+	_, _, ok := recordBody(buf, 0)
+	must.True(t, ok)
+	_, _, ok = recordBody(append([]byte{0}, buf...), 1)
+	must.False(t, ok)
+}
+
 func TestMissingFilesAreRefused(t *testing.T) {
 	folder, _ := closedFolder(t)
 	for _, name := range []string{logName, snapshotName} {
