--- a/internal/version/logstore/memfs_test.go
+++ b/internal/version/logstore/memfs_test.go
@@ -14,8 +14,8 @@
 // sectorSize is the unit in bytes that a disk writes atomically.
 const sectorSize = 512
 
-// errPowerLoss is returned by all operations after the simulated power loss.
-var errPowerLoss = errors.New("power loss")
+// ErrPowerLoss is returned by all operations after the simulated power loss.
+var ErrPowerLoss = errors.New("power loss")
 
 // pendingWrite is a write that is not yet durable.
 type pendingWrite struct {
@@ -29,39 +29,42 @@
 	pending []pendingWrite
 }
 
-// memFS is a data folder in memory that fails on demand and loses unsynced
-// state on a power loss.
-type memFS struct {
-	names    map[string]*inode
-	durable  map[string]*inode
-	locked   bool
-	ops      int
-	failAt   int // number of the operation that fails; 0 for none
-	failWith error
-	partial  bool // a failing write is carried out by half
+// MemFS is a data folder in memory that fails on demand and loses unsynced
+// state on a power loss. It is exported for the tests of package logstore_test.
+type MemFS struct {
+	names   map[string]*inode
+	durable map[string]*inode
+	locked  bool
+	// Ops counts the operations that change state.
+	Ops int
+	// FailAt is the number of the operation that fails; 0 for none.
+	FailAt   int
+	FailWith error
+	// Partial makes a failing write take effect by half.
+	Partial bool
 }
 
-func newMemFS() *memFS {
-	return &memFS{names: make(map[string]*inode), durable: make(map[string]*inode)}
+func NewMemFS() *MemFS {
+	return &MemFS{names: make(map[string]*inode), durable: make(map[string]*inode)}
 }
 
 // op counts an operation that changes state and returns its injected failure.
-func (m *memFS) op() error {
-	m.ops++
-	if m.failAt > 0 && (m.ops == m.failAt || m.ops > m.failAt && m.failWith == errPowerLoss) {
-		return m.failWith
+func (m *MemFS) op() error {
+	m.Ops++
+	if m.FailAt > 0 && (m.Ops == m.FailAt || m.Ops > m.FailAt && m.FailWith == ErrPowerLoss) {
+		return m.FailWith
 	}
 	return nil
 }
 
-type memLock struct{ m *memFS }
+type memLock struct{ m *MemFS }
 
 func (l memLock) Close() error {
 	l.m.locked = false
 	return nil
 }
 
-func (m *memFS) Lock(string) (io.Closer, error) {
+func (m *MemFS) Lock(string) (io.Closer, error) {
 	if m.locked {
 		return nil, result.Errorf(result.StorageLocked, "locked")
 	}
@@ -69,7 +72,7 @@
 	return memLock{m}, nil
 }
 
-func (m *memFS) Open(name string) (File, error) {
+func (m *MemFS) Open(name string) (File, error) {
 	n, ok := m.names[name]
 	if !ok {
 		return nil, fs.ErrNotExist
@@ -77,7 +80,7 @@
 	return &memFile{m, n}, nil
 }
 
-func (m *memFS) Create(name string) (File, error) {
+func (m *MemFS) Create(name string) (File, error) {
 	if err := m.op(); err != nil {
 		return nil, err
 	}
@@ -86,7 +89,7 @@
 	return &memFile{m, n}, nil
 }
 
-func (m *memFS) Rename(oldName, newName string) error {
+func (m *MemFS) Rename(oldName, newName string) error {
 	if err := m.op(); err != nil {
 		return err
 	}
@@ -95,7 +98,7 @@
 	return nil
 }
 
-func (m *memFS) Remove(name string) error {
+func (m *MemFS) Remove(name string) error {
 	if _, ok := m.names[name]; !ok {
 		return fs.ErrNotExist
 	}
@@ -106,7 +109,7 @@
 	return nil
 }
 
-func (m *memFS) SyncDir() error {
+func (m *MemFS) SyncDir() error {
 	if err := m.op(); err != nil {
 		return err
 	}
@@ -115,7 +118,7 @@
 }
 
 type memFile struct {
-	m *memFS
+	m *MemFS
 	n *inode
 }
 
@@ -132,7 +135,7 @@
 
 func (f *memFile) WriteAt(p []byte, off int64) (int, error) {
 	err := f.m.op()
-	if err != nil && !f.m.partial {
+	if err != nil && !f.m.Partial {
 		return 0, err
 	}
 	if err != nil {
@@ -160,7 +163,7 @@
 			f.n.durable = writeAt(f.n.durable, w.data, w.offset)
 		}
 	}
-	if err != errPowerLoss {
+	if err != ErrPowerLoss {
 		f.n.pending = nil
 	}
 	return err
@@ -170,14 +173,14 @@
 
 func (f *memFile) Close() error { return nil }
 
-// loss decides what a power loss leaves of unsynced state.
-type loss struct {
+// Loss decides what a power loss leaves of unsynced state.
+type Loss struct {
 	name       string
 	keepSector func(i int) bool // whether the i-th unsynced sector survives
 	keepNames  bool             // whether unsynced renames survive
 }
 
-var losses = []loss{
+var Losses = []Loss{
 	{"none survives", func(int) bool { return false }, false},
 	{"renames survive", func(int) bool { return false }, true},
 	{"all survives", func(int) bool { return true }, true},
@@ -187,13 +190,13 @@
 	{"every other sector survives", func(i int) bool { return i%2 == 0 }, true},
 }
 
-// afterPowerLoss returns the folder as it is found after a power loss.
-func (m *memFS) afterPowerLoss(l loss) *memFS {
+// AfterPowerLoss returns the folder as it is found after a power loss.
+func (m *MemFS) AfterPowerLoss(l Loss) *MemFS {
 	names := m.durable
 	if l.keepNames {
 		names = m.names
 	}
-	out := newMemFS()
+	out := NewMemFS()
 	for name, n := range names {
 		data := slices.Clone(n.durable)
 		sector := 0
@@ -213,18 +216,18 @@
 	return out
 }
 
-// afterProcessCrash returns the folder as the next process finds it.
-func (m *memFS) afterProcessCrash() *memFS {
+// AfterProcessCrash returns the folder as the next process finds it.
+func (m *MemFS) AfterProcessCrash() *MemFS {
 	out := *m
 	out.locked = false
-	out.failAt = 0
+	out.FailAt = 0
 	out.names = maps.Clone(m.names)
 	return &out
 }
 
 // clone returns a copy with everything durable.
-func (m *memFS) clone() *memFS {
-	out := newMemFS()
+func (m *MemFS) clone() *MemFS {
+	out := NewMemFS()
 	for name, n := range m.names {
 		out.names[name] = &inode{data: slices.Clone(n.data), durable: slices.Clone(n.data)}
 	}
--- a/internal/version/logstore/store_test.go
+++ b/internal/version/logstore/store_test.go
@@ -141,36 +141,36 @@
 }
 
 // mustGoOn checks that the store takes and keeps a further write.
-func mustGoOn(t must.T, folder *memFS, s *Store, settings ...must.Setting) {
+func mustGoOn(t must.T, folder *MemFS, s *Store, settings ...must.Setting) {
 	t.Helper()
 	w := &write{hard: &raft.HardState{Term: 99, Joined: true}}
 	acked := model(s.state()).after(w)
 	must.NoError(t, w.do(s), settings...)
-	again := mustHold(t, folder.afterPowerLoss(losses[0]), acked, nil, settings...)
+	again := mustHold(t, folder.AfterPowerLoss(Losses[0]), acked, nil, settings...)
 	must.NoError(t, again.Close(), settings...)
 }
 
 // countOps returns the number of operations in a script without faults.
 func countOps(t *testing.T) int {
 	t.Helper()
-	folder := newMemFS()
+	folder := NewMemFS()
 	_, failed, err := runScript(folder)
 	must.NoError(t, err)
 	must.Nil(t, failed)
-	return folder.ops
+	return folder.Ops
 }
 
 func TestPowerLossAtEveryStep(t *testing.T) {
 	for failAt := range countOps(t) {
-		for _, l := range losses {
+		for _, l := range Losses {
 			for _, partial := range []bool{false, true} {
-				folder := newMemFS()
-				folder.failAt = failAt + 1
-				folder.failWith = errPowerLoss
-				folder.partial = partial
+				folder := NewMemFS()
+				folder.FailAt = failAt + 1
+				folder.FailWith = ErrPowerLoss
+				folder.Partial = partial
 				acked, failed, _ := runScript(folder)
 				where := must.Sprintf("operation %d, %s, partial %v", failAt+1, l.name, partial)
-				found := folder.afterPowerLoss(l)
+				found := folder.AfterPowerLoss(l)
 				mustGoOn(t, found, mustHold(t, found, acked, failed, where), where)
 			}
 		}
@@ -179,13 +179,13 @@
 
 func TestProcessCrashAtEveryStep(t *testing.T) {
 	for failAt := range countOps(t) {
-		folder := newMemFS()
-		folder.failAt = failAt + 1
-		folder.failWith = errPowerLoss
-		folder.partial = true
+		folder := NewMemFS()
+		folder.FailAt = failAt + 1
+		folder.FailWith = ErrPowerLoss
+		folder.Partial = true
 		acked, failed, _ := runScript(folder)
 		where := must.Sprintf("operation %d", failAt+1)
-		found := folder.afterProcessCrash()
+		found := folder.AfterProcessCrash()
 		mustGoOn(t, found, mustHold(t, found, acked, failed, where), where)
 	}
 }
@@ -198,17 +198,17 @@
 	for failAt := range countOps(t) {
 		for cause, code := range codes {
 			for _, partial := range []bool{false, true} {
-				folder := newMemFS()
-				folder.failAt = failAt + 1
-				folder.failWith = cause
-				folder.partial = partial
+				folder := NewMemFS()
+				folder.FailAt = failAt + 1
+				folder.FailWith = cause
+				folder.Partial = partial
 				where := must.Sprintf("operation %d, %v, partial %v", failAt+1, cause, partial)
 				acked, failed, err := runScript(folder)
 				if err == nil {
 					continue // the sync of Close
 				}
 				must.Eq(t, code, result.CodeOf(err), where)
-				found := folder.afterProcessCrash()
+				found := folder.AfterProcessCrash()
 				mustGoOn(t, found, mustHold(t, found, acked, failed, where), where)
 			}
 		}
@@ -216,32 +216,32 @@
 }
 
 func TestFailedStoreRefusesWrites(t *testing.T) {
-	folder := newMemFS()
+	folder := NewMemFS()
 	s, _, err := Open(folder)
 	must.NoError(t, err)
-	folder.failAt = folder.ops + 2 // the sync
-	folder.failWith = unix.EIO
+	folder.FailAt = folder.Ops + 2 // the sync
+	folder.FailWith = unix.EIO
 	must.Eq(t, result.StorageFailed, result.CodeOf(script[0].do(s)))
-	ops := folder.ops
+	ops := folder.Ops
 	for i := range script {
 		must.Eq(t, result.StorageFailed, result.CodeOf(script[i].do(s)))
 	}
-	must.Eq(t, ops, folder.ops)
+	must.Eq(t, ops, folder.Ops)
 	must.Eq(t, result.StorageFailed, result.CodeOf(s.Err()))
 	must.Eq(t, result.StorageFailed, result.CodeOf(s.Close()))
 }
 
 func TestSaveTakesOneSync(t *testing.T) {
-	folder := newMemFS()
+	folder := NewMemFS()
 	s, _, err := Open(folder)
 	must.NoError(t, err)
-	before := folder.ops
+	before := folder.Ops
 	must.NoError(t, s.Save(&raft.HardState{Term: 1}, entriesFrom(1, 1, 1000, 10)))
-	must.Eq(t, 3, folder.ops-before, must.Sprint("record, sync, synced length"))
+	must.Eq(t, 3, folder.Ops-before, must.Sprint("record, sync, synced length"))
 }
 
 // damaged opens a copy of the folder with one change of a file.
-func damaged(folder *memFS, name string, change func([]byte) []byte) (*Store, *Recovered, error) {
+func damaged(folder *MemFS, name string, change func([]byte) []byte) (*Store, *Recovered, error) {
 	found := folder.clone()
 	n := found.names[name]
 	n.data = change(n.data)
@@ -251,7 +251,7 @@
 
 // mustKeepOrRefuse opens the damaged folder; it must hold the acknowledged
 // state or be refused with the file and offset.
-func mustKeepOrRefuse(t *testing.T, folder *memFS, acked model, name, what string, change func([]byte) []byte) {
+func mustKeepOrRefuse(t *testing.T, folder *MemFS, acked model, name, what string, change func([]byte) []byte) {
 	t.Helper()
 	_, rec, err := damaged(folder, name, change)
 	if err == nil {
@@ -263,9 +263,9 @@
 }
 
 // closedFolder returns the folder after the whole script and what it holds.
-func closedFolder(t *testing.T) (*memFS, model) {
+func closedFolder(t *testing.T) (*MemFS, model) {
 	t.Helper()
-	folder := newMemFS()
+	folder := NewMemFS()
 	acked, failed, err := runScript(folder)
 	must.NoError(t, err)
 	must.Nil(t, failed)
@@ -307,7 +307,7 @@
 // After a power loss that also took the synced length of the last write, damage
 // is refused in every record but the last one.
 func TestDamageAfterPowerLoss(t *testing.T) {
-	folder := newMemFS()
+	folder := NewMemFS()
 	s, _, err := Open(folder)
 	must.NoError(t, err)
 	var acked [4]model
@@ -318,7 +318,7 @@
 		acked[i] = model(s.state())
 		ends[i] = s.log.end
 	}
-	found := folder.afterPowerLoss(losses[0])
+	found := folder.AfterPowerLoss(Losses[0])
 	must.Eq(t, ends[3], int64(len(found.names[logName].data)))
 	for i := headerSize; i < int(ends[3]); i++ {
 		_, rec, err := damaged(found, logName, func(data []byte) []byte {
@@ -384,27 +384,27 @@
 	must.NoError(t, mustHold(t, folder, acked, nil).Close())
 }
 
-// TestRandomFaults runs random writes with faults, power losses and restarts
+// TestRandomFaults runs random writes with faults, power Losses and restarts
 // against the model.
 func TestRandomFaults(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		folder := newMemFS()
+		folder := NewMemFS()
 		s, _, err := Open(folder)
 		must.NoError(rt, err)
 		var acked model
-		reopen := func(found *memFS, inFlight *write) {
+		reopen := func(found *MemFS, inFlight *write) {
 			folder = found
 			s = mustHold(rt, folder, acked, inFlight)
 			acked = model(s.state())
 		}
 		save := func(w *write) {
 			if err := w.do(s); err != nil {
-				l := losses[rapid.IntRange(0, len(losses)-1).Draw(rt, "loss")]
+				l := Losses[rapid.IntRange(0, len(Losses)-1).Draw(rt, "loss")]
 				if rapid.Bool().Draw(rt, "power loss") {
-					reopen(folder.afterPowerLoss(l), w)
+					reopen(folder.AfterPowerLoss(l), w)
 				} else {
 					s.release()
-					reopen(folder.afterProcessCrash(), w)
+					reopen(folder.AfterProcessCrash(), w)
 				}
 				return
 			}
@@ -430,13 +430,13 @@
 				save(&write{snapshot: snapshotAt(last()+rapid.Uint64Range(1, 5).Draw(rt, "ahead"), 9)})
 			},
 			"fault": func(rt *rapid.T) {
-				folder.failAt = folder.ops + rapid.IntRange(1, 12).Draw(rt, "in")
-				folder.failWith = rapid.SampledFrom([]error{unix.EIO, unix.ENOSPC, errPowerLoss}).Draw(rt, "cause")
-				folder.partial = rapid.Bool().Draw(rt, "partial")
+				folder.FailAt = folder.Ops + rapid.IntRange(1, 12).Draw(rt, "in")
+				folder.FailWith = rapid.SampledFrom([]error{unix.EIO, unix.ENOSPC, ErrPowerLoss}).Draw(rt, "cause")
+				folder.Partial = rapid.Bool().Draw(rt, "partial")
 			},
 			"restart": func(rt *rapid.T) {
 				s.release()
-				reopen(folder.afterProcessCrash(), nil)
+				reopen(folder.AfterProcessCrash(), nil)
 			},
 		})
 	})
