--- a/internal/version/roster/upstream.go
+++ b/internal/version/roster/upstream.go
@@ -20,7 +20,7 @@
 	// LoadStep is the change of the smoothed load that is passed on.
 	LoadStep = 32
 	// LoadInterval is the least time between changes passed on.
-	LoadInterval = 10 * time.Second
+	LoadInterval = 30 * time.Second
 )
 
 // upstreamView is what the leader knows of an upstream.
@@ -160,6 +160,9 @@
 	if u.Leased && !latest.Leased {
 		u.lapsedAt = now
 	}
+	if !u.Leased && latest.Leased {
+		u.leaseUntil = max(u.leaseUntil, now+AnnounceLease)
+	}
 	if u.Healthy != latest.Healthy {
 		u.health.since = now
 	}
@@ -189,7 +192,7 @@
 		s.open, s.ejected, s.ramping = 0, 0, 0
 	}
 	for _, u := range r.upstreams {
-		if !u.open() {
+		if !u.Open() {
 			continue
 		}
 		u.service.open++
@@ -201,11 +204,6 @@
 	}
 }
 
-// open reports whether u may receive new connections if it is healthy.
-func (u *upstreamView) open() bool {
-	return u.Leased && (u.State == version.Active || u.State == version.Joining)
-}
-
 // update adds a status update of u.
 func (r *Roster) update(u *upstreamView, c state.StatusUpdate) {
 	c.ID = u.ID
