--- a/internal/request/api/api_test.go
+++ b/internal/request/api/api_test.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"net/netip"
 	"strings"
 	"sync/atomic"
@@ -17,7 +16,6 @@
 
 	"github.com/shoenig/test/must"
 
-	"heatherport/internal/process/keys"
 	"heatherport/internal/request/api"
 	"heatherport/internal/request/identity"
 	"heatherport/internal/result"
@@ -71,42 +69,6 @@
 	return api.AnnounceResponse{LeaseSeconds: a.Slots}, f.err
 }
 
-// pki issues stores of one authority.
-type pki struct {
-	t *testing.T
-	e *keys.Ephemeral
-}
-
-func newPKI(t *testing.T) pki {
-	e, err := keys.NewEphemeral()
-	must.NoError(t, err)
-	return pki{t, e}
-}
-
-func (p pki) store(role identity.Role, name string) *keys.Store {
-	s, err := p.e.Issue(role, name)
-	must.NoError(p.t, err)
-	return s
-}
-
-// serve starts a server over control and returns its address.
-func (p pki) serve(control api.Control) netip.AddrPort {
-	server := httptest.NewUnstartedServer(api.NewHandler(control))
-	server.TLS = p.store(identity.VM, "a-1").ServerTLS(identity.Operator, identity.Upstream)
-	server.Config.ErrorLog = nil
-	server.StartTLS()
-	p.t.Cleanup(server.Close)
-	return netip.MustParseAddrPort(server.Listener.Addr().String())
-}
-
-func (p pki) operator(to ...netip.AddrPort) *api.Client {
-	return api.NewClient(to, p.store(identity.Operator, "amina").ClientTLS(""))
-}
-
-func (p pki) upstream(name string, to ...netip.AddrPort) *api.Client {
-	return api.NewClient(to, p.store(identity.Upstream, name).ClientTLS(""))
-}
-
 // closedAddress returns a loopback address on which nothing listens.
 func closedAddress(t *testing.T) netip.AddrPort {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -180,11 +142,14 @@
 			_, err := p.upstream("permit-1", to).Announce(ctx, announcement("permit-2"))
 			return err
 		}, result.NotAuthorized},
-		{"role of a VM", func() error {
-			_, err := api.NewClient([]netip.AddrPort{to}, p.store(identity.VM, "b-1").ClientTLS("")).Status(ctx)
+		{"role of a VM", func() error { _, err := p.client(identity.VM, "b-1", to).Status(ctx); return err }, result.NotAuthorized},
+		{"unknown role", func() error { _, err := p.client("root", "b-1", to).Status(ctx); return err }, result.BadCertificate},
+		{"other authority", func() error {
+			config := newPKI(t).config(identity.Operator, "amina")
+			config.RootCAs = p.config(identity.Operator, "amina").RootCAs
+			_, err := api.NewClient([]netip.AddrPort{to}, config).Status(ctx)
 			return err
 		}, result.BadCertificate},
-		{"other authority", func() error { _, err := newPKI(t).operator(to).Status(ctx); return err }, result.BadCertificate},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -195,8 +160,8 @@
 }
 
 // raw sends a request and returns the answer.
-func raw(t *testing.T, s *keys.Store, method string, to netip.AddrPort, path, body string) (*http.Response, api.ErrorResponse) {
-	c := http.Client{Transport: &http.Transport{TLSClientConfig: s.ClientTLS(""), DisableKeepAlives: true}}
+func raw(t *testing.T, config *tls.Config, method string, to netip.AddrPort, path, body string) (*http.Response, api.ErrorResponse) {
+	c := http.Client{Transport: &http.Transport{TLSClientConfig: config, DisableKeepAlives: true}}
 	r, err := http.NewRequest(method, "https://"+to.String()+path, strings.NewReader(body))
 	must.NoError(t, err)
 	resp, err := c.Do(r)
@@ -213,11 +178,11 @@
 	p := newPKI(t)
 	f := &fake{}
 	to := p.serve(f)
-	operator, upstream := p.store(identity.Operator, "amina"), p.store(identity.Upstream, "permit-1")
+	operator, upstream := p.config(identity.Operator, "amina"), p.config(identity.Upstream, "permit-1")
 	const fields = `"name":"permit-1","service":"permit","address":"127.0.0.1:5555","incarnation":1,"slots":3`
 	cases := []struct {
 		name         string
-		store        *keys.Store
+		config       *tls.Config
 		method, path string
 		body         string
 		status       int
@@ -243,7 +208,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			resp, e := raw(t, c.store, c.method, to, c.path, c.body)
+			resp, e := raw(t, c.config, c.method, to, c.path, c.body)
 			must.Eq(t, c.status, resp.StatusCode)
 			must.Eq(t, c.code, e.Code)
 			must.Eq(t, c.code.Name(), e.Name)
@@ -254,7 +219,7 @@
 
 func TestErrorsOfControl(t *testing.T) {
 	p := newPKI(t)
-	operator := p.store(identity.Operator, "amina")
+	operator := p.config(identity.Operator, "amina")
 	cases := []struct {
 		err    error
 		status int
@@ -336,7 +301,7 @@
 func TestLostAnswer(t *testing.T) {
 	p := newPKI(t)
 	ctx := context.Background()
-	config := p.store(identity.VM, "a-1").ServerTLS(identity.Operator)
+	config := p.config(identity.VM, serverName)
 	good := p.serve(&fake{})
 	for _, answer := range []string{
 		"",
@@ -365,6 +330,10 @@
 	defer cancel()
 	_, err = p.operator(p.serve(f)).WaitInForce(ctx, 3, time.Millisecond)
 	must.Eq(t, result.NotInForceYet, result.CodeOf(err))
+
+	f = &fake{err: result.Errorf(result.NotAuthorized, "role")}
+	_, err = p.operator(p.serve(f)).WaitInForce(context.Background(), 3, time.Millisecond)
+	must.Eq(t, result.NotAuthorized, result.CodeOf(err))
 }
 
 func TestPending(t *testing.T) {
--- a/internal/request/api/wait.go
+++ b/internal/request/api/wait.go
@@ -13,15 +13,18 @@
 
 // WaitInForce polls the status until each live VM has applied the log up to
 // index. When ctx ends first, it returns NotInForceYet and the VMs that have
-// not confirmed.
+// not confirmed. An error that asking again cannot mend ends the wait.
 func (c *Client) WaitInForce(ctx context.Context, index uint64, poll time.Duration) ([]string, error) {
 	var pending []string
 	last := result.Errorf(result.NotReady, "no status yet")
 	for {
 		st, err := c.Status(ctx)
-		if err == nil {
+		switch {
+		case err == nil:
 			pending, last = st.Pending(index)
-		} else if ctx.Err() == nil {
+		case permanent(err):
+			return pending, err
+		case ctx.Err() == nil:
 			last = err
 		}
 		if last == nil {
@@ -33,6 +36,12 @@
 	}
 }
 
+// permanent reports whether asking again cannot help.
+func permanent(err error) bool {
+	c := result.CodeOf(err).Class()
+	return c == result.ClassUsage || c == result.ClassSecurity
+}
+
 // Pending returns the live VMs that have not applied index, and an error while
 // there are any or while the VM that answered cannot know.
 func (s *StatusResponse) Pending(index uint64) ([]string, error) {
