Sign relay messages by HMAC-SHA256

Cause: while a balancer stops or has died many packets are relayed, and the tag was the largest cost of a relay.

The header is unchanged. The package comment states that tags do not prevent a replay.

--- a/internal/request/relay/keyring.go
+++ b/internal/request/relay/keyring.go
@@ -2,15 +2,14 @@
 
 import (
 	"cmp"
-	"crypto/subtle"
+	"crypto/hmac"
+	"crypto/sha256"
 	"encoding/binary"
 	"hash"
 	"slices"
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/crypto/blake2s"
-
 	"heatherport/internal/result"
 )
 
@@ -68,7 +67,7 @@
 	clock  func() time.Duration
 	keys   *[]Key // those that hashes belong to
 	hashes [maxKeys]hash.Hash
-	sum    [TagSize]byte
+	sum    [sha256.Size]byte
 }
 
 // NewCodec returns a Codec that uses the keys of ring. The clock is the one by
@@ -89,13 +88,7 @@
 	}
 }
 
-func newHash(k *Key) hash.Hash {
-	h, err := blake2s.New128(k.Secret[:])
-	if err != nil { // only for a secret of another size
-		panic(err)
-	}
-	return h
-}
+func newHash(k *Key) hash.Hash { return hmac.New(sha256.New, k.Secret[:]) }
 
 // sign writes the key ID and the tag of the message b.
 func (c *Codec) sign(b []byte) {
@@ -124,7 +117,7 @@
 	if i < 0 {
 		return false
 	}
-	return subtle.ConstantTimeCompare(c.tag(c.hashes[i], b), b[offsetTag:HeaderSize]) == 1
+	return hmac.Equal(c.tag(c.hashes[i], b), b[offsetTag:HeaderSize])
 }
 
 // accepted returns the index of the key with the given ID, or -1 if none is
@@ -142,5 +135,5 @@
 	h.Reset()
 	h.Write(b[:offsetTag])
 	h.Write(b[HeaderSize:])
-	return h.Sum(c.sum[:0])
+	return h.Sum(c.sum[:0])[:TagSize]
 }
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -9,8 +9,10 @@
 //	16 epoch (8)        24 key ID (4)            28  tag (16)
 //	44 body: the bare IP packet, or a flow key, sequence number and marks
 //
-// All numbers are big-endian. The tag is the keyed BLAKE2s-128 of the header
-// up to the tag and of the body.
+// All numbers are big-endian. The tag is the HMAC-SHA256 of the header up to
+// the tag and of the body, cut to 16 bytes. It proves that a holder of the key
+// has made the message, but not when: a message may be replayed while its key
+// is accepted.
 package relay
 
 import (
