--- a/internal/process/cli/arguments.go
+++ b/internal/process/cli/arguments.go
@@ -17,6 +17,7 @@
 	Status   *statusCommand `arg:"subcommand:status" help:"show VMs, upstreams, open drains and versions"`
 	Explain  *explainGroup  `arg:"subcommand:explain" help:"say why a connection, an upstream or a sheet is where it is"`
 	Audit    *auditCommand  `arg:"subcommand:audit" help:"show the trail of changes"`
+	Voter    *voterGroup    `arg:"subcommand:voter" help:"change the voters of the replicated log"`
 	Keys     *keysGroup     `arg:"subcommand:keys" help:"make and rotate certificates and relay keys"`
 	Demo     *demoCommand   `arg:"subcommand:demo" help:"run eight balancers with stand-ins in this process"`
 	Codes    *codesCommand  `arg:"subcommand:codes" help:"list the result codes"`
@@ -170,6 +171,9 @@
 	{"explain upstream", " permit-03" + exampleRemote},
 	{"explain sheet", exampleRemote},
 	{"audit", " --kind sheet --last 24h" + exampleRemote},
+	{"voter bootstrap", " --settings /etc/heatherport/settings.ini"},
+	{"voter add", " oshogbo-1" + exampleRemote},
+	{"voter remove", " akure-1" + exampleRemote},
 	{"keys init", " --dir ./keys"},
 	{"keys issue", " --dir ./keys --name ibadan-1"},
 	{"keys rotate", " --dir ./keys --window 24h"},
--- a/internal/request/api/api_test.go
+++ b/internal/request/api/api_test.go
@@ -64,6 +64,10 @@
 	return api.AuditResponse{Records: []api.AuditRecord{{Kind: api.AuditSheet, Code: result.SheetStale}}}, f.err
 }
 
+func (f *fake) ChangeVoter(context.Context, api.VoterRequest) (api.VoterResponse, error) {
+	return api.VoterResponse{}, f.err
+}
+
 func (f *fake) Announce(_ context.Context, a api.Announcement) (api.AnnounceResponse, error) {
 	f.calls.Add(1)
 	return api.AnnounceResponse{LeaseSeconds: a.Slots}, f.err
