Show in the demo whether refused requests ran

Cause: 'not run' must be true when a caller is told so, and the demo did not report it.

Change: the demo's table and verdict include RefusedButRun.

--- a/internal/process/demo/report.go
+++ b/internal/process/demo/report.go
@@ -29,6 +29,7 @@
 	CrossConnection uint64            `json:"answers_across_connections"`
 	DuplicateFirst  uint64            `json:"first_packets_at_two_upstreams"`
 	DuplicateRuns   uint64            `json:"requests_run_twice"`
+	RefusedButRun   uint64            `json:"refused_but_run"`
 	WhileDraining   uint64            `json:"new_at_leaving_after_3s"`
 	Imbalance       []Imbalance       `json:"imbalance"`
 	SheetInForceMax time.Duration     `json:"sheet_in_force_max_ns"`
@@ -84,6 +85,7 @@
 	r.CrossConnection = s.CrossConnection
 	r.DuplicateFirst = s.DuplicateFirst
 	r.DuplicateRuns = s.DuplicateRuns
+	r.RefusedButRun = s.RefusedButRun
 	r.WhileDraining = s.WhileDraining
 }
 
@@ -109,6 +111,7 @@
 	row("answers from another upstream", r.Moved)
 	row("first packets at two upstreams", r.DuplicateFirst)
 	row("requests run twice", r.DuplicateRuns)
+	row("refused but run", r.RefusedButRun)
 	row("new at leaving upstreams after 3 s", r.WhileDraining)
 	for _, i := range r.Imbalance {
 		row("imbalance max/mean, "+i.Service, fmt.Sprintf("%.2f (%d open)", i.Ratio, i.Open))
@@ -137,6 +140,7 @@
 	check(r.Moved, "connections moved")
 	check(r.DuplicateFirst, "first packets at two upstreams")
 	check(r.DuplicateRuns, "requests run twice")
+	check(r.RefusedButRun, "refused but run")
 	check(r.WhileDraining, "new connections at leaving upstreams")
 	if r.SheetInForceMax > maxInForce {
 		broken = append(broken, fmt.Sprintf("sheet in force after %s", r.SheetInForceMax))
