Split the Raft package by subject

Cause: node.go and the scenario tests had grown large. No test was changed. Conclusion: no change of behaviour.

--- a/internal/version/raft/cluster_test.go
+++ b/internal/version/raft/cluster_test.go
@@ -11,6 +11,9 @@
 	"testing"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/shoenig/test/must"
+
+	"heatherport/internal/result"
 )
 
 // Timing of the nodes under test, in ticks.
@@ -421,3 +424,108 @@
 	_, err := m.node.ProposeConfig(change)
 	return err
 }
+
+// isolate cuts a VM off from all others.
+func (c *cluster) isolate(id string) {
+	for _, other := range c.ids {
+		if other != id {
+			c.cut[link{id, other}] = true
+			c.cut[link{other, id}] = true
+		}
+	}
+}
+
+// wipe replaces a VM's disk by an empty one and boots it.
+func (c *cluster) wipe(m *member) {
+	m.disk = State{}
+	c.boot(m)
+}
+
+// followers returns the other live voters of the leader's configuration.
+func (c *cluster) followers(l *member) []*member {
+	var out []*member
+	for _, id := range l.node.config().Voters {
+		if m := c.members[id]; m != l && !m.down {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// mustChange makes a membership change and waits until it is committed.
+func (c *cluster) mustChange(t *testing.T, kind ChangeKind, id string) {
+	t.Helper()
+	l := c.elect()
+	index, err := l.node.ProposeConfig(ConfigChange{Kind: kind, ID: id})
+	must.NoError(t, err)
+	c.run(2 * testHeartbeatTicks)
+	must.GreaterEq(t, index, c.maxCommit)
+}
+
+// replaceVoter removes one voter and adds another VM in its place.
+func (c *cluster) replaceVoter(t *testing.T, old, fresh string) {
+	t.Helper()
+	c.mustChange(t, RemoveMember, old)
+	c.mustChange(t, AddLearner, fresh)
+	c.run(2 * testElectionTicks)
+	c.mustChange(t, PromoteLearner, fresh)
+}
+
+func (c *cluster) mustCommit(t *testing.T) {
+	t.Helper()
+	before := c.maxCommit
+	must.NoError(t, c.propose(c.elect()))
+	c.run(2 * testHeartbeatTicks)
+	must.Greater(t, before, c.maxCommit)
+}
+
+func code(err error) result.Code { return result.CodeOf(err) }
+
+// bootstrapped returns the boot state of a group of voters vm1 to vmN.
+func bootstrapped(t *testing.T, voters int) State {
+	t.Helper()
+	var config Configuration
+	for i := range voters {
+		config.Voters = append(config.Voters, fmt.Sprintf("vm%d", i+1))
+	}
+	s, err := Bootstrap(config)
+	must.NoError(t, err)
+	return s
+}
+
+// drain carries out all effects of a single node and returns its messages.
+func drain(n *Node) []Message {
+	var out []Message
+	for {
+		rd, ok := n.Ready()
+		if !ok {
+			return out
+		}
+		out = append(out, rd.Messages...)
+		n.Advance()
+	}
+}
+
+func soloNode(t *testing.T, hs HardState, entries []Entry) *Node {
+	t.Helper()
+	n, err := New(Config{
+		ID: "vm1", ElectionTicks: testElectionTicks, HeartbeatTicks: testHeartbeatTicks,
+		Rand: rand.New(rand.NewPCG(1, 1)),
+	}, State{HardState: hs, Entries: entries})
+	must.NoError(t, err)
+	return n
+}
+
+// electedNode returns vm1 as the leader of its next term.
+func electedNode(t *testing.T, hs HardState, entries []Entry) *Node {
+	t.Helper()
+	n := soloNode(t, hs, entries)
+	n.startElection(false)
+	drain(n)
+	for _, id := range n.config().Voters[1:n.config().Quorum()] {
+		must.NoError(t, n.Step(Message{Type: MessageVoteResponse, From: id, To: "vm1", Term: n.term}))
+	}
+	must.Eq(t, Leader, n.role)
+	drain(n)
+	return n
+}
--- /dev/null
+++ b/internal/version/raft/election_test.go
@@ -0,0 +1,88 @@
+package raft
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"heatherport/internal/result"
+)
+
+func TestCutOffVoterDoesNotDisruptOnReturn(t *testing.T) {
+	c := newCluster(t, 1, 3, 0)
+	l := c.elect()
+	term := l.node.term
+	f := c.followers(l)[0]
+	c.isolate(f.id)
+	for range 20 {
+		c.mustCommit(t)
+		c.run(testElectionTicks)
+	}
+	must.Eq(t, term, f.node.term)
+	must.Eq(t, PreCandidate, f.node.role)
+	clear(c.cut)
+	c.run(3 * testElectionTicks)
+	must.Eq(t, l, c.leader())
+	must.Eq(t, term, l.node.term)
+	must.Eq(t, c.maxCommit, f.applied)
+}
+
+func TestLeaderWithoutQuorumStepsDown(t *testing.T) {
+	c := newCluster(t, 2, 3, 0)
+	l := c.elect()
+	c.isolate(l.id)
+	c.run(testElectionTicks)
+	must.NotEq(t, Leader, l.node.role)
+	must.Eq(t, result.NoLeader, code(c.propose(l)))
+}
+
+// A restarted voter does not know what it promised before.
+func TestRestartedVoterWaitsBeforeItVotes(t *testing.T) {
+	boot := bootstrapped(t, 3)
+	n := soloNode(t, boot.HardState, boot.Entries)
+	ask := Message{Type: MessageVote, From: "vm2", To: "vm1", Term: 2, Index: 1, LogTerm: 1}
+	must.NoError(t, n.Step(ask))
+	must.Eq(t, "", n.vote)
+	for range testElectionTicks {
+		n.Tick()
+	}
+	must.NoError(t, n.Step(ask))
+	must.Eq(t, "vm2", n.vote)
+}
+
+// TestOwnVoteCountsOnceDurable: found by TestLongRuns with seed 1022. A lone
+// voter led a term in memory, lost its vote in a crash, and then voted for
+// another node in that term.
+func TestOwnVoteCountsOnceDurable(t *testing.T) {
+	boot := bootstrapped(t, 1)
+	n := soloNode(t, boot.HardState, boot.Entries)
+	n.startElection(false)
+	must.Eq(t, Candidate, n.role)
+	_, ok := n.Ready()
+	must.True(t, ok)
+	n.Advance()
+	must.Eq(t, Leader, n.role)
+}
+
+// A node whose term is ahead tells an old leader, or it would stay out.
+func TestOldLeaderIsAnswered(t *testing.T) {
+	boot := bootstrapped(t, 3)
+	boot.HardState.Term = 5
+	n := soloNode(t, boot.HardState, boot.Entries)
+	must.NoError(t, n.Step(Message{Type: MessageHeartbeat, From: "vm2", To: "vm1", Term: 4}))
+	out := drain(n)
+	must.Len(t, 1, out)
+	must.Eq(t, 5, out[0].Term)
+	must.Eq(t, "vm2", out[0].To)
+}
+
+func TestResponseOfStrangerDoesNotEndTerm(t *testing.T) {
+	boot := bootstrapped(t, 3)
+	n := electedNode(t, boot.HardState, boot.Entries)
+	m := Message{Type: MessageAppendResponse, From: "vm9", To: "vm1", Term: n.term + 5, Reject: true}
+	must.NoError(t, n.Step(m))
+	must.Eq(t, Leader, n.role)
+	m.From = "vm2"
+	must.NoError(t, n.Step(m))
+	must.Eq(t, Follower, n.role)
+}
--- a/internal/version/raft/membership.go
+++ b/internal/version/raft/membership.go
@@ -2,6 +2,79 @@
 
 import "heatherport/internal/result"
 
+// config returns the latest configuration in the log.
+func (n *Node) config() Configuration { return n.configs[len(n.configs)-1].config }
+
+func (n *Node) configIndex() uint64 { return n.configs[len(n.configs)-1].index }
+
+func (n *Node) isConfigPending() bool { return n.configIndex() > n.commitIndex }
+
+// mayCampaign reports whether the node may start an election. While the
+// configuration that removes it is not known to be committed, its vote may
+// still be needed to commit it.
+func (n *Node) mayCampaign() bool {
+	if !n.joined {
+		return false
+	}
+	if n.config().IsVoter(n.cfg.ID) {
+		return true
+	}
+	if !n.isConfigPending() || len(n.configs) < 2 {
+		return false
+	}
+	return n.configs[len(n.configs)-2].config.IsVoter(n.cfg.ID)
+}
+
+// appendEntries appends consecutive entries and adopts the configurations
+// among them.
+func (n *Node) appendEntries(entries ...Entry) error {
+	for _, e := range entries {
+		if e.Kind != EntryConfig {
+			continue
+		}
+		c, err := DecodeConfiguration(e.Data)
+		if err != nil {
+			return err
+		}
+		n.adoptConfig(e.Index, c)
+	}
+	n.log.append(entries...)
+	return nil
+}
+
+func (n *Node) adoptConfig(index uint64, c Configuration) {
+	n.configs = append(n.configs, configAt{index: index, config: c})
+	if n.role == Leader {
+		n.syncProgress()
+	}
+}
+
+// truncateLog removes the entries from index i on, and their configurations.
+func (n *Node) truncateLog(i uint64) {
+	n.log.truncate(i)
+	for len(n.configs) > 1 && n.configIndex() >= i {
+		n.configs = n.configs[:len(n.configs)-1]
+	}
+}
+
+// trimConfigs drops the configurations that were replaced at or before index.
+func (n *Node) trimConfigs(index uint64) {
+	for len(n.configs) > 1 && n.configs[1].index <= index {
+		n.configs = n.configs[1:]
+	}
+}
+
+// configAtIndex returns the configuration in use at index.
+func (n *Node) configAtIndex(index uint64) Configuration {
+	c := n.configs[0].config
+	for _, at := range n.configs[1:] {
+		if at.index <= index {
+			c = at.config
+		}
+	}
+	return c
+}
+
 // ProposeConfig starts a change of membership and returns the index of the
 // configuration that holds it; the change is done when that index is
 // committed. A second change is refused until then. A change that has been
--- a/internal/version/raft/replicate.go
+++ b/internal/version/raft/replicate.go
@@ -26,6 +26,16 @@
 	}
 }
 
+// peers returns the members that the leader replicates to, in order.
+func (n *Node) peers() []string {
+	ids := make([]string, 0, len(n.progress))
+	for id := range n.progress {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 func (n *Node) tickLeader() {
 	if n.silentTicks() >= uint64(n.cfg.ElectionTicks) {
 		n.becomeFollower(n.term, "")
--- /dev/null
+++ b/internal/version/raft/replicate_test.go
@@ -0,0 +1,170 @@
+package raft
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"heatherport/internal/result"
+)
+
+// The situation of figure 8 of the Raft paper: an entry of an earlier term on a
+// majority is not committed by counting.
+func TestEntryOfEarlierTermIsNotCommittedByCounting(t *testing.T) {
+	boot := bootstrapped(t, 5)
+	boot.HardState.Term = 3
+	n := electedNode(t, boot.HardState, append(boot.Entries, Entry{Term: 2, Index: 2}))
+	acknowledge := func(index uint64) {
+		for _, id := range []string{"vm2", "vm3"} {
+			must.NoError(t, n.Step(Message{
+				Type: MessageAppendResponse, From: id, To: "vm1", Term: 4, Index: index, Epoch: 1,
+			}))
+		}
+	}
+	acknowledge(2)
+	must.Eq(t, 1, n.commitIndex)
+	acknowledge(3)
+	must.Eq(t, 3, n.commitIndex)
+}
+
+func TestProposalsAreBounded(t *testing.T) {
+	c := newCluster(t, 16, 3, 0)
+	c.adjust = func(cfg *Config) { cfg.MaxUncommittedBytes = 1000 }
+	for _, id := range c.ids {
+		c.boot(c.members[id])
+	}
+	l := c.elect()
+	var err error
+	accepted := 0
+	for err == nil {
+		err = c.propose(l)
+		accepted++
+	}
+	must.Eq(t, result.Overloaded, code(err))
+	must.Less(t, 1000/entryOverhead+1, accepted)
+	c.settle()
+	must.Eq(t, 0, l.node.uncommittedBytes)
+	must.NoError(t, c.propose(l))
+}
+
+// A silent peer costs heartbeats and at most MaxInflight append messages.
+func TestSilentPeerGetsHeartbeatsOnly(t *testing.T) {
+	c := newCluster(t, 17, 3, 0)
+	l := c.elect()
+	f := c.followers(l)[0]
+	c.crash(f, false)
+	appends := 0
+	for range 100 {
+		must.NoError(t, c.propose(l))
+		c.process(l)
+		for _, m := range c.net {
+			if m.To == f.id && m.Type == MessageAppend {
+				appends++
+			}
+		}
+		c.run(1)
+	}
+	must.LessEq(t, 2*3, appends)
+	for _, p := range l.node.Status().Progress {
+		if p.ID == f.id {
+			must.Eq(t, Probe, p.State)
+			must.Zero(t, p.Inflight)
+		}
+	}
+}
+
+// A peer that lost its log rejects what it once acknowledged; the leader must
+// not repeat the same message at the speed of the network.
+func TestPeerWithoutItsLogIsNotFlooded(t *testing.T) {
+	c := newCluster(t, 19, 3, 0)
+	l := c.elect()
+	lost := c.followers(l)[0]
+	c.mustCommit(t)
+	c.wipe(lost)
+	appends := 0
+	c.filter = func(m *Message) bool {
+		if m.To == lost.id && m.Type == MessageAppend {
+			appends++
+		}
+		return true
+	}
+	must.NoError(t, c.propose(l))
+	c.run(10 * testHeartbeatTicks)
+	must.LessEq(t, 2*11, appends)
+}
+
+// The last append message of a busy time is repeated when it is lost.
+func TestLostTailIsSentAgain(t *testing.T) {
+	c := newCluster(t, 20, 3, 0)
+	l := c.elect()
+	f := c.followers(l)[0]
+	c.filter = func(m *Message) bool { return m.To != f.id || m.Type != MessageAppend }
+	must.NoError(t, c.propose(l))
+	c.settle()
+	must.Less(t, c.maxCommit, f.applied)
+	c.filter = nil
+	c.run(3 * testHeartbeatTicks)
+	must.Eq(t, c.maxCommit, f.applied)
+}
+
+// Proposals between two calls of Ready go out in one message.
+func TestProposalsAreBatched(t *testing.T) {
+	boot := bootstrapped(t, 3)
+	n := electedNode(t, boot.HardState, boot.Entries)
+	must.NoError(t, n.Step(Message{
+		Type: MessageAppendResponse, From: "vm2", To: "vm1", Term: n.term, Index: 2, Epoch: 1,
+	}))
+	drain(n)
+	for range 100 {
+		_, _, err := n.Propose([]byte("x"))
+		must.NoError(t, err)
+	}
+	rd, ok := n.Ready()
+	must.True(t, ok)
+	must.Len(t, 100, rd.Entries)
+	must.Len(t, 1, rd.Messages)
+	must.Len(t, 100, rd.Messages[0].Entries)
+}
+
+// A reordered older append message must not remove entries that a newer one
+// brought.
+func TestReorderedAppendKeepsSuffix(t *testing.T) {
+	boot := bootstrapped(t, 3)
+	n := soloNode(t, boot.HardState, boot.Entries)
+	appendAfter := func(prev uint64, indexes ...uint64) {
+		m := Message{Type: MessageAppend, From: "vm2", To: "vm1", Term: 1, Index: prev, LogTerm: 1}
+		for _, i := range indexes {
+			m.Entries = append(m.Entries, Entry{Term: 1, Index: i})
+		}
+		must.NoError(t, n.Step(m))
+		drain(n)
+	}
+	appendAfter(1, 2, 3, 4)
+	appendAfter(1, 2)
+	must.Eq(t, 4, n.log.lastIndex())
+}
+
+// An old leader with a long uncommitted suffix is brought in line within few
+// round trips.
+func TestConflictBackoff(t *testing.T) {
+	c := newCluster(t, 18, 3, 0)
+	old := c.elect()
+	c.isolate(old.id)
+	for range 200 {
+		must.NoError(t, c.propose(old))
+	}
+	c.run(3 * testElectionTicks)
+	must.NotEq(t, old, c.elect())
+	c.mustCommit(t)
+	rejects := 0
+	c.filter = func(m *Message) bool {
+		if m.Type == MessageAppendResponse && m.Reject {
+			rejects++
+		}
+		return true
+	}
+	clear(c.cut)
+	c.run(testElectionTicks)
+	must.Eq(t, c.maxCommit, old.applied)
+	must.LessEq(t, 3, rejects)
+}
--- a/internal/version/raft/snapshot.go
+++ b/internal/version/raft/snapshot.go
@@ -8,6 +8,23 @@
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
+// Compact records that the application has a snapshot of its state at index,
+// which it has applied, and drops the entries that the snapshot covers. It
+// returns the snapshot to persist.
+func (n *Node) Compact(index uint64, data []byte) (Snapshot, error) {
+	if index > n.appliedIndex || index <= n.snapshot.Index {
+		return Snapshot{}, result.Errorf(result.BadArguments,
+			"raft: snapshot at %d, applied %d, last snapshot %d", index, n.appliedIndex, n.snapshot.Index)
+	}
+	term, _ := n.log.term(index)
+	n.snapshot = Snapshot{Index: index, Term: term, Config: n.configAtIndex(index).Clone(), Data: data}
+	n.trimConfigs(index)
+	if index > n.cfg.TrailingEntries {
+		n.log.compact(index - n.cfg.TrailingEntries)
+	}
+	return n.snapshot, nil
+}
+
 // startTransfer begins to send the newest snapshot to a peer whose next entry
 // the log no longer holds.
 func (n *Node) startTransfer(id string, p *progress) {
