Test conflict backoff from a new leader and unjoined nodes

Cause: trial mutations of both paths passed the tests. Change: the backoff test makes a leader that does not know the follower's log; a node that is not joined is asked for its vote and told to campaign. Tested: go test ./internal/version/raft passes; both mutations now fail. Conclusion: both paths are covered.

--- a/internal/version/raft/membership_test.go
+++ b/internal/version/raft/membership_test.go
@@ -147,6 +147,24 @@
 	must.Eq(t, other, c.elect())
 }
 
+func TestUnjoinedNodeNeitherVotesNorCampaigns(t *testing.T) {
+	boot := bootstrapped(t, 3)
+	boot.HardState.Joined = false
+	n := soloNode(t, boot.HardState, boot.Entries)
+	must.NoError(t, n.Step(Message{
+		Type: MessageVote, From: "vm2", To: "vm1", Term: 2, Index: 1, LogTerm: 1, Force: true,
+	}))
+	out := drain(n)
+	must.Len(t, 1, out)
+	must.True(t, out[0].Reject)
+	must.NoError(t, n.Step(Message{Type: MessageTimeoutNow, From: "vm2", To: "vm1", Term: 2}))
+	for range 10 * testElectionTicks {
+		n.Tick()
+	}
+	must.Eq(t, Follower, n.role)
+	must.Eq(t, 2, n.term)
+}
+
 func TestRemovedVoterDoesNotDisrupt(t *testing.T) {
 	c := newCluster(t, 11, 4, 0)
 	l := c.elect()
--- a/internal/version/raft/replicate_test.go
+++ b/internal/version/raft/replicate_test.go
@@ -145,7 +145,7 @@
 }
 
 // An old leader with a long uncommitted suffix is brought in line within few
-// round trips.
+// round trips by a leader that does not know how far its log agrees.
 func TestConflictBackoff(t *testing.T) {
 	c := newCluster(t, 18, 3, 0)
 	old := c.elect()
@@ -154,8 +154,12 @@
 		must.NoError(t, c.propose(old))
 	}
 	c.run(3 * testElectionTicks)
+	for range 50 {
+		c.mustCommit(t)
+	}
+	must.NoError(t, c.elect().node.TransferLeadership(""))
+	c.settle()
 	must.NotEq(t, old, c.elect())
-	c.mustCommit(t)
 	rejects := 0
 	c.filter = func(m *Message) bool {
 		if m.Type == MessageAppendResponse && m.Reject {
