--- a/internal/process/control/serve.go
+++ b/internal/process/control/serve.go
@@ -79,12 +79,8 @@
 func (c *Controller) pendingVMs(index uint64) []string {
 	var names []string
 	v := c.machine.Version()
-	for i := range v.Members {
-		m := &v.Members[i]
-		st := c.leader.roster.Member(m.ID)
-		if st.Live && st.Applied < index {
-			names = append(names, m.Name)
-		}
+	for _, id := range c.leader.roster.Unapplied(index) {
+		names = append(names, memberName(v, id))
 	}
 	return names
 }
