--- a/internal/connection/owner/choose.go
+++ b/internal/connection/owner/choose.go
@@ -31,7 +31,8 @@
 // choose returns the upstream for a new connection: the first of the ranking
 // whose open connections stay within the limit times its fair share, else the
 // one with the fewest for its weight. It returns nil when all are full.
-func (e *Engine) choose(s *service, bucket uint16, others int32) *target {
+func (e *Engine) choose(r *request, s *service) *target {
+	others := r.view.others
 	var c chooser
 	var total int64
 	for i, t := range s.targets {
@@ -41,12 +42,15 @@
 			c.open[i] = n
 		}
 	}
-	c.walker.Start(s.current, bucket)
+	c.walker.Start(s.current, r.bucket())
 	var least *target
 	var leastOpen int64
 	var leastWeight uint64
 	for i, ok := c.walker.Next(); ok; i, ok = c.walker.Next() {
 		t := s.targets[i]
+		if s.settled && r.base == 0 {
+			r.base = t.id
+		}
 		n := c.count(i, t, others)
 		if t.limit > 0 && n >= t.limit {
 			continue
@@ -77,7 +81,7 @@
 func (e *Engine) open(r *request, s *service, st *slotState) connection.Decision {
 	t := e.previousUpstream(r, s)
 	if t == nil {
-		t = e.choose(s, r.bucket(), r.view.others)
+		t = e.choose(r, s)
 	}
 	if t == nil {
 		return e.refuse(r, s, st)
@@ -86,7 +90,7 @@
 	if !ok {
 		return drop(result.DropTableFull)
 	}
-	if up == t.id && s.deviates(up, r.bucket()) {
+	if up == t.id && r.deviates(s, up) {
 		if d, ok := e.viaStandby(r, up); ok {
 			return d
 		}
@@ -108,7 +112,7 @@
 		id = ent.Upstream
 	}
 	sh.Unlock()
-	t := r.view.targets[id]
+	t := r.view.targets.get(id)
 	if t == nil || !t.active || t.service != s {
 		return nil
 	}
--- a/internal/connection/owner/decide.go
+++ b/internal/connection/owner/decide.go
@@ -18,6 +18,23 @@
 	via    *connection.Relay
 	hash   uint64
 	slot   uint16
+	base   version.UpstreamID // see first; zero when not computed yet
+}
+
+// first returns the base's first choice for the packet's bucket.
+func (r *request) first(s *service) version.UpstreamID {
+	if r.base == 0 {
+		r.base = s.first(r.bucket())
+	}
+	return r.base
+}
+
+// deviates reports whether the packet's connection needs an exception at id.
+func (r *request) deviates(s *service, id version.UpstreamID) bool {
+	if r.first(s) != id {
+		return true
+	}
+	return s.next != nil && placement.First(s.next, r.bucket()) != id
 }
 
 func (r *request) bucket() uint16 { return placement.Bucket(r.hash) }
@@ -57,32 +74,34 @@
 
 // Decide says what to do with a packet. via is the header of a relayed packet
 // and nil for a packet from the fabric.
-func (e *Engine) Decide(now time.Duration, p *connection.Packet, via *connection.Relay) connection.Decision {
+func (e *Engine) Decide(now time.Duration, p *connection.Packet, via *connection.Relay) (d connection.Decision) {
 	w := e.view.Load()
 	if w == nil {
 		return drop(result.DropNotReady)
 	}
 	r := request{now: now, view: w, packet: p, via: via, hash: p.Key.Hash()}
 	r.slot = placement.Slot(r.hash)
-	d := e.decide(&r)
+	e.decide(&r, &d)
 	e.stats.count(&r, &d)
 	return d
 }
 
-func (e *Engine) decide(r *request) connection.Decision {
+func (e *Engine) decide(r *request, d *connection.Decision) {
 	if r.via != nil {
 		if from := r.view.peers[r.via.From]; from != nil {
 			from.hear(r.now)
 		}
 		if r.via.Flags&connection.RelayRecord != 0 {
-			return e.record(r)
+			*d = e.record(r)
+			return
 		}
 	}
 	hit, ok := e.lookup(r)
 	if !ok {
-		return e.miss(r)
+		*d = e.miss(r)
+		return
 	}
-	return e.follow(r, hit)
+	e.follow(r, hit, d)
 }
 
 // match is a copy of what an entry says.
@@ -167,34 +186,40 @@
 }
 
 // follow forwards a packet to the upstream of its entry.
-func (e *Engine) follow(r *request, m match) connection.Decision {
+func (e *Engine) follow(r *request, m match, d *connection.Decision) {
 	if e.needsRecord(r, m) {
-		if d, ok := e.viaStandby(r, m.upstream); ok {
-			return d
+		if via, ok := e.viaStandby(r, m.upstream); ok {
+			*d = via
+			return
 		}
 	}
-	d := e.forward(r, m.upstream, m.isn, m.flags)
+	e.forwardTo(r, d, m.upstream, m.isn, m.flags)
 	if m.refresh && d.Action == connection.Forward {
-		e.addRefresh(r, &d, m)
+		e.addRefresh(r, d, m)
 	}
+}
+
+func (e *Engine) forward(r *request, id version.UpstreamID, isn uint32, flags table.Flags) (d connection.Decision) {
+	e.forwardTo(r, &d, id, isn, flags)
 	return d
 }
 
-// forward resolves an upstream just before sending, and answers the origin of
-// a relayed packet with a hint.
-func (e *Engine) forward(r *request, id version.UpstreamID, isn uint32, flags table.Flags) connection.Decision {
+// forwardTo resolves an upstream just before sending, and answers the origin
+// of a relayed packet with a hint. It fills in d, which is zero.
+func (e *Engine) forwardTo(r *request, d *connection.Decision, id version.UpstreamID, isn uint32, flags table.Flags) {
 	t, same := r.view.resolve(id, &r.packet.Key)
 	if t == nil {
-		return drop(result.DropUpstreamGone)
+		d.Code = result.DropUpstreamGone
+		return
 	}
 	if !same {
-		return drop(result.DropServiceMismatch)
+		d.Code = result.DropServiceMismatch
+		return
 	}
-	d := connection.Decision{Action: connection.Forward, Upstream: id, Addr: t.addr}
+	d.Action, d.Upstream, d.Addr = connection.Forward, id, t.addr
 	if r.via != nil {
-		e.addHint(r, &d, id, isn, flags)
+		e.addHint(r, d, id, isn, flags)
 	}
-	return d
 }
 
 // addHint tells the origin of a relayed packet where the connection is.
--- a/internal/connection/owner/engine.go
+++ b/internal/connection/owner/engine.go
@@ -226,18 +226,18 @@
 	if why == table.Evicted {
 		e.evictAt.Store(max(e.evictAt.Load(), int64(ent.Seen)*int64(table.Unit)))
 	}
-	if w.owners.cur.Owner(placement.Slot(ent.Hash)) != w.self || ent.Flags&table.AtBase != 0 {
+	if w.owners.cur.Owner(placement.Slot(ent.Hash())) != w.self || ent.Flags&table.AtBase != 0 {
 		return
 	}
 	if why == table.Evicted {
-		e.held.put(ent.Hash, held{upstream: ent.Upstream, from: w.self, at: ent.Seen, confirmed: true})
+		e.held.put(ent.Hash(), held{upstream: ent.Upstream, from: w.self, at: ent.Seen, confirmed: true})
 		return
 	}
-	e.events.push(item{hash: ent.Hash})
+	e.events.push(item{hash: ent.Hash()})
 }
 
 func (e *Engine) uncount(w *view, id version.UpstreamID) {
-	if t := w.targets[id]; t != nil {
+	if t := w.targets.get(id); t != nil {
 		t.counter.Add(-1)
 	}
 }
--- a/internal/connection/owner/miss.go
+++ b/internal/connection/owner/miss.go
@@ -110,7 +110,7 @@
 	if !ok {
 		return connection.Decision{}, false
 	}
-	t := r.view.targets[h.upstream]
+	t := r.view.targets.get(h.upstream)
 	if t == nil && (!r.opening() || !s.idempotent && young(r.now, h.at)) {
 		return drop(result.DropUpstreamGone), true
 	}
@@ -127,7 +127,7 @@
 // assumeBase forwards a packet of an existing connection: without an
 // exception, it belongs to the base.
 func (e *Engine) assumeBase(r *request, s *service) connection.Decision {
-	t := r.view.targets[s.first(r.bucket())]
+	t := r.view.targets.get(r.first(s))
 	if t == nil {
 		return drop(result.DropNoUpstream)
 	}
@@ -142,7 +142,7 @@
 // that a lost owner has forwarded. A connection without an exception went to
 // the base, so the base is the only safe choice while it takes connections.
 func (e *Engine) openAfterLoss(r *request, s *service, st *slotState) connection.Decision {
-	t := r.view.targets[s.first(r.bucket())]
+	t := r.view.targets.get(r.first(s))
 	if t != nil && (t.active || r.unmarked() && r.now < st.doubt()-synHorizon+unmarkedGrace) {
 		return e.openAt(r, t)
 	}
@@ -164,7 +164,7 @@
 	if !s.idempotent {
 		return drop(result.DropInDoubt)
 	}
-	t := r.view.targets[s.first(r.bucket())]
+	t := r.view.targets.get(r.first(s))
 	if t == nil || !t.active {
 		t = s.plainChoice(r.bucket())
 	}
@@ -222,7 +222,7 @@
 	if ent.Flags&table.Counted != 0 {
 		t.counter.Add(1)
 	}
-	if t.service.deviates(t.id, r.bucket()) {
+	if r.deviates(t.service, t.id) {
 		e.events.push(item{r.hash, t.id})
 		return
 	}
--- a/internal/connection/owner/replicate.go
+++ b/internal/connection/owner/replicate.go
@@ -86,7 +86,7 @@
 }
 
 func (e *Engine) scanHeld(now time.Duration, w *view, hash uint64, h held) {
-	t := w.targets[h.upstream]
+	t := w.targets.get(h.upstream)
 	switch {
 	case t == nil && !young(now, h.at):
 	case t == nil || t.service.deviates(t.id, placement.Bucket(hash)):
@@ -117,7 +117,7 @@
 		}
 		e.table.Scan(e.scan.allShard, func(ent *table.Entry) {
 			if ent.Flags&table.Closed == 0 {
-				e.sendGiven(now, w, item{ent.Hash, ent.Upstream}, ent.Seen)
+				e.sendGiven(now, w, item{ent.Hash(), ent.Upstream}, ent.Seen)
 			}
 		})
 		e.scan.allShard++
@@ -146,7 +146,7 @@
 
 func (e *Engine) sendGiven(now time.Duration, w *view, it item, at table.Time) {
 	gave := w.owners.slots[placement.Slot(it.hash)].gave
-	if r := w.peers[gave]; r != nil && (w.targets[it.upstream] != nil || young(now, at)) {
+	if r := w.peers[gave]; r != nil && (w.targets.get(it.upstream) != nil || young(now, at)) {
 		r.out.set(it.hash, it.upstream)
 	}
 }
@@ -154,14 +154,14 @@
 // scanEntry brings one entry in line with the view: whether it is counted,
 // whether it is at the base, and which replicas hold it.
 func (e *Engine) scanEntry(now time.Duration, w *view, ent *table.Entry) {
-	t := w.targets[ent.Upstream]
+	t := w.targets.get(ent.Upstream)
 	if t == nil {
 		if young(now, ent.Seen) {
-			e.replicate(w, item{ent.Hash, ent.Upstream})
+			e.replicate(w, item{ent.Hash(), ent.Upstream})
 		}
 		return
 	}
-	slot := placement.Slot(ent.Hash)
+	slot := placement.Slot(ent.Hash())
 	owned := w.owners.cur.Owner(slot) == w.self
 	switch {
 	case !owned:
@@ -172,22 +172,22 @@
 		t.counter.Add(1)
 	}
 	ent.Flags |= table.AtBase
-	if !t.service.deviates(t.id, placement.Bucket(ent.Hash)) {
+	if !t.service.deviates(t.id, placement.Bucket(ent.Hash())) {
 		return
 	}
 	ent.Flags &^= table.AtBase
-	e.replicate(w, item{ent.Hash, t.id})
+	e.replicate(w, item{ent.Hash(), t.id})
 }
 
 // reportAlone tells the owner of a connection that this member opened without
 // it.
 func (e *Engine) reportAlone(w *view, ent *table.Entry) {
-	slot := placement.Slot(ent.Hash)
+	slot := placement.Slot(ent.Hash())
 	if ent.Flags&(table.Counted|table.Assumed) != table.Counted || w.owners.slots[slot].gave != 0 {
 		return
 	}
 	if r := w.peers[w.owners.cur.Owner(slot)]; r != nil {
-		r.out.set(ent.Hash, ent.Upstream)
+		r.out.set(ent.Hash(), ent.Upstream)
 	}
 }
 
@@ -237,7 +237,7 @@
 
 func (e *Engine) stale(now time.Duration, w *view, hash uint64, h held) bool {
 	age := now - time.Duration(h.at)*table.Unit
-	t := w.targets[h.upstream]
+	t := w.targets.get(h.upstream)
 	if t == nil {
 		return h.upstream <= w.newest && !young(now, h.at)
 	}
--- a/internal/connection/owner/view.go
+++ b/internal/connection/owner/view.go
@@ -58,7 +58,7 @@
 	version  *version.Version
 	self     version.MemberID
 	services map[destination]*service
-	targets  map[version.UpstreamID]*target
+	targets  targetIndex
 	newest   version.UpstreamID // highest upstream ID known
 	owners   *ownership
 	peers    map[version.MemberID]*route
@@ -87,7 +87,7 @@
 // resolve returns the target of an upstream if it belongs to the service that
 // k addresses.
 func (w *view) resolve(id version.UpstreamID, k *flow.Key) (t *target, same bool) {
-	t = w.targets[id]
+	t = w.targets.get(id)
 	if t == nil {
 		return nil, false
 	}
@@ -100,7 +100,7 @@
 		version:  v,
 		self:     e.self,
 		services: make(map[destination]*service, len(v.Services)),
-		targets:  make(map[version.UpstreamID]*target, len(v.Upstream)),
+		targets:  newTargetIndex(len(v.Upstream)),
 	}
 	byID := make(map[version.ServiceID]*service, len(v.Services))
 	dst := make(map[version.ServiceID]destination, len(v.Services))
@@ -113,10 +113,10 @@
 	for i := range v.Upstream {
 		u := &v.Upstream[i]
 		if s := byID[u.Service]; s != nil {
-			w.targets[u.ID] = &target{
+			w.targets.add(&target{
 				id: u.ID, addr: u.Addr, dst: dst[s.id], service: s,
 				limit: int64(u.ConnLimit), counter: e.counter(u.ID, v.Index),
-			}
+			})
 		}
 		w.newest = max(w.newest, u.ID)
 	}
@@ -135,7 +135,6 @@
 	if slices.Equal(s.NextBase, s.Base) {
 		out.next = nil
 	}
-	out.settled = out.next == nil && slices.Equal(s.Base, s.Current)
 	return out
 }
 
@@ -144,7 +143,7 @@
 func (w *view) fillTargets(s *service) {
 	known := s.current[:0:0]
 	for _, c := range s.current {
-		t := w.targets[c.Upstream]
+		t := w.targets.get(c.Upstream)
 		if t == nil || t.service != s {
 			continue
 		}
@@ -154,6 +153,7 @@
 		s.sum += uint64(c.Weight)
 	}
 	s.current = known
+	s.settled = s.next == nil && slices.Equal(s.base, s.current)
 }
 
 // counter returns the counter of an upstream, new if need be.
@@ -173,7 +173,7 @@
 // the counters of those that are gone.
 func (e *Engine) markCurrent(now time.Duration, w *view) {
 	for id, c := range e.counters {
-		t := w.targets[id]
+		t := w.targets.get(id)
 		if t == nil {
 			delete(e.counters, id)
 			continue
--- /dev/null
+++ b/internal/connection/table/index.go
@@ -0,0 +1,64 @@
+package table
+
+const (
+	tagBits  = 16
+	maxIndex = 1 << tagBits // cells of an index; homes are taken from the tag
+	// maxLimit is the number of entries that an index can name, at a load
+	// of three quarters.
+	maxLimit = maxIndex * 3 / 4
+)
+
+// cell is one place of an index: a tag of the hash and the number of the entry
+// plus one. Zero is empty. Cells are small so that the index of hundreds of
+// thousands of connections stays in the processor's second-level cache.
+type cell uint32
+
+func (c cell) tag() uint32 { return uint32(c >> tagBits) }
+
+func (c cell) entry() int32 { return int32(c&(1<<tagBits-1)) - 1 }
+
+// tagOf returns a part of the hash that the shard number does not use.
+func tagOf(hash uint64) uint32 { return uint32(hash>>shardBits) & (1<<tagBits - 1) }
+
+// index finds entries by open addressing with linear probing. Entries with one
+// tag have one home, so a cell can be moved without its entry.
+type index struct {
+	cells []cell
+	mask  uint32
+}
+
+// indexSize returns the cells for limit entries at a load of at most three
+// quarters.
+func indexSize(limit int) int {
+	size := 8
+	for size*3/4 < limit {
+		size <<= 1
+	}
+	return size
+}
+
+func (x *index) home(tag uint32) uint32 { return tag & x.mask }
+
+func (x *index) after(at uint32) uint32 { return (at + 1) & x.mask }
+
+func (x *index) add(tag uint32, entry int32) {
+	at := x.home(tag)
+	for x.cells[at] != 0 {
+		at = x.after(at)
+	}
+	x.cells[at] = cell(tag)<<tagBits | cell(entry+1)
+}
+
+// remove empties a cell and moves later cells back, so that probing never
+// meets a gap before its target.
+func (x *index) remove(at uint32) {
+	for next := x.after(at); x.cells[next] != 0; next = x.after(next) {
+		home := x.home(x.cells[next].tag())
+		if (next-home)&x.mask < (next-at)&x.mask {
+			continue
+		}
+		x.cells[at] = x.cells[next]
+		at = next
+	}
+	x.cells[at] = 0
+}
--- a/internal/connection/table/table.go
+++ b/internal/connection/table/table.go
@@ -1,6 +1,6 @@
 // Package table is a bounded hash table of connections, sharded for many
-// traffic goroutines. Entries live in slabs and are linked by index, so that
-// an insertion allocates nothing in steady state. A timing wheel per shard
+// traffic goroutines. Entries live in one array and are linked by number, so
+// that an insertion allocates nothing. A timing wheel per shard
 // finds expired entries without scanning the table.
 //
 // Keys are compared in full: two connections never share an entry.
@@ -16,11 +16,9 @@
 )
 
 const (
-	shardBits   = 7
-	shards      = 1 << shardBits
-	slabBits    = 9 // log2 of the entries in a slab
-	slabEntries = 1 << slabBits
-	none        = int32(-1)
+	shardBits = 8
+	shards    = 1 << shardBits
+	none      = int32(-1)
 
 	// Unit is the resolution of the times in an Entry.
 	Unit = 10 * time.Millisecond
@@ -44,35 +42,50 @@
 	Recorded                   // the standby has confirmed the exception
 )
 
-// Entry is what is known of one connection.
+// Entry is what is known of one connection. It fills one cache line, so that a
+// hit touches one line of the index and one of the entries.
 type Entry struct {
-	Hash     uint64
 	Key      flow.Key
 	Flags    Flags
-	Upstream version.UpstreamID
-	ISN      uint32 // sequence number of the opening packet; zero if not seen
-	Seen     Time   // last packet
-	Told     Time   // last time the owner was told of the connection
-	Idle     uint16 // idle timeout in seconds
-	Epoch    uint16 // low bits of the owner epoch at Told
-
-	chain                int32
-	wheelPrev, wheelNext int32
-	wheelSlot            int16
-	used                 bool
+	used     bool
+	Idle     uint16             // idle timeout in seconds
+	Epoch    uint16             // low bits of the owner epoch at Told
+	Upstream version.UpstreamID // zero until filled in
+	ISN      uint32             // sequence number of the opening packet; zero if not seen
+	Seen     Time               // last packet
+	Told     Time               // last time the owner was told of the connection
+	_        [4]byte
+}
+
+// Hash returns the connection hash of e.
+func (e *Entry) Hash() uint64 { return e.Key.Hash() }
+
+// link is the part of an entry that packets do not touch.
+type link struct {
+	prev, next int32 // in the wheel slot; next also links unused entries
+	slot       int16
 }
 
 // Table is a sharded connection table.
 type Table struct {
 	shards [shards]Shard
+	// memory is shared out to the shards. The system provides its pages
+	// when entries are first used.
+	memory struct {
+		entries []Entry
+		links   []link
+		cells   []cell
+	}
 }
 
 // Shard is one lock's share of a Table. Its methods need the lock.
 type Shard struct {
 	mu      sync.Mutex
-	heads   []int32
-	slabs   []*[slabEntries]Entry
-	free    int32
+	index   index
+	entries []Entry
+	links   []link
+	free    int32 // list of entries that were used before
+	fresh   int32 // entries from here on were never used
 	used    int
 	limit   int
 	evicted uint64
@@ -90,30 +103,31 @@
 	Evicted             // removed to make room
 )
 
-// New returns a table for capacity entries. lost is called, with the shard
+// MaxCapacity is the largest capacity of a table.
+const MaxCapacity = shards * maxLimit * 16 / 17
+
+// New returns a table for capacity entries, at most MaxCapacity. lost is called, with the shard
 // locked, for every entry that the table removes by itself.
 func New(capacity int, lost func(*Entry, Loss)) *Table {
 	t := new(Table)
-	per := max(capacity/shards+capacity/shards/16, 8)
+	per := min(max(capacity/shards+capacity/shards/16, 8), maxLimit)
+	cells := indexSize(per)
+	t.memory.entries = make([]Entry, shards*per)
+	t.memory.links = make([]link, shards*per)
+	t.memory.cells = make([]cell, shards*cells)
+	adviseHugePages(t.memory.entries)
+	adviseHugePages(t.memory.cells)
 	for i := range t.shards {
-		t.shards[i].init(per, lost)
+		s := &t.shards[i]
+		s.entries = t.memory.entries[i*per : (i+1)*per]
+		s.links = t.memory.links[i*per : (i+1)*per]
+		s.index = index{t.memory.cells[i*cells : (i+1)*cells], uint32(cells - 1)}
+		s.free, s.limit, s.onLost = none, per, lost
+		s.wheel.init()
 	}
 	return t
 }
 
-func (s *Shard) init(limit int, lost func(*Entry, Loss)) {
-	size := 8
-	for size < limit {
-		size <<= 1
-	}
-	s.heads = make([]int32, size)
-	for i := range s.heads {
-		s.heads[i] = none
-	}
-	s.free, s.limit, s.onLost = none, limit, lost
-	s.wheel.init()
-}
-
 // Lock locks and returns the shard of hash.
 func (t *Table) Lock(hash uint64) *Shard {
 	s := &t.shards[hash&(shards-1)]
@@ -124,22 +138,25 @@
 // Unlock releases the shard.
 func (s *Shard) Unlock() { s.mu.Unlock() }
 
-func (s *Shard) at(i int32) *Entry { return &s.slabs[i>>slabBits][i&(slabEntries-1)] }
+func (s *Shard) at(i int32) *Entry { return &s.entries[i] }
 
-func (s *Shard) head(hash uint64) *int32 {
-	return &s.heads[hash>>shardBits&uint64(len(s.heads)-1)]
-}
+func (s *Shard) link(i int32) *link { return &s.links[i] }
 
 // Find returns the entry of key, or nil. It is valid until Unlock.
 func (s *Shard) Find(hash uint64, key *flow.Key) *Entry {
-	for i := *s.head(hash); i != none; {
-		e := s.at(i)
-		if e.Hash == hash && e.Key == *key {
+	t := tagOf(hash)
+	for at := s.index.home(t); ; at = s.index.after(at) {
+		c := s.index.cells[at]
+		if c == 0 {
+			return nil
+		}
+		if c.tag() != t {
+			continue
+		}
+		if e := s.at(c.entry()); e.Key == *key {
 			return e
 		}
-		i = e.chain
 	}
-	return nil
 }
 
 // Insert adds an entry for key, which must not be present, and makes room by
@@ -150,9 +167,8 @@
 	}
 	i := s.take()
 	e := s.at(i)
-	head := s.head(hash)
-	*e = Entry{Hash: hash, Key: *key, Seen: At(now), Told: At(now), Idle: seconds(idle), chain: *head, used: true}
-	*head = i
+	*e = Entry{Key: *key, Seen: At(now), Told: At(now), Idle: seconds(idle), used: true}
+	s.index.add(tagOf(hash), i)
 	s.used++
 	s.wheel.add(s, i, due(e))
 	return e
@@ -162,38 +178,28 @@
 	return uint16(min(max(d/time.Second, 1), 1<<16-1))
 }
 
-// take returns the index of an unused entry, from a new slab if need be.
+// take returns the number of an unused entry.
 func (s *Shard) take() int32 {
-	if s.free == none {
-		s.grow()
-	}
 	i := s.free
-	s.free = s.at(i).chain
-	return i
-}
-
-func (s *Shard) grow() {
-	base := int32(len(s.slabs)) << slabBits
-	s.slabs = append(s.slabs, new([slabEntries]Entry))
-	for i := base + slabEntries - 1; i >= base; i-- {
-		s.at(i).chain = s.free
-		s.free = i
+	if i == none {
+		s.fresh++
+		return s.fresh - 1
 	}
+	s.free = s.link(i).next
+	return i
 }
 
 // Remove deletes the entry e.
 func (s *Shard) Remove(e *Entry) {
-	p := s.head(e.Hash)
-	for *p != none && s.at(*p) != e {
-		p = &s.at(*p).chain
+	at := s.index.home(tagOf(e.Hash()))
+	for s.index.cells[at] == 0 || s.at(s.index.cells[at].entry()) != e {
+		at = s.index.after(at)
 	}
-	if *p == none {
-		return
-	}
-	i := *p
-	*p = e.chain
+	i := s.index.cells[at].entry()
+	s.index.remove(at)
 	s.wheel.remove(s, i)
-	*e = Entry{chain: s.free}
+	*e = Entry{}
+	s.link(i).next = s.free
 	s.free = i
 	s.used--
 }
@@ -253,11 +259,9 @@
 	s := &t.shards[i]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, slab := range s.slabs {
-		for j := range slab {
-			if slab[j].used {
-				f(&slab[j])
-			}
+	for j := range s.entries[:s.fresh] {
+		if s.entries[j].used {
+			f(&s.entries[j])
 		}
 	}
 }
@@ -266,9 +270,11 @@
 type Usage struct {
 	Entries int
 	Evicted uint64
-	Bytes   int // memory held by slabs, heads and wheels
+	Bytes   int // memory set aside for all entries, indexes and wheels
 }
 
+const entryBytes = int(unsafe.Sizeof(Entry{}) + unsafe.Sizeof(link{}))
+
 // Usage returns the size of t.
 func (t *Table) Usage() Usage {
 	var u Usage
@@ -277,7 +283,7 @@
 		s.mu.Lock()
 		u.Entries += s.used
 		u.Evicted += s.evicted
-		u.Bytes += len(s.heads)*4 + len(s.slabs)*int(unsafe.Sizeof([slabEntries]Entry{})) + int(unsafe.Sizeof(*s))
+		u.Bytes += len(s.index.cells)*int(unsafe.Sizeof(cell(0))) + len(s.entries)*entryBytes + int(unsafe.Sizeof(*s))
 		s.mu.Unlock()
 	}
 	return u
--- a/internal/connection/table/wheel.go
+++ b/internal/connection/table/wheel.go
@@ -39,23 +39,23 @@
 	tick := max(int64((at+wheelStep-1)/wheelStep), w.tick)
 	tick = min(tick, w.tick+wheelSlots-1)
 	slot := int16(tick % wheelSlots)
-	e := s.at(i)
-	e.wheelSlot, e.wheelPrev, e.wheelNext = slot, none, w.slots[slot]
-	if e.wheelNext != none {
-		s.at(e.wheelNext).wheelPrev = i
+	l := s.link(i)
+	l.slot, l.prev, l.next = slot, none, w.slots[slot]
+	if l.next != none {
+		s.link(l.next).prev = i
 	}
 	w.slots[slot] = i
 }
 
 func (w *wheel) remove(s *Shard, i int32) {
-	e := s.at(i)
-	if e.wheelPrev == none {
-		w.slots[e.wheelSlot] = e.wheelNext
+	l := s.link(i)
+	if l.prev == none {
+		w.slots[l.slot] = l.next
 	} else {
-		s.at(e.wheelPrev).wheelNext = e.wheelNext
+		s.link(l.prev).next = l.next
 	}
-	if e.wheelNext != none {
-		s.at(e.wheelNext).wheelPrev = e.wheelPrev
+	if l.next != none {
+		s.link(l.next).prev = l.prev
 	}
 }
 
@@ -75,7 +75,7 @@
 	w.slots[slot] = none
 	for i != none {
 		e := s.at(i)
-		next := e.wheelNext
+		next := s.link(i).next
 		w.add(s, i, max(due(e), now+1))
 		if due(e) <= now {
 			s.onLost(e, Expired)
@@ -91,7 +91,7 @@
 	for n := int64(0); n < wheelSlots; n++ {
 		for i := w.slots[(w.tick+n)%wheelSlots]; i != none; {
 			e := s.at(i)
-			i = e.wheelNext
+			i = s.link(i).next
 			if !f(e) {
 				return
 			}
