Remove exceptions by number

Cause: a removal repeated the 8-byte hash. Change: storing items of a stream are numbered; a removal names the age. Members without a version get no packets from the fake fabric.

--- a/internal/connection/load/limit.go
+++ b/internal/connection/load/limit.go
@@ -6,7 +6,7 @@
 	limitUnit = 1 << 16
 
 	// MinLimit is the tightest limit, as a multiple of the fair share.
-	MinLimit = 1.01
+	MinLimit = 1.015
 	// MaxLimit is the loosest limit.
 	MaxLimit = 2.0
 
--- a/internal/connection/owner/peer.go
+++ b/internal/connection/owner/peer.go
@@ -20,7 +20,9 @@
 
 	// The rest belongs to the control goroutine.
 	out       stream
-	in        uint64 // last batch applied
+	in        uint64            // last batch applied
+	stored    uint64            // storing items received
+	numbers   map[uint64]uint64 // hashes that they stored, by their number
 	ackDue    bool
 	ackNow    bool
 	counts    map[version.UpstreamID]int32
@@ -35,7 +37,7 @@
 // newPeer returns a peer that counts as heard now. It has made no decisions
 // before it became a member, so it has no silence to account for.
 func newPeer(id version.MemberID, now time.Duration) *peer {
-	p := &peer{id: id, needFull: true, counts: make(map[version.UpstreamID]int32)}
+	p := &peer{id: id, needFull: true, counts: make(map[version.UpstreamID]int32), numbers: make(map[uint64]uint64)}
 	p.heard.Store(int64(now))
 	p.heardSince.Store(int64(now - synHorizon))
 	return p
--- a/internal/connection/owner/receive.go
+++ b/internal/connection/owner/receive.go
@@ -94,20 +94,26 @@
 	}
 	p.in = x.Seq
 	for b := x.Items; len(b) > 0; {
-		it, rest, ok := nextItem(b)
+		d, rest, ok := nextItem(b)
 		if !ok {
 			return
 		}
-		e.applyItem(now, p, it)
+		e.applyItem(now, p, d)
 		b = rest
 	}
 }
 
-func (e *Engine) applyItem(now time.Duration, p *peer, it item) {
+func (e *Engine) applyItem(now time.Duration, p *peer, it decoded) {
 	if it.upstream == 0 {
-		e.held.removeFrom(it.hash, p.id)
+		number := p.stored - it.age
+		if hash, ok := p.numbers[number]; ok {
+			delete(p.numbers, number)
+			e.held.removeFrom(hash, p.id)
+		}
 		return
 	}
+	p.stored++
+	p.numbers[p.stored] = it.hash
 	at := table.At(now)
 	e.held.receive(it.hash, held{upstream: it.upstream, from: p.id, at: at, confirmed: true})
 	if w := e.view.Load(); w != nil && w.replicates(placement.Slot(it.hash)) {
--- a/internal/connection/owner/replicate.go
+++ b/internal/connection/owner/replicate.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -229,6 +230,20 @@
 func (e *Engine) heldStep(now time.Duration, w *view) {
 	e.sweepAt++
 	e.held.sweep(e.sweepAt, func(hash uint64, h held) bool { return e.stale(now, w, hash, h) })
+	if e.sweepAt%heldShards == 0 {
+		e.sweepNumbers()
+	}
+}
+
+// sweepNumbers forgets the numbers of exceptions that were dropped without a
+// message.
+func (e *Engine) sweepNumbers() {
+	for _, p := range e.peers {
+		maps.DeleteFunc(p.numbers, func(_, hash uint64) bool {
+			h, ok := e.held.get(hash)
+			return !ok || h.from != p.id && h.also != p.id
+		})
+	}
 }
 
 // unconfirmedLife is how long an exception from a relayed opening packet is
--- a/internal/connection/owner/stream.go
+++ b/internal/connection/owner/stream.go
@@ -16,14 +16,30 @@
 // stream sends the exceptions of this owner to one replica, in order. shadow
 // is what the replica holds once it has applied everything queued.
 type stream struct {
-	shadow map[uint64]version.UpstreamID
-	queue  []item
+	shadow map[uint64]stored
+	queue  []change
 	flight []batch
 	seq    uint64
+	stores uint64 // storing items queued so far
+	coded  uint64 // storing items put into batches so far
 	queued uint64 // items queued so far
 	acked  uint64 // items acknowledged so far
 }
 
+// stored is what a replica holds for one hash, and the number of the item that
+// stored it.
+type stored struct {
+	upstream version.UpstreamID
+	number   uint64
+}
+
+// change is a queued item: it stores an exception, or removes what the item of
+// a number has stored.
+type change struct {
+	item
+	number uint64
+}
+
 type batch struct {
 	seq    uint64
 	items  []byte
@@ -34,22 +50,31 @@
 // set makes the replica hold upstream for hash; zero removes. It reports
 // whether anything had to be queued.
 func (s *stream) set(hash uint64, upstream version.UpstreamID) bool {
-	if s.shadow[hash] == upstream {
+	old, held := s.shadow[hash]
+	if old.upstream == upstream {
 		return false
 	}
-	if s.shadow == nil {
-		s.shadow = make(map[uint64]version.UpstreamID)
+	if held {
+		delete(s.shadow, hash)
+		s.push(change{item{hash: hash}, old.number})
 	}
 	if upstream == 0 {
-		delete(s.shadow, hash)
-	} else {
-		s.shadow[hash] = upstream
+		return true
 	}
-	s.queue = append(s.queue, item{hash, upstream})
-	s.queued++
+	if s.shadow == nil {
+		s.shadow = make(map[uint64]stored)
+	}
+	s.stores++
+	s.shadow[hash] = stored{upstream, s.stores}
+	s.push(change{item{hash, upstream}, s.stores})
 	return true
 }
 
+func (s *stream) push(c change) {
+	s.queue = append(s.queue, c)
+	s.queued++
+}
+
 // next returns the batch to send now, or nil.
 func (s *stream) next(now time.Duration, urgent bool) *batch {
 	if b := s.overdue(now, urgent); b != nil {
@@ -83,7 +108,7 @@
 	s.seq++
 	b := batch{seq: s.seq, sentAt: now}
 	for b.count < len(s.queue) && len(b.items) < batchBytes {
-		b.items = appendItem(b.items, s.queue[b.count])
+		b.items = s.appendChange(b.items, s.queue[b.count])
 		b.count++
 	}
 	rest := copy(s.queue, s.queue[b.count:])
@@ -91,6 +116,14 @@
 	return b
 }
 
+func (s *stream) appendChange(b []byte, c change) []byte {
+	if c.upstream == 0 {
+		return appendRemove(b, s.coded-c.number)
+	}
+	s.coded++
+	return appendStore(b, c.item)
+}
+
 // ack drops the batches up to seq.
 func (s *stream) ack(seq uint64) {
 	done := 0
--- a/internal/measure/fleet/fleet.go
+++ b/internal/measure/fleet/fleet.go
@@ -165,6 +165,18 @@
 	return out
 }
 
+// Ready returns the members that run and have a version: the fabric sends
+// packets to no others.
+func (f *Fleet) Ready() []*Node {
+	var out []*Node
+	for _, n := range f.Nodes {
+		if n.Up && n.Applied != nil {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
 // Cut stops all messages from one member to another; Heal lets them through.
 func (f *Fleet) Cut(from, to *Node) { f.cut[[2]version.MemberID{from.ID, to.ID}] = true }
 
--- a/internal/measure/fleet/traffic.go
+++ b/internal/measure/fleet/traffic.go
@@ -99,7 +99,7 @@
 
 func (t *Traffic) send(c *Conn, marks connection.Marks) {
 	f := t.fleet
-	up := f.Running()
+	up := f.Ready()
 	f.Send(up[f.Rand.IntN(len(up))], connection.Packet{Key: c.Key, Marks: marks, Seq: c.ISN})
 }
 
