--- a/internal/process/cli/arguments.go
+++ b/internal/process/cli/arguments.go
@@ -29,7 +29,7 @@
 }
 
 type runCommand struct {
-	Settings string `arg:"--settings,required" placeholder:"FILE" help:"settings of this VM"`
+	Settings string `arg:"--settings,required" help:"settings of this VM"`
 }
 
 type settingsGroup struct {
@@ -72,8 +72,8 @@
 }
 
 type explainConnectionCommand struct {
-	Caller   string `arg:"--caller,required" placeholder:"IP:PORT" help:"address of the caller"`
-	Service  string `arg:"--service,required" placeholder:"IP:PORT" help:"address of the service"`
+	Caller   string `arg:"--caller,required" help:"address of the caller"`
+	Service  string `arg:"--service,required" help:"address of the service"`
 	Protocol string `arg:"--protocol" default:"tcp" help:"tcp or udp"`
 	remote
 }
--- a/internal/process/cli/cli.go
+++ b/internal/process/cli/cli.go
@@ -67,26 +67,54 @@
 
 // execute runs one command line under ctx.
 func execute(ctx context.Context, args []string, o Options) int {
-	var a arguments
-	p, err := arg.NewParser(arg.Config{Program: program, Out: o.Stdout}, &a)
+	l, err := parse(args)
+	if errors.Is(err, arg.ErrHelp) {
+		writeHelp(o.Stdout, l.parser)
+		return int(result.ClassOK)
+	}
 	if err != nil {
-		return report(o.Stderr, false, result.Wrapf(err, result.Internal, "define arguments"))
+		l.writeUsage(o.Stderr)
+		return report(o.Stderr, l.args.JSON, err)
 	}
-	err = p.Parse(args)
+	return report(o.Stderr, l.args.JSON, l.command.run(ctx, &env{Options: o, json: l.args.JSON}))
+}
+
+// line is a parsed command line.
+type line struct {
+	parser  *arg.Parser
+	args    arguments
+	command command
+}
+
+func parse(args []string) (*line, error) {
+	l := &line{}
+	var err error
+	l.parser, err = arg.NewParser(arg.Config{Program: program}, &l.args)
+	if err != nil {
+		return l, result.Wrapf(err, result.Internal, "define arguments")
+	}
+	err = l.parser.Parse(args)
 	if errors.Is(err, arg.ErrHelp) {
-		writeHelp(o.Stdout, p)
-		return int(result.ClassOK)
+		return l, err
 	}
 	if err != nil {
-		p.WriteUsageForSubcommand(o.Stderr, p.SubcommandNames()...)
-		return report(o.Stderr, a.JSON, result.Errorf(result.BadArguments, "%v", err))
+		return l, result.Errorf(result.BadArguments, "%v", err)
 	}
-	c, ok := p.Subcommand().(command)
+	c, ok := l.parser.Subcommand().(command)
 	if !ok {
-		p.WriteHelp(o.Stderr)
-		return report(o.Stderr, a.JSON, result.Errorf(result.BadArguments, "no command given"))
+		return l, result.Errorf(result.BadArguments, "no command given")
+	}
+	l.command = c
+	return l, nil
+}
+
+// writeUsage writes the usage of the command that was selected, if any.
+func (l *line) writeUsage(w io.Writer) {
+	if l.args.JSON || l.parser == nil {
+		return
 	}
-	return report(o.Stderr, a.JSON, c.run(ctx, &env{Options: o, json: a.JSON}))
+	// The names are those that the parser itself found.
+	_ = l.parser.WriteUsageForSubcommand(w, l.parser.SubcommandNames()...)
 }
 
 // command is a subcommand that can be run.
