--- /dev/null
+++ b/internal/request/relay/keyring.go
@@ -0,0 +1,146 @@
+package relay
+
+import (
+	"cmp"
+	"crypto/subtle"
+	"encoding/binary"
+	"hash"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/crypto/blake2s"
+
+	"heatherport/internal/result"
+)
+
+// SecretSize is the size of a key's secret in bytes.
+const SecretSize = 32
+
+// maxKeys is the number of keys in use during a rotation.
+const maxKeys = 2
+
+// Key authenticates messages. It is accepted from the moment a Keyring holds
+// it, and signs from SignFrom on, by when all balancers should hold it.
+type Key struct {
+	ID          uint32 // unique among the keys in use; a higher one is newer
+	Secret      [SecretSize]byte
+	SignFrom    time.Duration
+	AcceptUntil time.Duration // zero: no end
+}
+
+func (k *Key) live(now time.Duration) bool {
+	return k.AcceptUntil == 0 || now < k.AcceptUntil
+}
+
+// Keyring holds the keys in use: one and, during a rotation, two. Its methods
+// are safe for concurrent use.
+type Keyring struct {
+	keys atomic.Pointer[[]Key] // newest first, never changed
+}
+
+// NewKeyring returns a Keyring that holds keys.
+func NewKeyring(keys ...Key) (*Keyring, error) {
+	r := &Keyring{}
+	if err := r.Replace(keys...); err != nil {
+		return nil, err
+	}
+	return r, nil
+}
+
+// Replace puts keys in the place of those that r holds.
+func (r *Keyring) Replace(keys ...Key) error {
+	if len(keys) == 0 || len(keys) > maxKeys {
+		return result.Errorf(result.BadArguments, "%d relay keys: must be 1 to %d", len(keys), maxKeys)
+	}
+	keys = slices.Clone(keys)
+	slices.SortFunc(keys, func(a, b Key) int { return cmp.Compare(b.ID, a.ID) })
+	if len(keys) == maxKeys && keys[0].ID == keys[1].ID {
+		return result.Errorf(result.BadArguments, "two relay keys with ID %d", keys[0].ID)
+	}
+	r.keys.Store(&keys)
+	return nil
+}
+
+// Codec encodes and decodes messages. It serves one goroutine.
+type Codec struct {
+	ring   *Keyring
+	clock  func() time.Duration
+	keys   *[]Key // those that hashes belong to
+	hashes [maxKeys]hash.Hash
+	sum    [TagSize]byte
+}
+
+// NewCodec returns a Codec that uses the keys of ring. The clock is the one by
+// which the times of the keys are measured.
+func NewCodec(ring *Keyring, clock func() time.Duration) *Codec {
+	return &Codec{ring: ring, clock: clock}
+}
+
+// load takes over the keys in use if they have changed.
+func (c *Codec) load() {
+	keys := c.ring.keys.Load()
+	if c.keys == keys {
+		return
+	}
+	c.keys = keys
+	for i := range *keys {
+		c.hashes[i] = newHash(&(*keys)[i])
+	}
+}
+
+func newHash(k *Key) hash.Hash {
+	h, err := blake2s.New128(k.Secret[:])
+	if err != nil { // only for a secret of another size
+		panic(err)
+	}
+	return h
+}
+
+// sign writes the key ID and the tag of the message b.
+func (c *Codec) sign(b []byte) {
+	c.load()
+	i := c.signing()
+	binary.BigEndian.PutUint32(b[offsetKeyID:], (*c.keys)[i].ID)
+	copy(b[offsetTag:], c.tag(c.hashes[i], b))
+}
+
+// signing returns the index of the newest key that signs by now. Without one,
+// it is the oldest key.
+func (c *Codec) signing() int {
+	now := c.clock()
+	for i := range *c.keys {
+		if k := &(*c.keys)[i]; now >= k.SignFrom && k.live(now) {
+			return i
+		}
+	}
+	return len(*c.keys) - 1
+}
+
+// verify reports whether b carries a valid tag of a key in use.
+func (c *Codec) verify(b []byte) bool {
+	c.load()
+	i := c.accepted(binary.BigEndian.Uint32(b[offsetKeyID:]))
+	if i < 0 {
+		return false
+	}
+	return subtle.ConstantTimeCompare(c.tag(c.hashes[i], b), b[offsetTag:HeaderSize]) == 1
+}
+
+// accepted returns the index of the key with the given ID, or -1 if none is
+// accepted.
+func (c *Codec) accepted(id uint32) int {
+	for i := range *c.keys {
+		if k := &(*c.keys)[i]; k.ID == id && k.live(c.clock()) {
+			return i
+		}
+	}
+	return -1
+}
+
+func (c *Codec) tag(h hash.Hash, b []byte) []byte {
+	h.Reset()
+	h.Write(b[:offsetTag])
+	h.Write(b[HeaderSize:])
+	return h.Sum(c.sum[:0])
+}
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -40,16 +40,19 @@
 	BadMessage       Code = 106
 	UnsupportedProto Code = 107
 
-	SheetConflict      Code = 201
-	SheetStale         Code = 202
-	UpstreamNotInSheet Code = 203
-	IncarnationStale   Code = 204
-	VoterChangePending Code = 205
-	MemberUnknown      Code = 206
-	NotFound           Code = 207
-	AddressInUse       Code = 208
-	MemberNameTaken    Code = 209
-	ShuttingDown       Code = 210
+	SheetConflict       Code = 201
+	SheetStale          Code = 202
+	UpstreamNotInSheet  Code = 203
+	IncarnationStale    Code = 204
+	VoterChangePending  Code = 205
+	MemberUnknown       Code = 206
+	NotFound            Code = 207
+	AddressInUse        Code = 208
+	MemberNameTaken     Code = 209
+	ShuttingDown        Code = 210
+	LearnerBehind       Code = 221
+	QuorumAtRisk        Code = 222
+	IncarnationConflict Code = 211
 
 	NoLeader      Code = 301
 	NotReady      Code = 302
@@ -88,7 +91,8 @@
 	DropTableFull       Code = 718
 	DropOversize        Code = 719
 
-	Internal Code = 901
+	Internal      Code = 901
+	PromiseBroken Code = 902
 )
 
 // Class returns the class of c.
