Add bootstrap and voter commands, and list the faults of sheets

Cause: the control loop offers voter changes and the preparation of a data folder, which no command reached; a wait for a sheet took an answer without a leader, which lists no live VM, as a confirmation by all.

Tested: go test -race of cli and api passes.

--- a/internal/process/cli/arguments.go
+++ b/internal/process/cli/arguments.go
@@ -11,16 +11,18 @@
 
 // arguments is the command line.
 type arguments struct {
-	Run      *runCommand    `arg:"subcommand:run" help:"run the balancer of this VM"`
-	Settings *settingsGroup `arg:"subcommand:settings" help:"check a settings file"`
-	Sheet    *sheetGroup    `arg:"subcommand:sheet" help:"check, submit or show a sheet"`
-	Status   *statusCommand `arg:"subcommand:status" help:"show VMs, upstreams, open drains and versions"`
-	Explain  *explainGroup  `arg:"subcommand:explain" help:"say why a connection, an upstream or a sheet is where it is"`
-	Audit    *auditCommand  `arg:"subcommand:audit" help:"show the trail of changes"`
-	Keys     *keysGroup     `arg:"subcommand:keys" help:"make and rotate certificates and relay keys"`
-	Demo     *demoCommand   `arg:"subcommand:demo" help:"run eight balancers with stand-ins in this process"`
-	Codes    *codesCommand  `arg:"subcommand:codes" help:"list the result codes"`
-	JSON     bool           `arg:"--json" help:"write JSON in place of tables; errors too"`
+	Run       *runCommand       `arg:"subcommand:run" help:"run the balancer of this VM"`
+	Bootstrap *bootstrapCommand `arg:"subcommand:bootstrap" help:"prepare the data folder of an initial voter for a new fleet"`
+	Settings  *settingsGroup    `arg:"subcommand:settings" help:"check a settings file"`
+	Sheet     *sheetGroup       `arg:"subcommand:sheet" help:"check, submit or show a sheet"`
+	Voter     *voterGroup       `arg:"subcommand:voter" help:"change the voters of the replicated log"`
+	Status    *statusCommand    `arg:"subcommand:status" help:"show VMs, upstreams, open drains and versions"`
+	Explain   *explainGroup     `arg:"subcommand:explain" help:"say why a connection, an upstream or a sheet is where it is"`
+	Audit     *auditCommand     `arg:"subcommand:audit" help:"show the trail of changes"`
+	Keys      *keysGroup        `arg:"subcommand:keys" help:"make and rotate certificates and relay keys"`
+	Demo      *demoCommand      `arg:"subcommand:demo" help:"run eight balancers with stand-ins in this process"`
+	Codes     *codesCommand     `arg:"subcommand:codes" help:"list the result codes"`
+	JSON      bool              `arg:"--json" help:"write JSON in place of tables; errors too"`
 }
 
 // Description is shown above the usage.
@@ -32,6 +34,10 @@
 	Settings string `arg:"--settings,required" help:"settings of this VM"`
 }
 
+type bootstrapCommand struct {
+	Settings string `arg:"--settings,required" help:"settings of this VM"`
+}
+
 type settingsGroup struct {
 	Check *settingsCheckCommand `arg:"subcommand:check" help:"list all faults of a settings file"`
 }
@@ -61,6 +67,21 @@
 	remote
 }
 
+type voterGroup struct {
+	Add    *voterAddCommand    `arg:"subcommand:add" help:"make a VM with a data folder a voter once it has caught up"`
+	Remove *voterRemoveCommand `arg:"subcommand:remove" help:"take a VM out of the voters"`
+}
+
+type voterAddCommand struct {
+	Name string `arg:"positional,required" help:"name of the VM"`
+	remote
+}
+
+type voterRemoveCommand struct {
+	Name string `arg:"positional,required" help:"name of the VM"`
+	remote
+}
+
 type statusCommand struct {
 	remote
 }
@@ -161,10 +182,13 @@
 var examples = []struct{ command, arguments string }{
 	{"demo", ""},
 	{"run", " --settings /etc/heatherport/settings.ini"},
+	{"bootstrap", " --settings /etc/heatherport/settings.ini"},
 	{"settings check", " /etc/heatherport/settings.ini"},
 	{"sheet check", " sheet.csv"},
 	{"sheet submit", " sheet.csv --wait 30s" + exampleRemote},
 	{"sheet show", " --csv" + exampleRemote},
+	{"voter add", " oshogbo-1" + exampleRemote},
+	{"voter remove", " akure-1" + exampleRemote},
 	{"status", exampleRemote},
 	{"explain connection", " --caller 198.51.100.7:40100 --service 203.0.113.10:443" + exampleRemote},
 	{"explain upstream", " permit-03" + exampleRemote},
--- a/internal/process/cli/cli.go
+++ b/internal/process/cli/cli.go
@@ -21,6 +21,8 @@
 type Runner interface {
 	// Run serves until ctx ends, and then stops gracefully.
 	Run(ctx context.Context, s *settings.Settings) error
+	// Bootstrap prepares the data folder of an initial voter for a new fleet.
+	Bootstrap(s *settings.Settings) error
 	// Demo runs a small fleet and returns an error if a promise broke.
 	Demo(ctx context.Context, o DemoOptions) error
 }
--- a/internal/process/cli/cli_test.go
+++ b/internal/process/cli/cli_test.go
@@ -21,6 +21,7 @@
 	"heatherport/internal/request/api"
 	"heatherport/internal/request/identity"
 	"heatherport/internal/result"
+	"heatherport/internal/version/sheet"
 )
 
 var start = time.Date(2026, 12, 1, 6, 0, 0, 0, time.UTC)
@@ -37,6 +38,11 @@
 	return r.err
 }
 
+func (r *runner) Bootstrap(s *settings.Settings) error {
+	r.vm = "new " + s.VM.Name
+	return r.err
+}
+
 func (r *runner) Demo(_ context.Context, o DemoOptions) error {
 	r.seed = o.Seed
 	return r.err
@@ -59,8 +65,8 @@
 }
 
 func checkSheet(b []byte) (SheetSummary, error) {
-	if !strings.HasPrefix(string(b), "version,") {
-		return SheetSummary{}, result.Errorf(result.BadSheet, "line 1: no version")
+	if _, err := sheet.Parse(bytes.NewReader(b)); err != nil {
+		return SheetSummary{}, err
 	}
 	return SheetSummary{Number: 7, Digest: "01", Services: 1, Upstreams: 2}, nil
 }
@@ -74,8 +80,8 @@
 const sample = "../../../examples/association/ibadan-1.ini"
 
 func TestLocalCommands(t *testing.T) {
-	sheet := write(t, "sheet.csv", "version,7\n")
-	bad := write(t, "bad.csv", "x\n")
+	good := write(t, "sheet.csv", "version,7\nservice,permit,192.0.2.10,tcp,443,10m,no\n")
+	bad := write(t, "bad.csv", "version,7\nservice,permit,nowhere,sctp,443,10m,no\n")
 	cases := []struct {
 		name   string
 		args   []string
@@ -93,9 +99,9 @@
 		{"settings", []string{"settings", "check", sample}, result.ClassOK, "valid settings of ibadan-1 in ibadan with 7 peers", ""},
 		{"settings in JSON", []string{"settings", "check", sample, "--json"}, result.ClassOK, `"vm": "ibadan-1"`, ""},
 		{"no settings", []string{"settings", "check", "none.ini"}, result.ClassUsage, "", "102 bad_settings: read settings"},
-		{"sheet", []string{"sheet", "check", sheet}, result.ClassOK, "valid sheet 7 with 1 services and 2 upstreams", ""},
-		{"bad sheet", []string{"sheet", "check", bad}, result.ClassUsage, "", "103 bad_sheet: line 1: no version"},
-		{"bad sheet in JSON", []string{"--json", "sheet", "check", bad}, result.ClassUsage, "", `{"code":103,"name":"bad_sheet","detail":"line 1: no version"}`},
+		{"sheet", []string{"sheet", "check", good}, result.ClassOK, "valid sheet 7 with 1 services and 2 upstreams", ""},
+		{"bad sheet", []string{"sheet", "check", bad}, result.ClassUsage, "", "\nheatherport: 103 bad_sheet: line 2, column 24:"},
+		{"bad sheet in JSON", []string{"--json", "sheet", "check", bad}, result.ClassUsage, "", `"faults":[{"line":2,"column":16,`},
 		{"no sheet", []string{"sheet", "check", "none.csv"}, result.ClassUsage, "", "101 bad_arguments: read sheet"},
 		{"codes", []string{"codes"}, result.ClassOK, "sheet_conflict", ""},
 		{"codes in JSON", []string{"codes", "--json"}, result.ClassOK, `"name": "sheet_conflict"`, ""},
@@ -161,6 +167,8 @@
 	r := &runner{}
 	must.Eq(t, 0, runWith(Options{Runner: r}, "run", "--settings", sample).code)
 	must.Eq(t, "ibadan-1", r.vm)
+	must.Eq(t, 0, runWith(Options{Runner: r}, "bootstrap", "--settings", sample).code)
+	must.Eq(t, "new ibadan-1", r.vm)
 	must.Eq(t, 0, runWith(Options{Runner: r}, "demo", "--seed", "5").code)
 	must.Eq(t, 5, r.seed)
 	r.err = result.Errorf(result.StorageLocked, "data")
@@ -185,6 +193,13 @@
 	return api.SubmitResponse{Number: 7, Index: 2, Pending: []string{"b-1"}}, nil
 }
 
+func (f *fleet) ChangeVoter(_ context.Context, req api.VoterRequest) (api.VoterResponse, error) {
+	if req.Remove {
+		return api.VoterResponse{}, result.Errorf(result.VoterChangePending, "adding %s", req.Name)
+	}
+	return api.VoterResponse{Index: 4, Voters: []string{"a-1", req.Name}}, nil
+}
+
 func (f *fleet) Sheet(context.Context) (api.SheetResponse, error) {
 	return api.SheetResponse{Number: 7, Operator: "amina", Accepted: start, CSV: "version,7\n"}, nil
 }
@@ -257,7 +272,7 @@
 
 func TestRemoteCommands(t *testing.T) {
 	remote := serve(t)
-	sheet := write(t, "sheet.csv", "version,7\n")
+	good := write(t, "sheet.csv", "version,7\n")
 	stale := write(t, "stale.csv", "stale")
 	cases := []struct {
 		name   string
@@ -266,12 +281,14 @@
 		stdout []string
 		stderr string
 	}{
-		{"submit", []string{"sheet", "submit", sheet}, 0, []string{"sheet 7 accepted at index 2", "not confirmed by b-1"}, ""},
-		{"submit and wait", []string{"sheet", "submit", sheet, "--wait", "20s"}, 0, []string{"in force on all live VMs"}, ""},
-		{"submit in JSON", []string{"sheet", "submit", sheet, "--json"}, 0, []string{`"number": 7`}, ""},
+		{"submit", []string{"sheet", "submit", good}, 0, []string{"sheet 7 accepted at index 2", "not confirmed by b-1"}, ""},
+		{"submit and wait", []string{"sheet", "submit", good, "--wait", "20s"}, 0, []string{"in force on all live VMs"}, ""},
+		{"submit in JSON", []string{"sheet", "submit", good, "--json"}, 0, []string{`"number": 7`}, ""},
 		{"stale", []string{"sheet", "submit", stale}, result.ClassRefused, nil, "202 sheet_stale: 8 is in force"},
 		{"show", []string{"sheet", "show"}, 0, []string{"amina", "2026-12-01T06:00:00Z"}, ""},
 		{"show CSV", []string{"sheet", "show", "--csv"}, 0, []string{"version,7\n"}, ""},
+		{"add a voter", []string{"voter", "add", "b-1"}, 0, []string{"change begun at index 4; voters are a-1, b-1"}, ""},
+		{"remove a voter", []string{"voter", "remove", "b-1"}, result.ClassRefused, nil, "205 voter_change_pending"},
 		{"status", []string{"status"}, 0, []string{"a-1 (term 3)", "b-1  b       active  yes   balancer", "permit-1  permit   leaving", "12 connections"}, ""},
 		{"explain connection", []string{"explain", "connection", "--caller", "192.0.2.9:4000", "--service", "192.0.2.1:443"}, 0, []string{"permit-1 is leaving", "CURRENT RANKING", "permit-2"}, ""},
 		{"explain upstream", []string{"explain", "upstream", "permit-1"}, 0, []string{"OBSERVED BY", "probe"}, ""},
--- a/internal/process/cli/local.go
+++ b/internal/process/cli/local.go
@@ -21,6 +21,20 @@
 	return e.Runner.Run(ctx, s)
 }
 
+func (c *bootstrapCommand) run(_ context.Context, e *env) error {
+	s, err := settings.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	if err := e.Runner.Bootstrap(s); err != nil {
+		return err
+	}
+	out := created{Dir: s.VM.DataDir}
+	return e.write(out, func(w io.Writer) {
+		fmt.Fprintf(w, "%s is ready for the first start of %s\n", out.Dir, s.VM.Name)
+	})
+}
+
 func (c *demoCommand) run(ctx context.Context, e *env) error {
 	return e.Runner.Demo(ctx, DemoOptions{Seed: c.Seed, JSON: e.json, Output: e.Stdout, Log: e.Stderr})
 }
@@ -69,7 +83,7 @@
 // created names the files that a command wrote.
 type created struct {
 	Dir   string   `json:"dir"`
-	Files []string `json:"files"`
+	Files []string `json:"files,omitempty"`
 }
 
 func (c *keysInitCommand) run(_ context.Context, e *env) error {
--- a/internal/process/cli/output.go
+++ b/internal/process/cli/output.go
@@ -7,15 +7,43 @@
 	"strings"
 	"text/tabwriter"
 
+	"github.com/cockroachdb/errors"
+
 	"heatherport/internal/process/settings"
 	"heatherport/internal/request/api"
 	"heatherport/internal/result"
+	"heatherport/internal/version/sheet"
 )
 
 // failure is an error as --json writes it.
 type failure struct {
 	api.ErrorResponse
-	Faults settings.Faults `json:"faults,omitempty"`
+	Faults []fault `json:"faults,omitempty"`
+}
+
+// fault is one fault of a file.
+type fault struct {
+	Line    int    `json:"line"`
+	Column  int    `json:"column,omitempty"`
+	Section string `json:"section,omitempty"`
+	Key     string `json:"key,omitempty"`
+	Detail  string `json:"detail"`
+	text    string
+}
+
+// faultsOf returns the faults of a settings file or sheet that err carries.
+func faultsOf(err error) []fault {
+	var out []fault
+	for _, f := range settings.FaultsOf(err) {
+		out = append(out, fault{Line: f.Line, Section: f.Section, Key: f.Key, Detail: f.Detail, text: f.String()})
+	}
+	var sheetFaults sheet.Faults
+	if errors.As(err, &sheetFaults) {
+		for _, f := range sheetFaults {
+			out = append(out, fault{Line: f.Line, Column: f.Column, Detail: f.Message, text: f.String()})
+		}
+	}
+	return out
 }
 
 // report writes err to w and returns the exit code.
@@ -23,7 +51,7 @@
 	if err == nil {
 		return int(result.ClassOK)
 	}
-	f := failure{ErrorResponse: api.NewErrorResponse(err), Faults: settings.FaultsOf(err)}
+	f := failure{ErrorResponse: api.NewErrorResponse(err), Faults: faultsOf(err)}
 	if asJSON {
 		// A failed write to stderr cannot be reported anywhere.
 		_ = json.NewEncoder(w).Encode(f)
@@ -38,9 +66,9 @@
 }
 
 // reportFaults writes one line for each fault.
-func reportFaults(w io.Writer, c result.Code, faults settings.Faults) {
+func reportFaults(w io.Writer, c result.Code, faults []fault) {
 	for _, f := range faults {
-		fmt.Fprintf(w, "%s: %s: %s\n", program, c, f)
+		fmt.Fprintf(w, "%s: %s: %s\n", program, c, f.text)
 	}
 }
 
--- a/internal/process/cli/remote.go
+++ b/internal/process/cli/remote.go
@@ -124,6 +124,28 @@
 	})
 }
 
+func (c *voterAddCommand) run(ctx context.Context, e *env) error {
+	return c.changeVoter(ctx, e, api.VoterRequest{Name: c.Name})
+}
+
+func (c *voterRemoveCommand) run(ctx context.Context, e *env) error {
+	return c.changeVoter(ctx, e, api.VoterRequest{Name: c.Name, Remove: true})
+}
+
+func (r *remote) changeVoter(ctx context.Context, e *env, req api.VoterRequest) error {
+	client, err := r.client()
+	if err != nil {
+		return err
+	}
+	out, err := client.ChangeVoter(ctx, req)
+	if err != nil {
+		return err
+	}
+	return e.write(out, func(w io.Writer) {
+		fmt.Fprintf(w, "change begun at index %d; voters are %s\n", out.Index, strings.Join(out.Voters, ", "))
+	})
+}
+
 func (c *statusCommand) run(ctx context.Context, e *env) error {
 	client, err := c.client()
 	if err != nil {
--- a/internal/request/api/api_test.go
+++ b/internal/request/api/api_test.go
@@ -40,7 +40,7 @@
 
 func (f *fake) Status(context.Context) (api.StatusResponse, error) {
 	n := f.applied.Add(1)
-	return api.StatusResponse{VM: "a-1", Index: 9, VMs: []api.VMStatus{
+	return api.StatusResponse{VM: "a-1", Index: 9, Majority: true, VMs: []api.VMStatus{
 		{Name: "a-1", Live: true, AppliedIndex: 9},
 		{Name: "b-1", Live: true, AppliedIndex: n},
 		{Name: "c-1", Live: false, AppliedIndex: 0},
@@ -64,6 +64,10 @@
 	return api.AuditResponse{Records: []api.AuditRecord{{Kind: api.AuditSheet, Code: result.SheetStale}}}, f.err
 }
 
+func (f *fake) ChangeVoter(context.Context, api.VoterRequest) (api.VoterResponse, error) {
+	return api.VoterResponse{}, f.err
+}
+
 func (f *fake) Announce(_ context.Context, a api.Announcement) (api.AnnounceResponse, error) {
 	f.calls.Add(1)
 	return api.AnnounceResponse{LeaseSeconds: a.Slots}, f.err
@@ -345,10 +349,11 @@
 		want   []string
 		done   bool
 	}{
-		{"all", api.StatusResponse{Index: 5, VMs: vms}, 4, nil, true},
-		{"one behind", api.StatusResponse{Index: 5, VMs: vms}, 5, []string{"b"}, false},
-		{"stale", api.StatusResponse{Index: 5, VMs: vms, Stale: true}, 4, nil, false},
-		{"answering VM behind", api.StatusResponse{VM: "d", Index: 3, VMs: vms}, 4, []string{"d"}, false},
+		{"all", api.StatusResponse{Index: 5, Majority: true, VMs: vms}, 4, nil, true},
+		{"no majority", api.StatusResponse{Index: 5}, 4, nil, false},
+		{"one behind", api.StatusResponse{Index: 5, Majority: true, VMs: vms}, 5, []string{"b"}, false},
+		{"stale", api.StatusResponse{Index: 5, Majority: true, VMs: vms, Stale: true}, 4, nil, false},
+		{"answering VM behind", api.StatusResponse{VM: "d", Index: 3, Majority: true, VMs: vms}, 4, []string{"d"}, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/request/api/wait.go
+++ b/internal/request/api/wait.go
@@ -54,8 +54,8 @@
 	switch {
 	case len(out) > 0:
 		return out, result.Errorf(result.NotInForceYet, "not confirmed by %s", strings.Join(out, ", "))
-	case s.Stale:
-		return nil, result.Errorf(result.NotInForceYet, "%s is cut off and cannot tell", s.VM)
+	case s.Stale || !s.Majority:
+		return nil, result.Errorf(result.NotInForceYet, "%s has no answer of a leader and cannot tell", s.VM)
 	case s.Index < index:
 		return []string{s.VM}, result.Errorf(result.NotInForceYet, "not confirmed by %s", s.VM)
 	}
