--- a/internal/process/audit/audit_test.go
+++ b/internal/process/audit/audit_test.go
@@ -135,6 +135,26 @@
 	trail.Append(record(0))
 	must.Eq(t, 1, trail.Failures())
 
+	// A folder in the way of the rotated file fails the rotation until it
+	// is gone.
+	path := filepath.Join(dir, "other")
+	must.NoError(t, os.MkdirAll(filepath.Join(path+".1", "x"), folderMode))
+	trail, err = OpenFile(path, 1, 1)
+	must.NoError(t, err)
+	defer trail.Close()
+	trail.Append(record(0))
+	trail.Flush()
+	must.Eq(t, 0, trail.Failures())
+	trail.Append(record(1))
+	trail.Flush()
+	must.Eq(t, 1, trail.Failures())
+	must.NoError(t, os.RemoveAll(path+".1"))
+	trail.Append(record(2))
+	rs, err := trail.Records(Query{})
+	must.NoError(t, err)
+	must.Eq(t, "0 2", subjects(rs))
+	must.Eq(t, 1, trail.Failures())
+
 	_, err = OpenFile(filepath.Join(dir, "trail", "below"), 1<<20, 2)
 	must.Eq(t, result.StorageFailed, result.CodeOf(err))
 	_, err = Read(filepath.Join(dir, "none"), Query{})
--- a/internal/process/audit/read.go
+++ b/internal/process/audit/read.go
@@ -23,7 +23,11 @@
 	}
 	c := collector{query: q}
 	for n := oldest; n >= 0; n-- {
-		if err := c.readFile(suffixed(path, n)); err != nil {
+		err := c.readFile(suffixed(path, n))
+		if n > 0 && errors.Is(err, fs.ErrNotExist) {
+			continue // rotated meanwhile by another process
+		}
+		if err != nil {
 			return nil, err
 		}
 	}
--- a/internal/process/keys/authority.go
+++ b/internal/process/keys/authority.go
@@ -105,32 +105,12 @@
 	return pair{cert: encodeCertificate(der), key: keyPEM}, nil
 }
 
-const maxNameLength = 63
-
 // checkIdentity refuses names that cannot stand in a certificate or file name.
 func checkIdentity(id identity.Identity) error {
 	if !id.Role.Valid() {
 		return result.Errorf(result.BadArguments, "unknown role %q", id.Role)
 	}
-	if !validName(id.Name) {
-		return result.Errorf(result.BadArguments, "%q is not a name of lower-case letters, digits and inner hyphens, at most %d long", id.Name, maxNameLength)
-	}
-	return nil
-}
-
-func validName(name string) bool {
-	if name == "" || len(name) > maxNameLength {
-		return false
-	}
-	if name[0] == '-' || name[len(name)-1] == '-' {
-		return false
-	}
-	for _, c := range name {
-		if c != '-' && (c < 'a' || c > 'z') && (c < '0' || c > '9') {
-			return false
-		}
-	}
-	return true
+	return identity.CheckName(result.BadArguments, id.Name)
 }
 
 func newKey() (*ecdsa.PrivateKey, error) {
--- a/internal/process/settings/reader.go
+++ b/internal/process/settings/reader.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"gopkg.in/ini.v1"
+
+	"heatherport/internal/request/identity"
 )
 
 // reader takes typed values out of a file, and collects faults.
@@ -67,25 +69,9 @@
 }
 
 func (r *reader) checkName(section, key, v string) {
-	if !validName(v) {
-		r.faultf(section, key, "%q is not a name of lower-case letters, digits and inner hyphens, at most %d long", v, maxNameLength)
-	}
-}
-
-// validName reports whether v can be a DNS label, as names in certificates are.
-func validName(v string) bool {
-	if v == "" || len(v) > maxNameLength {
-		return false
-	}
-	if v[0] == '-' || v[len(v)-1] == '-' {
-		return false
-	}
-	for _, c := range v {
-		if c != '-' && (c < 'a' || c > 'z') && (c < '0' || c > '9') {
-			return false
-		}
+	if !identity.ValidName(v) {
+		r.faultf(section, key, "%q is not a name of lower-case letters, digits and inner hyphens, at most %d long", v, identity.MaxNameLength)
 	}
-	return true
 }
 
 // addrPort reads a required IP address and port.
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -146,7 +146,6 @@
 	maxAuditBytes   = 4 << 30
 	maxAuditKeep    = 1000
 	maxVoters       = 7
-	maxNameLength   = 63
 	minStopTimeout  = time.Second
 	maxStopTimeout  = 10 * time.Minute
 	minReload       = time.Second
--- a/internal/process/settings/settings_test.go
+++ b/internal/process/settings/settings_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"heatherport/internal/request/identity"
 	"heatherport/internal/result"
 )
 
@@ -184,7 +185,7 @@
 	f.Fuzz(func(t *testing.T, text string) {
 		s, err := Parse([]byte(text))
 		if err == nil {
-			must.True(t, validName(s.VM.Name))
+			must.True(t, identity.ValidName(s.VM.Name))
 			must.True(t, s.Fabric.Listen.IsValid())
 			return
 		}
--- a/internal/request/identity/identity.go
+++ b/internal/request/identity/identity.go
@@ -32,6 +32,34 @@
 	Role Role
 }
 
+// MaxNameLength is the length of the longest name in bytes.
+const MaxNameLength = 63
+
+// ValidName reports whether name can stand in a certificate: it is a DNS label
+// in lower case.
+func ValidName(name string) bool {
+	if name == "" || len(name) > MaxNameLength {
+		return false
+	}
+	if name[0] == '-' || name[len(name)-1] == '-' {
+		return false
+	}
+	for _, c := range name {
+		if c != '-' && (c < 'a' || c > 'z') && (c < '0' || c > '9') {
+			return false
+		}
+	}
+	return true
+}
+
+// CheckName returns an error with code c unless name is valid.
+func CheckName(c result.Code, name string) error {
+	if ValidName(name) {
+		return nil
+	}
+	return result.Errorf(c, "%q is not a name of lower-case letters, digits and inner hyphens, at most %d long", name, MaxNameLength)
+}
+
 // Of returns the identity in a verified certificate.
 func Of(c *x509.Certificate) (Identity, error) {
 	id := Identity{Name: c.Subject.CommonName}
@@ -39,8 +67,8 @@
 		id.Role = Role(c.Subject.OrganizationalUnit[0])
 	}
 	switch {
-	case id.Name == "":
-		return Identity{}, result.Errorf(result.BadCertificate, "certificate without a common name")
+	case !ValidName(id.Name):
+		return Identity{}, CheckName(result.BadCertificate, id.Name)
 	case !id.Role.Valid():
 		return Identity{}, result.Errorf(result.BadCertificate, "certificate of %q names no known role", id.Name)
 	case !slices.Equal(c.DNSNames, []string{id.Name}):
