--- a/internal/process/cli/local.go
+++ b/internal/process/cli/local.go
@@ -21,20 +21,6 @@
 	return e.Runner.Run(ctx, s)
 }
 
-func (c *bootstrapCommand) run(_ context.Context, e *env) error {
-	s, err := settings.Load(c.Settings)
-	if err != nil {
-		return err
-	}
-	if err := e.Runner.Bootstrap(s); err != nil {
-		return err
-	}
-	out := created{Dir: s.VM.DataDir}
-	return e.write(out, func(w io.Writer) {
-		fmt.Fprintf(w, "%s is ready for the first start of %s\n", out.Dir, s.VM.Name)
-	})
-}
-
 func (c *demoCommand) run(ctx context.Context, e *env) error {
 	return e.Runner.Demo(ctx, DemoOptions{Seed: c.Seed, JSON: e.json, Output: e.Stdout, Log: e.Stderr})
 }
