--- a/internal/process/app/app.go
+++ b/internal/process/app/app.go
@@ -18,6 +18,7 @@
 	"heatherport/internal/process/keys"
 	"heatherport/internal/process/link"
 	"heatherport/internal/process/settings"
+	"heatherport/internal/request/api"
 	"heatherport/internal/request/forward"
 )
 
@@ -74,6 +75,7 @@
 			newKeyring,
 			newForwarder,
 			newController,
+			func() *api.Counters { return new(api.Counters) },
 			newHealth,
 		),
 		fx.Invoke(serveMetrics, serveAPI, watchKeys, stopOrder),
--- a/internal/process/app/listen.go
+++ b/internal/process/app/listen.go
@@ -41,8 +41,8 @@
 }
 
 // serveAPI serves operators and upstreams over mutual TLS.
-func serveAPI(lc fx.Lifecycle, s *settings.Settings, c *control.Controller, store *keys.Store, log hclog.Logger) {
-	srv := api.NewServer(c)
+func serveAPI(lc fx.Lifecycle, s *settings.Settings, c *control.Controller, store *keys.Store, counters *api.Counters, log hclog.Logger) {
+	srv := api.NewServer(c, counters)
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			l, err := listen(s.API.Listen)
@@ -137,11 +137,12 @@
 	links      *link.Links
 	trail      audit.Trail
 	store      *keys.Store
+	requests   *api.Counters
 	clock      Clock
 }
 
-func newHealth(s *settings.Settings, c *control.Controller, f *forward.Forwarder, l *link.Links, t audit.Trail, store *keys.Store, clock Clock) *health {
-	return &health{settings: s, controller: c, forwarder: f, links: l, trail: t, store: store, clock: clock}
+func newHealth(s *settings.Settings, c *control.Controller, f *forward.Forwarder, l *link.Links, t audit.Trail, store *keys.Store, requests *api.Counters, clock Clock) *health {
+	return &health{settings: s, controller: c, forwarder: f, links: l, trail: t, store: store, requests: requests, clock: clock}
 }
 
 // silence is the time after which a control goroutine that does not renew its
@@ -183,6 +184,8 @@
 		AuditFailures:       h.trail.Failures(),
 		CertificateNotAfter: h.store.NotAfter(),
 		ControlLost:         h.links.Dropped(),
+		Requests:            h.requests.Requests(),
+		APIFailures:         h.requests.Failures(),
 	}
 	h.traffic(&s)
 	h.control(&s)
--- a/internal/process/cli/cli_test.go
+++ b/internal/process/cli/cli_test.go
@@ -263,7 +263,7 @@
 	must.NoError(t, err)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
-	server := api.NewServer(&fleet{})
+	server := api.NewServer(&fleet{}, new(api.Counters))
 	go server.Serve(tls.NewListener(l, store.ServerTLS(identity.Operator, identity.Upstream)))
 	t.Cleanup(func() { server.Close() })
 	to := netip.MustParseAddrPort(l.Addr().String())
--- a/internal/process/cli/human.go
+++ b/internal/process/cli/human.go
@@ -9,6 +9,9 @@
 	"heatherport/internal/request/api"
 )
 
+// unknown is the cell of a value that the VM that answered cannot know.
+const unknown = "?"
+
 // clock writes a time in UTC, or a dash for none.
 func clock(t time.Time) string {
 	if t.IsZero() {
@@ -28,15 +31,20 @@
 		[2]string{"lease", yesNo(s.Lease)},
 		[2]string{"stale", yesNo(s.Stale)},
 	)
-	writeVMs(w, s.VMs)
+	writeVMs(w, s)
 	writeUpstreams(w, s.Upstreams)
 	writeDrains(w, s.Drains)
 }
 
-func writeVMs(w io.Writer, vms []api.VMStatus) {
+// writeVMs leaves out what only a leader knows when none answered.
+func writeVMs(w io.Writer, s *api.StatusResponse) {
 	rows := [][]string{{"VM", "DOMAIN", "STATE", "LIVE", "ROLE", "INDEX", "OPEN"}}
-	for _, v := range vms {
-		rows = append(rows, []string{v.Name, v.Domain, v.State, yesNo(v.Live), role(v), number(v.AppliedIndex), number(v.Open)})
+	for _, v := range s.VMs {
+		live, index := yesNo(v.Live), number(v.AppliedIndex)
+		if !s.Majority {
+			live, index = unknown, unknown
+		}
+		rows = append(rows, []string{v.Name, v.Domain, v.State, live, role(v), index, number(v.Open)})
 	}
 	fmt.Fprintln(w)
 	table(w, rows...)
@@ -158,12 +166,17 @@
 }
 
 func writeAudit(w io.Writer, records []api.AuditRecord) {
-	rows := [][]string{{"TIME", "VM", "KIND", "SUBJECT", "WHO", "BEFORE", "AFTER", "CODE", "INDEX", "CAUSE"}}
+	rows := [][]string{{"TIME", "VM", "KIND", "INDEX", "CODE", "WHO", "CAUSE", "SUBJECT", "CHANGE"}}
 	for _, r := range records {
 		rows = append(rows, []string{
-			clock(r.Time), r.VM, string(r.Kind), r.Subject, orDash(r.Who), orDash(r.Before), orDash(r.After),
-			r.Code.String(), number(r.Index), orDash(r.Cause),
+			clock(r.Time), r.VM, string(r.Kind), number(r.Index), r.Code.String(),
+			orDash(r.Who), orDash(r.Cause), r.Subject, change(r),
 		})
 	}
 	table(w, rows...)
 }
+
+// change writes before and after in one cell, the last, as they may be long.
+func change(r api.AuditRecord) string {
+	return orDash(r.Before) + " -> " + orDash(r.After)
+}
--- a/internal/process/cli/local.go
+++ b/internal/process/cli/local.go
@@ -130,7 +130,7 @@
 func writeRotated(w io.Writer, r keys.Rotated) {
 	from, until := r.UsedFrom.UTC().Format(time.RFC3339), r.OldUntil.UTC().Format(time.RFC3339)
 	if r.CA != "" {
-		fmt.Fprintf(w, "%s signs from now on; copy %s to all VMs, then issue their certificates again before %s\n", r.CA, keys.CAFile, until)
+		fmt.Fprintf(w, "%s signs from now on; copy %s to all VMs, operators and upstreams, then issue their certificates again before %s\n", r.CA, keys.CAFile, until)
 		return
 	}
 	fmt.Fprintf(w, "relay key %d is used from %s, the one before is accepted until %s; copy %s to all VMs before %s\n", r.RelayKey, from, until, keys.RelayFile, from)
--- a/internal/process/keys/keys_test.go
+++ b/internal/process/keys/keys_test.go
@@ -153,6 +153,8 @@
 		must.NoError(t, err)
 		must.True(t, changed)
 	}
+	must.Eq(t, c.now.Add(window), a.NotAfter())
+
 	// b gets a certificate of the new authority, a keeps its old one.
 	_, err = f.Issue(vm("b-1"), DefaultLeafValidity)
 	must.NoError(t, err)
--- a/internal/process/keys/store.go
+++ b/internal/process/keys/store.go
@@ -151,8 +151,19 @@
 // Self returns the identity of the own certificate.
 func (s *Store) Self() identity.Identity { return s.current.Load().self }
 
-// NotAfter returns the end of the own certificate.
-func (s *Store) NotAfter() time.Time { return s.current.Load().cert.Leaf.NotAfter }
+// NotAfter returns the end of the own certificate, or of the window in which
+// its authority is accepted if that comes first.
+func (s *Store) NotAfter() time.Time {
+	m := s.current.Load()
+	end := m.cert.Leaf.NotAfter
+	for _, c := range m.bundle {
+		signed := m.cert.Leaf.CheckSignatureFrom(c.cert) == nil
+		if signed && !c.until.IsZero() && c.until.Before(end) {
+			end = c.until
+		}
+	}
+	return end
+}
 
 // RelayKeys returns all relay keys in the file.
 func (s *Store) RelayKeys() RelayKeys { return s.current.Load().relay }
--- a/internal/process/metrics/collector.go
+++ b/internal/process/metrics/collector.go
@@ -39,6 +39,7 @@
 	liveVMs, drains           *prometheus.Desc
 	lease, cutOff             *prometheus.Desc
 	leader, voter, ready      *prometheus.Desc
+	requests, apiFailures     *prometheus.Desc
 	auditFailures             *prometheus.Desc
 	certificateEnd            *prometheus.Desc
 }
@@ -86,6 +87,8 @@
 	c.leader = c.desc("leader", "1 while this VM is the leader.")
 	c.voter = c.desc("voter", "1 if this VM is a voter.")
 	c.ready = c.desc("ready", "1 while this VM is ready for traffic.")
+	c.requests = c.desc("api_requests_total", "Requests to the API by route and name of the result code.", "route", "code")
+	c.apiFailures = c.desc("api_connection_failures_total", "Connections to the API that failed before a request, most of them in the TLS handshake.")
 	c.auditFailures = c.desc("audit_failures_total", "Audit records that could not be kept.")
 	c.certificateEnd = c.desc("certificate_expiry_timestamp_seconds", "Unix time at which the certificate of this VM ends.")
 	return c
@@ -164,6 +167,10 @@
 }
 
 func (c *collector) collectProcess(e emitter, s *Snapshot) {
+	for _, r := range s.Requests {
+		e.counter(c.requests, r.Count, r.Route, r.Code.Name())
+	}
+	e.counter(c.apiFailures, s.APIFailures)
 	e.counter(c.auditFailures, s.AuditFailures)
 	if !s.CertificateNotAfter.IsZero() {
 		e.gauge(c.certificateEnd, float64(s.CertificateNotAfter.Unix()))
--- a/internal/process/metrics/metrics_test.go
+++ b/internal/process/metrics/metrics_test.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/shoenig/test/must"
 
+	"heatherport/internal/request/api"
 	"heatherport/internal/result"
 )
 
@@ -19,6 +20,7 @@
 		RelaySent:           Volume{Count: 2, Bytes: 80},
 		Causes:              []Cause{{result.DropFragment, 3}},
 		Open:                40,
+		Requests:            []api.RequestCount{{Route: "/v1/sheets", Code: result.SheetStale, Count: 2}},
 		Upstreams:           []UpstreamGauge{{"permit", "permit-1", 7, true}},
 		Control:             []ControlVolume{{"exceptions", Sent, Volume{2, 90}}},
 		VersionIndex:        12,
@@ -28,6 +30,9 @@
 	}
 	registry := NewRegistry(func() Snapshot { return s })
 	const want = `
+# HELP heatherport_api_requests_total Requests to the API by route and name of the result code.
+# TYPE heatherport_api_requests_total counter
+heatherport_api_requests_total{code="sheet_stale",route="/v1/sheets"} 2
 # HELP heatherport_connections_open Entries in the connection table.
 # TYPE heatherport_connections_open gauge
 heatherport_connections_open 40
@@ -50,7 +55,7 @@
 heatherport_upstream_connections_open{service="permit",upstream="permit-1"} 7
 `
 	must.NoError(t, testutil.GatherAndCompare(registry, strings.NewReader(want),
-		"heatherport_connections_open", "heatherport_control_bytes_total", "heatherport_cut_off",
+		"heatherport_api_requests_total", "heatherport_connections_open", "heatherport_control_bytes_total", "heatherport_cut_off",
 		"heatherport_lease_live", "heatherport_packets_total", "heatherport_upstream_connections_open"))
 	problems, err := testutil.GatherAndLint(registry)
 	must.NoError(t, err)
--- a/internal/process/metrics/snapshot.go
+++ b/internal/process/metrics/snapshot.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"heatherport/internal/request/api"
 	"heatherport/internal/result"
 )
 
@@ -85,6 +86,8 @@
 	Ready        bool
 
 	// Process.
+	Requests            []api.RequestCount // requests to the API
+	APIFailures         uint64             // connections to the API that failed before a request
 	AuditFailures       uint64
 	CertificateNotAfter time.Time // zero: none
 }
--- a/internal/request/api/api_test.go
+++ b/internal/request/api/api_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
 
 	"heatherport/internal/request/api"
 	"heatherport/internal/request/identity"
@@ -374,3 +375,47 @@
 		must.Eq(t, c.want, a.LoadFactor())
 	}
 }
+
+func TestCounters(t *testing.T) {
+	p := newPKI(t)
+	ctx := context.Background()
+	counters := new(api.Counters)
+	to := p.serveCounted(&fake{}, counters)
+	for range 2 {
+		_, err := p.operator(to).Status(ctx)
+		must.NoError(t, err)
+	}
+	_, err := p.upstream("permit-1", to).Status(ctx)
+	must.Eq(t, result.NotAuthorized, result.CodeOf(err))
+	raw(t, p.config(identity.Operator, "amina"), "GET", to, "/v1/none", "")
+	want := []api.RequestCount{
+		{Route: "/v1/status", Code: result.OK, Count: 2},
+		{Route: "/v1/status", Code: result.NotAuthorized, Count: 1},
+		{Route: "none", Code: result.NotFound, Count: 1},
+	}
+	must.Eq(t, want, counters.Requests())
+
+	must.Eq(t, 0, counters.Failures())
+	config := newPKI(t).config(identity.Operator, "amina")
+	config.RootCAs = p.config(identity.Operator, "amina").RootCAs
+	_, err = api.NewClient([]netip.AddrPort{to}, config).Status(ctx)
+	must.Eq(t, result.BadCertificate, result.CodeOf(err))
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return counters.Failures() == 1 })))
+}
+
+func TestAuditQueryMatch(t *testing.T) {
+	r := api.AuditRecord{Kind: api.AuditRoster, Subject: "upstream_added permit-1", Who: "permit-1"}
+	cases := []struct {
+		query api.AuditQuery
+		want  bool
+	}{
+		{api.AuditQuery{}, true},
+		{api.AuditQuery{Subject: "permit-1"}, true},
+		{api.AuditQuery{Subject: "permit"}, false},
+		{api.AuditQuery{Who: "permit-1", Kind: api.AuditRoster}, true},
+		{api.AuditQuery{Who: "permit-1", Kind: api.AuditSheet}, false},
+	}
+	for _, c := range cases {
+		must.Eq(t, c.want, c.query.Match(&r), must.Sprint(c))
+	}
+}
--- a/internal/request/api/handler.go
+++ b/internal/request/api/handler.go
@@ -42,6 +42,7 @@
 // handler serves a Control.
 type handler struct {
 	control  Control
+	counters *Counters
 	inFlight chan struct{}
 }
 
@@ -55,27 +56,28 @@
 type action func(ctx context.Context, r request) (any, error)
 
 // NewHandler returns the routes over control.
-func NewHandler(control Control) http.Handler {
-	h := &handler{control: control, inFlight: make(chan struct{}, maxInFlight)}
+func NewHandler(control Control, counters *Counters) http.Handler {
+	h := &handler{control: control, counters: counters, inFlight: make(chan struct{}, maxInFlight)}
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+pathSheets, h.serve(identity.Operator, changing, h.submit))
-	mux.HandleFunc("GET "+pathSheet, h.serve(identity.Operator, reading, h.sheet))
-	mux.HandleFunc("GET "+pathStatus, h.serve(identity.Operator, reading, h.status))
-	mux.HandleFunc("GET "+pathExplain, h.serve(identity.Operator, reading, h.explain))
-	mux.HandleFunc("GET "+pathAudit, h.serve(identity.Operator, reading, h.audit))
-	mux.HandleFunc("POST "+pathVoters, h.serve(identity.Operator, changing, h.voter))
-	mux.HandleFunc("POST "+pathAnnounce, h.serve(identity.Upstream, changing, h.announce))
+	mux.HandleFunc("POST "+pathSheets, h.serve(pathSheets, identity.Operator, changing, h.submit))
+	mux.HandleFunc("GET "+pathSheet, h.serve(pathSheet, identity.Operator, reading, h.sheet))
+	mux.HandleFunc("GET "+pathStatus, h.serve(pathStatus, identity.Operator, reading, h.status))
+	mux.HandleFunc("GET "+pathExplain, h.serve(pathExplain, identity.Operator, reading, h.explain))
+	mux.HandleFunc("GET "+pathAudit, h.serve(pathAudit, identity.Operator, reading, h.audit))
+	mux.HandleFunc("POST "+pathVoters, h.serve(pathVoters, identity.Operator, changing, h.voter))
+	mux.HandleFunc("POST "+pathAnnounce, h.serve(pathAnnounce, identity.Upstream, changing, h.announce))
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
-		writeError(w, result.Errorf(result.NotFound, "no route %s %s", r.Method, r.URL.Path))
+		h.fail(w, noRoute, result.Errorf(result.NotFound, "no route %s %s", r.Method, r.URL.Path))
 	})
 	return mux
 }
 
 // NewServer returns a server with bounds on size and time. The caller gives it
 // a TLS listener that asks for certificates.
-func NewServer(control Control) *http.Server {
+func NewServer(control Control, counters *Counters) *http.Server {
 	return &http.Server{
-		Handler:           NewHandler(control),
+		Handler:           NewHandler(control, counters),
+		ErrorLog:          counters.errorLog(),
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout:       readTimeout,
@@ -92,34 +94,43 @@
 	changing effect = true
 )
 
-// serve authenticates, bounds and answers one request.
-func (h *handler) serve(role identity.Role, e effect, do action) http.HandlerFunc {
+// serve authenticates, bounds and answers the requests of one route.
+func (h *handler) serve(route string, role identity.Role, e effect, do action) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		peer, err := identity.OfConnection(r.TLS)
-		if err == nil {
-			err = peer.Require(role)
-		}
-		if err != nil {
-			writeError(w, err)
-			return
-		}
-		release, err := h.admit()
-		if err != nil {
-			writeError(w, err)
-			return
-		}
-		defer release()
-		ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
-		defer cancel()
-		v, err := do(ctx, request{r, peer})
+		v, err := h.answer(r, role, do)
 		if err != nil {
-			writeError(w, afterTimeout(err, e))
+			h.fail(w, route, afterTimeout(err, e))
 			return
 		}
+		h.counters.add(route, result.OK)
 		writeJSON(w, http.StatusOK, v)
 	}
 }
 
+// fail counts and writes an error.
+func (h *handler) fail(w http.ResponseWriter, route string, err error) {
+	h.counters.add(route, result.CodeOf(err))
+	writeError(w, err)
+}
+
+func (h *handler) answer(r *http.Request, role identity.Role, do action) (any, error) {
+	peer, err := identity.OfConnection(r.TLS)
+	if err != nil {
+		return nil, err
+	}
+	if err := peer.Require(role); err != nil {
+		return nil, err
+	}
+	release, err := h.admit()
+	if err != nil {
+		return nil, err
+	}
+	defer release()
+	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
+	defer cancel()
+	return do(ctx, request{r, peer})
+}
+
 // admit refuses a request when too many are being answered.
 func (h *handler) admit() (release func(), err error) {
 	select {
--- a/internal/request/api/pki_test.go
+++ b/internal/request/api/pki_test.go
@@ -85,7 +85,12 @@
 
 // serve starts a server over control and returns its address.
 func (p pki) serve(control api.Control) netip.AddrPort {
-	server := httptest.NewUnstartedServer(api.NewHandler(control))
+	return p.serveCounted(control, new(api.Counters))
+}
+
+func (p pki) serveCounted(control api.Control, counters *api.Counters) netip.AddrPort {
+	server := httptest.NewUnstartedServer(nil)
+	server.Config = api.NewServer(control, counters)
 	server.TLS = p.config(identity.VM, serverName)
 	server.StartTLS()
 	p.t.Cleanup(server.Close)
--- a/internal/request/api/types.go
+++ b/internal/request/api/types.go
@@ -7,6 +7,8 @@
 	"context"
 	"encoding/hex"
 	"net/netip"
+	"slices"
+	"strings"
 	"time"
 
 	"heatherport/internal/result"
@@ -294,7 +296,7 @@
 	Since   time.Time // inclusive
 	Until   time.Time // exclusive
 	Kind    AuditKind
-	Subject string
+	Subject string // a word of the subject
 	Who     string
 	Limit   int // newest records kept; zero: DefaultAuditLimit
 }
@@ -314,7 +316,7 @@
 		return false
 	case q.Kind != "" && r.Kind != q.Kind:
 		return false
-	case q.Subject != "" && r.Subject != q.Subject:
+	case q.Subject != "" && !slices.Contains(strings.Fields(r.Subject), q.Subject):
 		return false
 	case q.Who != "" && r.Who != q.Who:
 		return false
