--- a/internal/process/cli/cli_test.go
+++ b/internal/process/cli/cli_test.go
@@ -77,10 +77,12 @@
 	return path
 }
 
+const serviceRow = "service,permit,192.0.2.10,tcp,443,10m,no\n"
+
 const sample = "../../../examples/association/ibadan-1.ini"
 
 func TestLocalCommands(t *testing.T) {
-	good := write(t, "sheet.csv", "version,7\nservice,permit,192.0.2.10,tcp,443,10m,no\n")
+	good := write(t, "sheet.csv", "version,7\n"+serviceRow)
 	bad := write(t, "bad.csv", "version,7\nservice,permit,nowhere,sctp,443,10m,no\n")
 	cases := []struct {
 		name   string
@@ -187,7 +189,7 @@
 	if req.Operator != "amina" {
 		return api.SubmitResponse{}, result.Errorf(result.NotAuthorized, "%s", req.Operator)
 	}
-	if string(req.Sheet) == "stale" {
+	if strings.HasPrefix(string(req.Sheet), "version,6") {
 		return api.SubmitResponse{}, result.Errorf(result.SheetStale, "8 is in force")
 	}
 	return api.SubmitResponse{Number: 7, Index: 2, Pending: []string{"b-1"}}, nil
@@ -272,8 +274,9 @@
 
 func TestRemoteCommands(t *testing.T) {
 	remote := serve(t)
-	good := write(t, "sheet.csv", "version,7\n")
-	stale := write(t, "stale.csv", "stale")
+	good := write(t, "sheet.csv", "version,7\n"+serviceRow)
+	stale := write(t, "stale.csv", "version,6\n"+serviceRow)
+	bad := write(t, "bad.csv", "x\n")
 	cases := []struct {
 		name   string
 		args   []string
@@ -284,6 +287,7 @@
 		{"submit", []string{"sheet", "submit", good}, 0, []string{"sheet 7 accepted at index 2", "not confirmed by b-1"}, ""},
 		{"submit and wait", []string{"sheet", "submit", good, "--wait", "20s"}, 0, []string{"in force on all live VMs"}, ""},
 		{"submit in JSON", []string{"sheet", "submit", good, "--json"}, 0, []string{`"number": 7`}, ""},
+		{"bad", []string{"sheet", "submit", bad}, result.ClassUsage, nil, "103 bad_sheet: line 1"},
 		{"stale", []string{"sheet", "submit", stale}, result.ClassRefused, nil, "202 sheet_stale: 8 is in force"},
 		{"show", []string{"sheet", "show"}, 0, []string{"amina", "2026-12-01T06:00:00Z"}, ""},
 		{"show CSV", []string{"sheet", "show", "--csv"}, 0, []string{"version,7\n"}, ""},
@@ -298,7 +302,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			got := runWith(Options{}, append(c.args, remote...)...)
+			got := runWith(Options{CheckSheet: checkSheet}, append(c.args, remote...)...)
 			must.Eq(t, int(c.code), got.code, must.Sprint(got))
 			for _, want := range c.stdout {
 				must.StrContains(t, got.stdout, want)
--- a/internal/process/cli/remote.go
+++ b/internal/process/cli/remote.go
@@ -65,6 +65,10 @@
 	if err != nil {
 		return err
 	}
+	// A bad sheet is refused here too, where each fault gets a line.
+	if _, err := e.CheckSheet(b); err != nil {
+		return err
+	}
 	client, err := c.client()
 	if err != nil {
 		return err
--- a/internal/process/keys/keys_test.go
+++ b/internal/process/keys/keys_test.go
@@ -275,3 +275,38 @@
 	must.NoError(t, clientErr)
 	must.NoError(t, serverErr)
 }
+
+func FuzzRelayKeys(f *testing.F) {
+	k, err := newRelayKey(7, newClock().now)
+	must.NoError(f, err)
+	f.Add(RelayKeys{k}.encode())
+	f.Add([]byte("1 00 now -\n"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		ks, err := decodeRelayKeys(b)
+		if err != nil {
+			must.Eq(t, result.KeyMissing, result.CodeOf(err))
+			return
+		}
+		again, err := decodeRelayKeys(ks.encode())
+		must.NoError(t, err)
+		must.Len(t, len(ks), again)
+	})
+}
+
+func FuzzBundle(f *testing.F) {
+	c := newClock()
+	a, err := newAuthority(c.now, time.Hour)
+	must.NoError(f, err)
+	f.Add(encodeBundle([]caCert{{cert: a.cert}}))
+	f.Add(encodeBundle([]caCert{{cert: a.cert, until: c.now}, {cert: a.cert}}))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		bundle, err := decodeBundle(b)
+		if err != nil {
+			must.Eq(t, result.BadCertificate, result.CodeOf(err))
+			return
+		}
+		again, err := decodeBundle(encodeBundle(bundle))
+		must.NoError(t, err)
+		must.Len(t, len(bundle), again)
+	})
+}
--- a/internal/process/settings/reader.go
+++ b/internal/process/settings/reader.go
@@ -93,6 +93,10 @@
 		r.faultf(section, key, "port 0 cannot be used")
 		return netip.AddrPort{}
 	}
+	if ap.Addr().Is4In6() {
+		r.faultf(section, key, "%s is an IPv4-mapped IPv6 address; write it as IPv4", ap)
+		return netip.AddrPort{}
+	}
 	return ap
 }
 
--- a/internal/process/settings/settings_test.go
+++ b/internal/process/settings/settings_test.go
@@ -89,6 +89,7 @@
 		{"key before sections", "x = 1\n" + valid, "line 1: x: key before the first section"},
 		{"no address", edit("return = 127.0.0.9:5555", "return = host:5555"), `line 8: [fabric] return: "host:5555" is not IP:PORT`},
 		{"port 0", edit("return = 127.0.0.9:5555", "return = 127.0.0.9:0"), "line 8: [fabric] return: port 0"},
+		{"IPv4-mapped address", edit("return = 127.0.0.9:5555", "return = [::ffff:127.0.0.9]:5555"), "line 8: [fabric] return: [::ffff:127.0.0.9]:5555 is an IPv4-mapped"},
 		{"not a destination", edit("return = 127.0.0.9:5555", "return = 0.0.0.0:5555"), "line 8: [fabric] return: 0.0.0.0:5555 cannot be a destination"},
 		{"advertise needed", edit("listen = 127.0.0.1:8443", "listen = [::]:8443"), "line 17: [api] advertise: missing; needed because listen is [::]:8443"},
 		{"number", edit("return = 127.0.0.9:5555", "return = 127.0.0.9:5555\nbatch = many"), `line 9: [fabric] batch: "many" is not a whole number`},
--- a/internal/request/api/announcement.go
+++ b/internal/request/api/announcement.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"net/netip"
 	"strings"
 
 	"heatherport/internal/result"
@@ -41,6 +42,7 @@
 	add(a.Service == "" || len(a.Service) > maxAnnouncedName, "service: missing or too long")
 	add(!a.Address.IsValid() || a.Address.Port() == 0, "address: missing or not IP:PORT")
 	add(a.Address.Addr().IsUnspecified() || a.Address.Addr().IsMulticast(), "address: cannot be a destination")
+	add(!plain(a.Address.Addr()) || !plain(a.Probe.Addr()), "address or probe: has a zone or is an IPv4-mapped IPv6 address")
 	add(a.Probe.IsValid() && a.Probe.Port() == 0, "probe: no port")
 	add(a.Incarnation == 0, "incarnation: missing or zero")
 	add(a.Slots == 0 || a.Slots > maxAnnouncedSlots, "slots: zero or too many")
@@ -51,6 +53,10 @@
 	return nil
 }
 
+// plain reports whether a has one spelling only, so that two upstreams cannot
+// announce one address in two ways.
+func plain(a netip.Addr) bool { return a.Zone() == "" && !a.Is4In6() }
+
 const maxLoadFactor = 255
 
 // LoadFactor returns the load as 1 (idle) to 255 (full), and 0 for none.
--- a/internal/request/api/api_test.go
+++ b/internal/request/api/api_test.go
@@ -209,6 +209,8 @@
 		{"no JSON", upstream, "POST", "/v1/announce", "name=permit-1", 400, result.BadAnnouncement},
 		{"no fields", upstream, "POST", "/v1/announce", "{}", 400, result.BadAnnouncement},
 		{"load", upstream, "POST", "/v1/announce", "{" + fields + `,"load":1.5}`, 400, result.BadAnnouncement},
+		{"zone", upstream, "POST", "/v1/announce", `{"name":"permit-1","service":"permit","address":"[fe80::1%eth0]:1","incarnation":1,"slots":3}`, 400, result.BadAnnouncement},
+		{"mapped address", upstream, "POST", "/v1/announce", `{"name":"permit-1","service":"permit","address":"[::ffff:127.0.0.1]:1","incarnation":1,"slots":3}`, 400, result.BadAnnouncement},
 		{"announcement too large", upstream, "POST", "/v1/announce", `{"name":"` + strings.Repeat("x", 5000) + `"}`, 400, result.BadAnnouncement},
 	}
 	for _, c := range cases {
--- a/internal/request/api/client.go
+++ b/internal/request/api/client.go
@@ -54,6 +54,9 @@
 // submitting the same sheet again is safe.
 func (c *Client) SubmitSheet(ctx context.Context, csv []byte) (SubmitResponse, error) {
 	var out SubmitResponse
+	if len(csv) > MaxSheetBytes {
+		return out, result.Errorf(result.SheetTooLarge, "%d bytes instead of at most %d", len(csv), MaxSheetBytes)
+	}
 	return out, c.call(ctx, call{method: http.MethodPost, path: pathSheets, kind: "text/csv", body: csv}, &out)
 }
 
