--- a/internal/process/cli/arguments.go
+++ b/internal/process/cli/arguments.go
@@ -30,7 +30,7 @@
 }
 
 type runCommand struct {
-	Settings string `arg:"--settings,required" placeholder:"FILE" help:"settings of this VM"`
+	Settings string `arg:"--settings,required" help:"settings of this VM"`
 }
 
 type settingsGroup struct {
@@ -73,8 +73,8 @@
 }
 
 type explainConnectionCommand struct {
-	Caller   string `arg:"--caller,required" placeholder:"IP:PORT" help:"address of the caller"`
-	Service  string `arg:"--service,required" placeholder:"IP:PORT" help:"address of the service"`
+	Caller   string `arg:"--caller,required" help:"address of the caller"`
+	Service  string `arg:"--service,required" help:"address of the service"`
 	Protocol string `arg:"--protocol" default:"tcp" help:"tcp or udp"`
 	remote
 }
@@ -166,14 +166,14 @@
 	{"sheet check", " sheet.csv"},
 	{"sheet submit", " sheet.csv --wait 30s" + exampleRemote},
 	{"sheet show", " --csv" + exampleRemote},
+	{"voter add", " oshogbo-1" + exampleRemote},
+	{"voter remove", " akure-1" + exampleRemote},
 	{"status", exampleRemote},
 	{"explain connection", " --caller 198.51.100.7:40100 --service 203.0.113.10:443" + exampleRemote},
 	{"explain upstream", " permit-03" + exampleRemote},
 	{"explain sheet", exampleRemote},
 	{"audit", " --kind sheet --last 24h" + exampleRemote},
 	{"voter bootstrap", " --settings /etc/heatherport/settings.ini"},
-	{"voter add", " oshogbo-1" + exampleRemote},
-	{"voter remove", " akure-1" + exampleRemote},
 	{"keys init", " --dir ./keys"},
 	{"keys issue", " --dir ./keys --name ibadan-1"},
 	{"keys rotate", " --dir ./keys --window 24h"},
--- a/internal/process/cli/voter.go
+++ b/internal/process/cli/voter.go
@@ -17,7 +17,7 @@
 }
 
 type voterBootstrapCommand struct {
-	Settings string `arg:"--settings,required" placeholder:"FILE" help:"settings of the voter"`
+	Settings string `arg:"--settings,required" help:"settings of the voter"`
 }
 
 type voterAddCommand struct {
@@ -35,7 +35,12 @@
 	if err != nil {
 		return err
 	}
-	return e.Runner.Bootstrap(s)
+	if err := e.Runner.Bootstrap(s); err != nil {
+		return err
+	}
+	return e.write(created{Dir: s.VM.DataDir}, func(w io.Writer) {
+		fmt.Fprintf(w, "%s is ready for the first start of %s\n", s.VM.DataDir, s.VM.Name)
+	})
 }
 
 func (c *voterAddCommand) run(ctx context.Context, e *env) error {
@@ -59,7 +64,7 @@
 	return e.write(out, func(w io.Writer) {
 		pairs(w,
 			[2]string{"index", number(out.Index)},
-			[2]string{"voters before the change", fmt.Sprint(strings.Join(out.Voters, " "))},
+			[2]string{"voters before the change", strings.Join(out.Voters, ", ")},
 		)
 	})
 }
--- a/internal/process/settings/reader.go
+++ b/internal/process/settings/reader.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"gopkg.in/ini.v1"
+
+	"heatherport/internal/request/identity"
 )
 
 // reader takes typed values out of a file, and collects faults.
@@ -67,27 +69,11 @@
 }
 
 func (r *reader) checkName(section, key, v string) {
-	if !validName(v) {
-		r.faultf(section, key, "%q is not a name of lower-case letters, digits and inner hyphens, at most %d long", v, maxNameLength)
+	if !identity.ValidName(v) {
+		r.faultf(section, key, "%q is not a name of lower-case letters, digits and inner hyphens, at most %d long", v, identity.MaxNameLength)
 	}
 }
 
-// validName reports whether v can be a DNS label, as names in certificates are.
-func validName(v string) bool {
-	if v == "" || len(v) > maxNameLength {
-		return false
-	}
-	if v[0] == '-' || v[len(v)-1] == '-' {
-		return false
-	}
-	for _, c := range v {
-		if c != '-' && (c < 'a' || c > 'z') && (c < '0' || c > '9') {
-			return false
-		}
-	}
-	return true
-}
-
 // addrPort reads a required IP address and port.
 func (r *reader) addrPort(section, key string) netip.AddrPort {
 	v := r.required(section, key)
@@ -107,6 +93,10 @@
 		r.faultf(section, key, "port 0 cannot be used")
 		return netip.AddrPort{}
 	}
+	if ap.Addr().Is4In6() {
+		r.faultf(section, key, "%s is an IPv4-mapped IPv6 address; write it as IPv4", ap)
+		return netip.AddrPort{}
+	}
 	return ap
 }
 
--- a/internal/request/api/api_test.go
+++ b/internal/request/api/api_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
 
 	"heatherport/internal/request/api"
 	"heatherport/internal/request/identity"
@@ -40,7 +41,7 @@
 
 func (f *fake) Status(context.Context) (api.StatusResponse, error) {
 	n := f.applied.Add(1)
-	return api.StatusResponse{VM: "a-1", Index: 9, VMs: []api.VMStatus{
+	return api.StatusResponse{VM: "a-1", Index: 9, Majority: true, VMs: []api.VMStatus{
 		{Name: "a-1", Live: true, AppliedIndex: 9},
 		{Name: "b-1", Live: true, AppliedIndex: n},
 		{Name: "c-1", Live: false, AppliedIndex: 0},
@@ -208,6 +209,8 @@
 		{"no JSON", upstream, "POST", "/v1/announce", "name=permit-1", 400, result.BadAnnouncement},
 		{"no fields", upstream, "POST", "/v1/announce", "{}", 400, result.BadAnnouncement},
 		{"load", upstream, "POST", "/v1/announce", "{" + fields + `,"load":1.5}`, 400, result.BadAnnouncement},
+		{"zone", upstream, "POST", "/v1/announce", `{"name":"permit-1","service":"permit","address":"[fe80::1%eth0]:1","incarnation":1,"slots":3}`, 400, result.BadAnnouncement},
+		{"mapped address", upstream, "POST", "/v1/announce", `{"name":"permit-1","service":"permit","address":"[::ffff:127.0.0.1]:1","incarnation":1,"slots":3}`, 400, result.BadAnnouncement},
 		{"announcement too large", upstream, "POST", "/v1/announce", `{"name":"` + strings.Repeat("x", 5000) + `"}`, 400, result.BadAnnouncement},
 	}
 	for _, c := range cases {
@@ -349,10 +352,11 @@
 		want   []string
 		done   bool
 	}{
-		{"all", api.StatusResponse{Index: 5, VMs: vms}, 4, nil, true},
-		{"one behind", api.StatusResponse{Index: 5, VMs: vms}, 5, []string{"b"}, false},
-		{"stale", api.StatusResponse{Index: 5, VMs: vms, Stale: true}, 4, nil, false},
-		{"answering VM behind", api.StatusResponse{VM: "d", Index: 3, VMs: vms}, 4, []string{"d"}, false},
+		{"all", api.StatusResponse{Index: 5, Majority: true, VMs: vms}, 4, nil, true},
+		{"no majority", api.StatusResponse{Index: 5}, 4, nil, false},
+		{"one behind", api.StatusResponse{Index: 5, Majority: true, VMs: vms}, 5, []string{"b"}, false},
+		{"stale", api.StatusResponse{Index: 5, Majority: true, VMs: vms, Stale: true}, 4, nil, false},
+		{"answering VM behind", api.StatusResponse{VM: "d", Index: 3, Majority: true, VMs: vms}, 4, []string{"d"}, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -373,3 +377,47 @@
 		must.Eq(t, c.want, a.LoadFactor())
 	}
 }
+
+func TestCounters(t *testing.T) {
+	p := newPKI(t)
+	ctx := context.Background()
+	counters := new(api.Counters)
+	to := p.serveCounted(&fake{}, counters)
+	for range 2 {
+		_, err := p.operator(to).Status(ctx)
+		must.NoError(t, err)
+	}
+	_, err := p.upstream("permit-1", to).Status(ctx)
+	must.Eq(t, result.NotAuthorized, result.CodeOf(err))
+	raw(t, p.config(identity.Operator, "amina"), "GET", to, "/v1/none", "")
+	want := []api.RequestCount{
+		{Route: "/v1/status", Code: result.OK, Count: 2},
+		{Route: "/v1/status", Code: result.NotAuthorized, Count: 1},
+		{Route: "none", Code: result.NotFound, Count: 1},
+	}
+	must.Eq(t, want, counters.Requests())
+
+	must.Eq(t, 0, counters.Failures())
+	config := newPKI(t).config(identity.Operator, "amina")
+	config.RootCAs = p.config(identity.Operator, "amina").RootCAs
+	_, err = api.NewClient([]netip.AddrPort{to}, config).Status(ctx)
+	must.Eq(t, result.BadCertificate, result.CodeOf(err))
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return counters.Failures() == 1 })))
+}
+
+func TestAuditQueryMatch(t *testing.T) {
+	r := api.AuditRecord{Kind: api.AuditRoster, Subject: "upstream_added permit-1", Who: "permit-1"}
+	cases := []struct {
+		query api.AuditQuery
+		want  bool
+	}{
+		{api.AuditQuery{}, true},
+		{api.AuditQuery{Subject: "permit-1"}, true},
+		{api.AuditQuery{Subject: "permit"}, false},
+		{api.AuditQuery{Who: "permit-1", Kind: api.AuditRoster}, true},
+		{api.AuditQuery{Who: "permit-1", Kind: api.AuditSheet}, false},
+	}
+	for _, c := range cases {
+		must.Eq(t, c.want, c.query.Match(&r), must.Sprint(c))
+	}
+}
