--- a/internal/connection/owner/stats.go
+++ b/internal/connection/owner/stats.go
@@ -166,18 +166,26 @@
 
 // Owned returns the connections of an upstream that this member owns.
 func (e *Engine) Owned(id version.UpstreamID) uint64 {
-	w := e.view.Load()
-	if w == nil || w.targets[id] == nil {
+	t := e.target(id)
+	if t == nil {
 		return 0
 	}
-	return uint64(max(w.targets[id].counter.Own(), 0))
+	return uint64(max(t.counter.Own(), 0))
 }
 
 // Open returns the estimate of an upstream's connections over all owners.
 func (e *Engine) Open(id version.UpstreamID) uint64 {
-	w := e.view.Load()
-	if w == nil || w.targets[id] == nil {
+	t := e.target(id)
+	if t == nil {
 		return 0
 	}
-	return uint64(max(w.targets[id].counter.Estimate(w.others*peerShare), 0))
+	return uint64(max(t.counter.Estimate(e.view.Load().others*peerShare), 0))
+}
+
+func (e *Engine) target(id version.UpstreamID) *target {
+	w := e.view.Load()
+	if w == nil {
+		return nil
+	}
+	return w.targets.get(id)
 }
--- a/internal/process/app/parts.go
+++ b/internal/process/app/parts.go
@@ -21,7 +21,7 @@
 	"heatherport/internal/request/identity"
 	"heatherport/internal/request/relay"
 	"heatherport/internal/result"
-	"heatherport/internal/version/logstore"
+	"heatherport/internal/version/vfs"
 )
 
 // linkFilter may cut links.
@@ -157,7 +157,7 @@
 const bootstrapFile = "bootstrap"
 
 func openFolder(s *settings.Settings, cfg *control.Config) error {
-	folder, err := logstore.DirFS(s.VM.DataDir)
+	folder, err := vfs.Dir(s.VM.DataDir)
 	if err != nil {
 		return err
 	}
--- a/internal/process/control/controller.go
+++ b/internal/process/control/controller.go
@@ -23,11 +23,11 @@
 	"heatherport/internal/result"
 	"heatherport/internal/version"
 	"heatherport/internal/version/feed"
-	"heatherport/internal/version/logstore"
 	"heatherport/internal/version/raft"
 	"heatherport/internal/version/replica"
 	"heatherport/internal/version/roster"
 	"heatherport/internal/version/state"
+	"heatherport/internal/version/vfs"
 )
 
 // Intervals of the control goroutine.
@@ -70,7 +70,7 @@
 	API         netip.AddrPort
 	Seeds       []link.Peer
 	// Folder is the data folder of a VM that may vote, nil otherwise.
-	Folder logstore.FS
+	Folder vfs.FS
 	// Bootstrap names the first voters when Folder was prepared for a new
 	// fleet, nil otherwise.
 	Bootstrap []string
