Try the next VM after a refused certificate, and show the version

Cause: one VM with an expired certificate or an old authority ended a call that the next address would have answered; the handshake changed nothing.

Tested: go test -race of api and cli passes.

--- a/internal/process/cli/arguments.go
+++ b/internal/process/cli/arguments.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"runtime/debug"
 	"strings"
 	"time"
 
@@ -29,6 +30,25 @@
 	return "heatherport is a layer-4 load balancer whose balancers accept packets sprayed over all of them."
 }
 
+// Version is shown by --version: the version of the module and the commit that
+// the program was built from.
+func (arguments) Version() string {
+	out := program
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return out
+	}
+	if info.Main.Version != "" {
+		out += " " + info.Main.Version
+	}
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			out += " " + s.Value
+		}
+	}
+	return out
+}
+
 type runCommand struct {
 	Settings string `arg:"--settings,required" help:"settings of this VM"`
 }
--- a/internal/process/cli/cli.go
+++ b/internal/process/cli/cli.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"os"
 	"os/signal"
@@ -74,6 +75,10 @@
 		writeHelp(o.Stdout, l.parser)
 		return int(result.ClassOK)
 	}
+	if errors.Is(err, arg.ErrVersion) {
+		fmt.Fprintln(o.Stdout, l.args.Version())
+		return int(result.ClassOK)
+	}
 	if err != nil {
 		l.writeUsage(o.Stderr)
 		return report(o.Stderr, l.args.JSON, err)
@@ -96,7 +101,7 @@
 		return l, result.Wrapf(err, result.Internal, "define arguments")
 	}
 	err = l.parser.Parse(args)
-	if errors.Is(err, arg.ErrHelp) {
+	if errors.Is(err, arg.ErrHelp) || errors.Is(err, arg.ErrVersion) {
 		return l, err
 	}
 	if err != nil {
--- a/internal/process/cli/cli_test.go
+++ b/internal/process/cli/cli_test.go
@@ -98,6 +98,7 @@
 		{"help", []string{"--help"}, result.ClassOK, "Example:\n  heatherport demo", ""},
 		{"help of a command", []string{"sheet", "submit", "--help"}, result.ClassOK, "Example:\n  heatherport sheet submit sheet.csv", ""},
 		{"help of a group", []string{"keys", "--help"}, result.ClassOK, "Example:\n  heatherport keys init", ""},
+		{"version", []string{"--version"}, result.ClassOK, "heatherport", ""},
 		{"settings", []string{"settings", "check", sample}, result.ClassOK, "valid settings of ibadan-1 in ibadan with 7 peers", ""},
 		{"settings in JSON", []string{"settings", "check", sample, "--json"}, result.ClassOK, `"vm": "ibadan-1"`, ""},
 		{"no settings", []string{"settings", "check", "none.ini"}, result.ClassUsage, "", "102 bad_settings: read settings"},
--- a/internal/request/api/api_test.go
+++ b/internal/request/api/api_test.go
@@ -264,6 +264,9 @@
 	noLeader := p.serve(&fake{err: result.Errorf(result.NoLeader, "none")})
 	stale := p.serve(&fake{err: result.Errorf(result.SheetStale, "8 is in force")})
 	good := p.serve(&fake{})
+	refusing := p.config(identity.VM, serverName)
+	refusing.ClientCAs = newPKI(t).config(identity.VM, serverName).ClientCAs
+	otherAuthority := p.serveWith(&fake{}, new(api.Counters), refusing)
 	cases := []struct {
 		name string
 		to   []netip.AddrPort
@@ -271,6 +274,8 @@
 	}{
 		{"first unreachable", []netip.AddrPort{closed, good}, result.OK},
 		{"first without leader", []netip.AddrPort{noLeader, good}, result.OK},
+		{"first trusts another authority", []netip.AddrPort{otherAuthority, good}, result.OK},
+		{"only one, which trusts another authority", []netip.AddrPort{otherAuthority}, result.BadCertificate},
 		{"refusal is final", []netip.AddrPort{stale, good}, result.SheetStale},
 		{"answers go before silence", []netip.AddrPort{noLeader, closed}, result.NoLeader},
 		{"none reachable", []netip.AddrPort{closed, closed}, result.Unreachable},
@@ -382,7 +387,7 @@
 	p := newPKI(t)
 	ctx := context.Background()
 	counters := new(api.Counters)
-	to := p.serveCounted(&fake{}, counters)
+	to := p.serveWith(&fake{}, counters, p.config(identity.VM, serverName))
 	for range 2 {
 		_, err := p.operator(to).Status(ctx)
 		must.NoError(t, err)
--- a/internal/request/api/client.go
+++ b/internal/request/api/client.go
@@ -164,7 +164,7 @@
 // changed nothing.
 func tryNext(c result.Code) bool {
 	switch c {
-	case result.NoLeader, result.NotReady, result.Overloaded, result.ShuttingDown:
+	case result.NoLeader, result.NotReady, result.Overloaded, result.ShuttingDown, result.BadCertificate:
 		return true
 	}
 	return false
--- a/internal/request/api/pki_test.go
+++ b/internal/request/api/pki_test.go
@@ -85,13 +85,13 @@
 
 // serve starts a server over control and returns its address.
 func (p pki) serve(control api.Control) netip.AddrPort {
-	return p.serveCounted(control, new(api.Counters))
+	return p.serveWith(control, new(api.Counters), p.config(identity.VM, serverName))
 }
 
-func (p pki) serveCounted(control api.Control, counters *api.Counters) netip.AddrPort {
+func (p pki) serveWith(control api.Control, counters *api.Counters, config *tls.Config) netip.AddrPort {
 	server := httptest.NewUnstartedServer(nil)
 	server.Config = api.NewServer(control, counters)
-	server.TLS = p.config(identity.VM, serverName)
+	server.TLS = config
 	server.StartTLS()
 	p.t.Cleanup(server.Close)
 	return netip.MustParseAddrPort(server.Listener.Addr().String())
