--- a/internal/process/control/probe.go
+++ b/internal/process/control/probe.go
@@ -4,11 +4,10 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"heatherport/internal/version"
 	"heatherport/internal/version/roster"
 )
@@ -16,10 +15,6 @@
 const (
 	probeInterval = time.Second
 	probeTimeout  = 800 * time.Millisecond
-	// probersPerUpstream bounds the members that probe one upstream, so that
-	// probes grow with the number of upstreams and not with its product with
-	// the number of members.
-	probersPerUpstream = 3
 	// probesAtOnce bounds the probes of one member that are under way.
 	probesAtOnce = 64
 )
@@ -58,9 +53,10 @@
 // setVersion selects the upstreams that the member self probes.
 func (p *prober) setVersion(v *version.Version, self version.MemberID) {
 	var targets []probeTarget
+	observers := roster.NewObservers(v)
 	for i := range v.Upstream {
 		u := &v.Upstream[i]
-		if u.Probe.IsValid() && probes(v, u.ID, self) {
+		if u.Probe.IsValid() && slices.Contains(observers.Of(u.ID), self) {
 			targets = append(targets, probeTarget{id: u.ID, addr: u.Probe})
 		}
 	}
@@ -69,31 +65,6 @@
 	p.mu.Unlock()
 }
 
-// probes reports whether self is among the members that probe an upstream:
-// those with the highest rendezvous scores.
-func probes(v *version.Version, id version.UpstreamID, self version.MemberID) bool {
-	if self == 0 {
-		return false
-	}
-	own := probeScore(id, self)
-	higher := 0
-	for i := range v.Members {
-		m := v.Members[i].ID
-		if m != self && probeScore(id, m) > own {
-			higher++
-		}
-	}
-	return higher < probersPerUpstream
-}
-
-func probeScore(id version.UpstreamID, m version.MemberID) uint64 {
-	b := [8]byte{
-		byte(id), byte(id >> 8), byte(id >> 16), byte(id >> 24),
-		byte(m), byte(m >> 8), byte(m >> 16), byte(m >> 24),
-	}
-	return xxhash.Sum64(b[:])
-}
-
 func (p *prober) run() {
 	ticker := time.NewTicker(probeInterval)
 	defer ticker.Stop()
