--- a/internal/request/api/handler.go
+++ b/internal/request/api/handler.go
@@ -160,7 +160,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return h.control.SubmitSheet(ctx, SubmitRequest{Operator: r.peer.Name, Sheet: b})
+	return answered(h.control.SubmitSheet(ctx, SubmitRequest{Operator: r.peer.Name, Sheet: b}))
 }
 
 func (h *handler) sheet(ctx context.Context, r request) (any, error) {
@@ -174,7 +174,7 @@
 	if err := noQuery(r.Request); err != nil {
 		return nil, err
 	}
-	return h.control.Status(ctx)
+	return answered(h.control.Status(ctx))
 }
 
 func (h *handler) explain(ctx context.Context, r request) (any, error) {
@@ -185,18 +185,18 @@
 		if err := q.err(); err != nil {
 			return nil, err
 		}
-		return h.control.ExplainConnection(ctx, c)
+		return answered(h.control.ExplainConnection(ctx, c))
 	case subjectUpstream:
 		u := UpstreamQuery{Name: q.required("name")}
 		if err := q.err(); err != nil {
 			return nil, err
 		}
-		return h.control.ExplainUpstream(ctx, u)
+		return answered(h.control.ExplainUpstream(ctx, u))
 	case subjectSheet:
 		if err := q.err(); err != nil {
 			return nil, err
 		}
-		return h.control.ExplainSheet(ctx)
+		return answered(h.control.ExplainSheet(ctx))
 	default:
 		return nil, result.Errorf(result.BadArguments, "subject %q is none of %s, %s, %s", subject, subjectConnection, subjectUpstream, subjectSheet)
 	}
@@ -208,7 +208,7 @@
 	if err := q.err(); err != nil {
 		return nil, err
 	}
-	return h.control.Audit(ctx, a)
+	return answered(h.control.Audit(ctx, a))
 }
 
 func (h *handler) voter(ctx context.Context, r request) (any, error) {
@@ -222,7 +222,7 @@
 	if err := d.Decode(&req); err != nil || req.Name == "" {
 		return nil, result.Errorf(result.BadArguments, "body is not a voter change")
 	}
-	return h.control.ChangeVoter(ctx, req)
+	return answered(h.control.ChangeVoter(ctx, req))
 }
 
 func (h *handler) announce(ctx context.Context, r request) (any, error) {
--- a/internal/request/api/types.go
+++ b/internal/request/api/types.go
@@ -149,7 +149,7 @@
 type ConnectionExplanation struct {
 	VM       string `json:"vm"` // that answered
 	Service  string `json:"service"`
-	Hash     uint64 `json:"hash"`
+	Hash     uint64 `json:"hash,string"` // beyond the whole numbers of many JSON readers
 	Bucket   uint32 `json:"bucket"`
 	Owner    string `json:"owner"`
 	Standby  string `json:"standby"`
