Remove the draining field of announcements

Cause: nothing acted on it, so an upstream that set it would have believed that it drains. Drains are declared in the sheet.

Tested: go test -race ./internal/request/api passes.

--- a/internal/request/api/types.go
+++ b/internal/request/api/types.go
@@ -243,8 +243,6 @@
 	// Probe is a TCP endpoint that accepts connections while the upstream
 	// works; without one, its health rests on its announcements alone.
 	Probe netip.AddrPort `json:"probe,omitzero"`
-	// Draining asks for no new connections, before a planned stop.
-	Draining bool `json:"draining,omitempty"`
 }
 
 // AnnounceResponse says how long the announcement holds.
