--- a/internal/request/api/types.go
+++ b/internal/request/api/types.go
@@ -149,7 +149,7 @@
 type ConnectionExplanation struct {
 	VM       string `json:"vm"` // that answered
 	Service  string `json:"service"`
-	Hash     uint64 `json:"hash"`
+	Hash     uint64 `json:"hash,string"` // beyond the whole numbers of many JSON readers
 	Bucket   uint32 `json:"bucket"`
 	Owner    string `json:"owner"`
 	Standby  string `json:"standby"`
@@ -243,8 +243,6 @@
 	// Probe is a TCP endpoint that accepts connections while the upstream
 	// works; without one, its health rests on its announcements alone.
 	Probe netip.AddrPort `json:"probe,omitzero"`
-	// Draining asks for no new connections, before a planned stop.
-	Draining bool `json:"draining,omitempty"`
 }
 
 // AnnounceResponse says how long the announcement holds.
