Encode counts without an ID each

Cause: load reports were a third of the steady coordination. Change: consecutive upstream IDs cost no byte.

--- a/internal/connection/owner/codec.go
+++ b/internal/connection/owner/codec.go
@@ -54,22 +54,42 @@
 	return d, b[n+8:], d.upstream != 0
 }
 
-// appendCount appends the difference to the previous upstream ID and the
-// number of open connections, both as varints.
-func appendCount(b []byte, gap version.UpstreamID, n int32) []byte {
-	b = binary.AppendUvarint(b, uint64(gap))
-	return binary.AppendUvarint(b, uint64(max(n, 0)))
+// countWriter encodes open connections by ascending upstream ID. Each varint is
+// twice the count of the next ID, or one more than twice a number of IDs to
+// skip.
+type countWriter struct {
+	buf  []byte
+	next version.UpstreamID
 }
 
-// nextCount decodes the first count of b and returns the rest.
-func nextCount(b []byte) (gap version.UpstreamID, n int32, rest []byte, ok bool) {
-	g, k := binary.Uvarint(b)
-	if k <= 0 {
-		return 0, 0, nil, false
+func (w *countWriter) add(id version.UpstreamID, n int32) {
+	if id != w.next {
+		w.buf = binary.AppendUvarint(w.buf, uint64(id-w.next)<<1|1)
 	}
-	c, l := binary.Uvarint(b[k:])
-	if l <= 0 {
-		return 0, 0, nil, false
+	w.buf = binary.AppendUvarint(w.buf, uint64(max(n, 0))<<1)
+	w.next = id + 1
+}
+
+// countReader decodes what a countWriter has encoded.
+type countReader struct {
+	buf  []byte
+	next version.UpstreamID
+}
+
+// read returns the next count, or false at the end or at damaged input.
+func (r *countReader) read() (id version.UpstreamID, n int32, ok bool) {
+	for len(r.buf) > 0 {
+		v, size := binary.Uvarint(r.buf)
+		if size <= 0 {
+			return 0, 0, false
+		}
+		r.buf = r.buf[size:]
+		if v&1 == 1 {
+			r.next += version.UpstreamID(v >> 1)
+			continue
+		}
+		r.next++
+		return r.next - 1, int32(min(v>>1, 1<<30)), true
 	}
-	return version.UpstreamID(g), int32(min(c, 1<<30)), b[k+l:], true
+	return 0, 0, false
 }
--- a/internal/connection/owner/message.go
+++ b/internal/connection/owner/message.go
@@ -19,14 +19,14 @@
 	Full    bool   `cbor:"4,keyasint,omitempty"` // Counts holds every upstream with connections
 	Doubt   bool   `cbor:"5,keyasint,omitempty"` // the sender has lately decided without the owner
 	Leaving bool   `cbor:"6,keyasint,omitempty"` // the sender wants to stop
-	Counts  []byte `cbor:"7,keyasint,omitempty"` // see appendCount
+	Counts  []byte `cbor:"7,keyasint,omitempty"` // see countWriter
 }
 
 // Exceptions is one batch of a stream from an owner to one replica. Batches
 // are applied in order of Seq, without gaps.
 type Exceptions struct {
 	Seq    uint64 `cbor:"1,keyasint"`
-	Items  []byte `cbor:"2,keyasint"` // see appendItem
+	Items  []byte `cbor:"2,keyasint"` // see appendStore and appendRemove
 	Urgent bool   `cbor:"3,keyasint,omitempty"`
 	Index  uint64 `cbor:"4,keyasint"` // version index of the sender
 }
--- a/internal/connection/owner/receive.go
+++ b/internal/connection/owner/receive.go
@@ -61,15 +61,9 @@
 			e.setCount(p, id, 0)
 		}
 	}
-	var id version.UpstreamID
-	for b := l.Counts; len(b) > 0; {
-		gap, n, rest, ok := nextCount(b)
-		if !ok {
-			return
-		}
-		id += gap
+	counts := countReader{buf: l.Counts}
+	for id, n, ok := counts.read(); ok; id, n, ok = counts.read() {
 		e.setCount(p, id, n)
-		b = rest
 	}
 }
 
--- a/internal/connection/owner/tick.go
+++ b/internal/connection/owner/tick.go
@@ -179,20 +179,18 @@
 
 // counts encodes the counts that changed since the last report and all counts.
 func (e *Engine) counts() (changes, full []byte) {
-	var lastChange, lastFull version.UpstreamID
+	var some, all countWriter
 	for _, id := range slices.Sorted(maps.Keys(e.counters)) {
 		c := e.counters[id]
 		n := c.Own()
 		c.Mark()
 		if n != c.sent {
-			changes = appendCount(changes, id-lastChange, n)
-			lastChange = id
+			some.add(id, n)
 		}
 		if n != 0 {
-			full = appendCount(full, id-lastFull, n)
-			lastFull = id
+			all.add(id, n)
 		}
 		c.sent = n
 	}
-	return changes, full
+	return some.buf, all.buf
 }
--- a/internal/measure/fleet/fleet.go
+++ b/internal/measure/fleet/fleet.go
@@ -44,6 +44,9 @@
 	// OnDecision is called for every decision, relays included.
 	OnDecision func(n *Node, p *connection.Packet, via *connection.Relay, d *connection.Decision)
 
+	// OnControl is called for every control message.
+	OnControl func(owner.Outbound)
+
 	// Counters of the run.
 	Packets, Relays, Records, Refreshes, Hints uint64
 
@@ -204,6 +207,9 @@
 			panic(err)
 		}
 		from.ControlBytes += uint64(len(b))
+		if f.OnControl != nil {
+			f.OnControl(o)
+		}
 		f.transmit(from.ID, o.To, func(n *Node) {
 			var m owner.Message
 			if err := cbor.Unmarshal(b, &m); err != nil {
