--- a/internal/connection/packet.go
+++ b/internal/connection/packet.go
@@ -19,8 +19,13 @@
 	MarkFin                     // TCP FIN
 	MarkReset                   // TCP RST
 	MarkLater                   // proves that earlier packets exist: TCP non-SYN, QUIC short header
+
+	marksEnd
 )
 
+// AllMarks are the marks that this version of the code knows.
+const AllMarks = marksEnd - 1
+
 // Packet is a decoded caller's packet.
 type Packet struct {
 	Key   flow.Key
@@ -40,10 +45,26 @@
 	// receiver as the standby.
 	RelayOwnerSilent
 	// RelayRefresh: the sender has already forwarded the packet itself; the
-	// message only renews the owner's entry. It carries no packet.
+	// message only renews the owner's entry. It carries the packet's key
+	// and marks, and no packet.
 	RelayRefresh
+	// RelayRecord: the owner has chosen Upstream, which deviates from the
+	// base. The receiver, the standby, records the exception and forwards
+	// the packet, so that no exception is lost with its owner.
+	RelayRecord
+	// RelayAssumed, with RelayRefresh: the sender has Upstream from the
+	// base and not from an opening packet.
+	RelayAssumed
+	// RelayDoubt, with RelayTenure: an earlier owner of the slot was lost,
+	// and the opening packet may be a retransmission.
+	RelayDoubt
+
+	relayFlagsEnd
 )
 
+// AllRelayFlags are the flags that this version of the code knows.
+const AllRelayFlags = relayFlagsEnd - 1
+
 // Relay is the header of a packet relayed between balancers.
 type Relay struct {
 	From     version.MemberID // sender
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -50,6 +50,8 @@
 	AddressInUse        Code = 208
 	MemberNameTaken     Code = 209
 	ShuttingDown        Code = 210
+	LearnerBehind       Code = 221
+	QuorumAtRisk        Code = 222
 	IncarnationConflict Code = 211
 	VersionStale        Code = 212
 	StateDiverged       Code = 213
@@ -91,7 +93,8 @@
 	DropTableFull       Code = 718
 	DropOversize        Code = 719
 
-	Internal Code = 901
+	Internal      Code = 901
+	PromiseBroken Code = 902
 )
 
 // Class returns the class of c.
