Make the leader's tick cheap at rest

Cause: the process ticks the roster each 100 ms; a tick at 38,000 upstreams in 19,000 services took 3.2 ms, 3.2% of a core, over the 2.9% that a node may use. Change: upstreams are checked when due, which at rest is the end of the lease; services are counted with each version and while ejections are pending; only services whose base differs or is being changed are looked at; the views of members are kept in order. The benchmark now spreads upstreams over services.

--- a/internal/version/roster/base.go
+++ b/internal/version/roster/base.go
@@ -26,13 +26,21 @@
 	divergedAt   time.Duration
 	preparedAt   stamp
 
-	// Counted anew in each tick.
+	// Counted anew with each version, and while ejections are pending.
 	open    int // upstreams that may receive new connections if healthy
 	ejected int // of these, the unhealthy ones
 	ramping int // of these, the healthy ones in slow start
 }
 
+// changingService is a service whose base differs from its current ranking or
+// is being changed.
+type changingService struct {
+	*version.Service
+	view *serviceView
+}
+
 func (r *Roster) syncServices() {
+	r.changing = r.changing[:0]
 	for i := range r.version.Services {
 		s := &r.version.Services[i]
 		view := r.services[s.ID]
@@ -41,6 +49,9 @@
 			r.services[s.ID] = view
 		}
 		view.sync(r.now, s)
+		if view.diverged || s.NextBase != nil {
+			r.changing = append(r.changing, changingService{s, view})
+		}
 	}
 	if len(r.services) == len(r.version.Services) {
 		return
@@ -75,21 +86,18 @@
 // changeBases prepares the base of services whose current ranking has come to
 // rest, and advances it once all members have settled.
 func (r *Roster) changeBases() {
-	for i := range r.version.Services {
-		s := &r.version.Services[i]
+	for _, s := range r.changing {
 		if s.NextBase != nil {
 			r.advanceBase(s)
 			continue
 		}
-		if view := r.services[s.ID]; view.diverged {
-			r.prepareBase(s, view)
-		}
+		r.prepareBase(s)
 	}
 }
 
-func (r *Roster) prepareBase(s *version.Service, view *serviceView) {
-	quiet := r.now-view.currentSince >= BaseQuiet && view.ramping == 0
-	overdue := r.now-view.divergedAt >= BaseMaxWait
+func (r *Roster) prepareBase(s changingService) {
+	quiet := r.now-s.view.currentSince >= BaseQuiet && s.view.ramping == 0
+	overdue := r.now-s.view.divergedAt >= BaseMaxWait
 	if len(s.Current) == 0 || !quiet && !overdue {
 		return
 	}
@@ -97,8 +105,8 @@
 	r.propose(key, state.Command{PrepareBase: &state.PrepareBase{Service: s.ID}})
 }
 
-func (r *Roster) advanceBase(s *version.Service) {
-	since := r.services[s.ID].preparedAt.see(r.now, s.PreparedAt)
+func (r *Roster) advanceBase(s changingService) {
+	since := s.view.preparedAt.see(r.now, s.PreparedAt)
 	cause, ok := r.settled(s.PreparedAt, since)
 	if !ok {
 		return
--- a/internal/version/roster/health.go
+++ b/internal/version/roster/health.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"slices"
 	"time"
 
 	"heatherport/internal/version"
@@ -67,6 +68,9 @@
 func (r *Roster) observe(now time.Duration, member version.MemberID, o *Observation) {
 	if u := r.viewByID(o.Upstream); u != nil {
 		u.health.note(observer{member: member, at: now, last: *o})
+		if o.Failed > 0 {
+			r.due[u.index] = now
+		}
 	}
 }
 
@@ -91,6 +95,13 @@
 	h.observers[oldest] = o
 }
 
+// suspect reports whether an observer saw the upstream fail, or the floor
+// keeps it.
+func (h *health) suspect() bool {
+	failed := func(o observer) bool { return o.last.Failed > 0 }
+	return h.kept || slices.ContainsFunc(h.observers, failed)
+}
+
 // vote is the count of the fresh observers of an upstream.
 type vote struct {
 	fresh, failing, passing int
@@ -156,6 +167,7 @@
 	if u.Open() {
 		u.service.ejected++
 	}
+	r.recountUntil = r.now + PendingTimeout
 	u.health.eject(r.now)
 	r.stats.Ejections++
 	r.update(u, state.StatusUpdate{Healthy: new(false), Cause: state.CauseProbesFailed})
--- a/internal/version/roster/member.go
+++ b/internal/version/roster/member.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"heatherport/internal/result"
@@ -12,6 +11,8 @@
 
 // memberView is what the leader knows of a member.
 type memberView struct {
+	version.Member
+	owner      bool
 	leaseUntil time.Duration
 	applied    uint64
 	settled    uint64
@@ -60,33 +61,42 @@
 
 // syncMembers gives each new member a full lease.
 func (r *Roster) syncMembers() {
+	old := r.members
+	r.members = make(map[version.MemberID]*memberView, len(r.version.Members))
+	r.memberList = make([]*memberView, 0, len(r.version.Members))
 	for i := range r.version.Members {
-		id := r.version.Members[i].ID
-		if r.members[id] == nil {
-			r.members[id] = &memberView{leaseUntil: r.now + MemberLease, seenAt: r.version.Index}
+		b := &r.version.Members[i]
+		m := old[b.ID]
+		if m == nil {
+			m = &memberView{leaseUntil: r.now + MemberLease, seenAt: r.version.Index}
 		}
+		m.Member = *b
+		m.owner = false
+		r.members[b.ID] = m
+		r.memberList = append(r.memberList, m)
 	}
-	for id := range r.members {
-		if r.version.MemberByID(id) == nil {
-			delete(r.members, id)
+	for _, id := range r.version.Owners.Current {
+		if m := r.members[id]; m != nil {
+			m.owner = true
 		}
 	}
 }
 
+func (r *Roster) leased(m *memberView) bool { return m.leaseUntil > r.now }
+
 func (r *Roster) memberLeased(id version.MemberID) bool {
 	m := r.members[id]
-	return m != nil && m.leaseUntil > r.now
+	return m != nil && r.leased(m)
 }
 
 // lapseMembers removes the members whose lease ran out.
 func (r *Roster) lapseMembers() {
-	for i := range r.version.Members {
-		id := r.version.Members[i].ID
-		if r.memberLeased(id) {
+	for _, m := range r.memberList {
+		if r.leased(m) {
 			continue
 		}
-		c := state.RemoveMember{ID: id, Cause: state.CauseLeaseLapsed}
-		if r.propose(pendingKey{kind: proposeRemoveMember, subject: uint32(id)}, state.Command{RemoveMember: &c}) {
+		c := state.RemoveMember{ID: m.ID, Cause: state.CauseLeaseLapsed}
+		if r.propose(pendingKey{kind: proposeRemoveMember, subject: uint32(m.ID)}, state.Command{RemoveMember: &c}) {
 			r.stats.MembersLapsed++
 		}
 	}
@@ -116,46 +126,29 @@
 }
 
 func (r *Roster) ownersOutdated() bool {
-	owner := make(map[version.MemberID]bool, len(r.version.Owners.Current))
-	for _, id := range r.version.Owners.Current {
-		owner[id] = true
-	}
-	for i := range r.version.Members {
-		b := &r.version.Members[i]
+	leaving, staying, caughtUp := false, false, false
+	for _, m := range r.memberList {
 		switch {
-		case b.State == version.MemberLeaving:
-			if owner[b.ID] && r.otherOwner(b.ID) {
-				return true
-			}
-		case !owner[b.ID] && r.caughtUp(b.ID):
-			return true
+		case m.State == version.MemberLeaving:
+			leaving = leaving || m.owner
+		default:
+			staying = true
+			caughtUp = caughtUp || !m.owner && r.caughtUp(m)
 		}
 	}
-	return false
-}
-
-// otherOwner reports whether a member besides id could own connections.
-func (r *Roster) otherOwner(id version.MemberID) bool {
-	for i := range r.version.Members {
-		b := &r.version.Members[i]
-		if b.ID != id && b.State != version.MemberLeaving {
-			return true
-		}
-	}
-	return false
+	return caughtUp || leaving && staying
 }
 
 // caughtUp reports whether a member has applied the version that it joined at.
-func (r *Roster) caughtUp(id version.MemberID) bool {
-	m := r.members[id]
-	return m != nil && r.memberLeased(id) && m.applied >= m.seenAt
+func (r *Roster) caughtUp(m *memberView) bool {
+	return r.leased(m) && m.applied >= m.seenAt
 }
 
 // countSettled finds the index that all members with a lease have settled.
 func (r *Roster) countSettled() {
 	r.settledIndex = math.MaxUint64
-	for id, m := range r.members {
-		if r.memberLeased(id) {
+	for _, m := range r.memberList {
+		if r.leased(m) {
 			r.settledIndex = min(r.settledIndex, m.settled)
 		}
 	}
@@ -189,7 +182,7 @@
 	if m == nil {
 		return MemberStatus{}
 	}
-	return MemberStatus{Live: r.now < m.leaseUntil, Applied: m.applied, Settled: m.settled}
+	return MemberStatus{Live: r.leased(m), Applied: m.applied, Settled: m.settled}
 }
 
 // Unapplied returns the members with a lease that have not reported the
@@ -206,11 +199,10 @@
 
 func (r *Roster) behind(is func(*memberView) bool) []version.MemberID {
 	var out []version.MemberID
-	for id, m := range r.members {
-		if r.memberLeased(id) && is(m) {
-			out = append(out, id)
+	for _, m := range r.memberList {
+		if r.leased(m) && is(m) {
+			out = append(out, m.ID)
 		}
 	}
-	slices.Sort(out)
 	return out
 }
--- a/internal/version/roster/roster.go
+++ b/internal/version/roster/roster.go
@@ -41,11 +41,19 @@
 	now     time.Duration
 	version *version.Version // nil before the first Reset
 
-	members   map[version.MemberID]*memberView
-	upstreams []*upstreamView // ordered by ID
-	names     map[string]*upstreamView
-	services  map[version.ServiceID]*serviceView
-	ownersAt  stamp // when the owners being prepared were first seen
+	members    map[version.MemberID]*memberView
+	memberList []*memberView   // ordered by ID
+	upstreams  []*upstreamView // ordered by ID
+	// due holds for each of upstreams when it is to be checked next. At
+	// rest that is when its lease ends.
+	due      []time.Duration
+	names    map[string]*upstreamView
+	services map[version.ServiceID]*serviceView
+	changing []changingService
+	// recountUntil is when the last ejection has surely taken effect; until
+	// then the counts of the services are made anew in each tick.
+	recountUntil time.Duration
+	ownersAt     stamp // when the owners being prepared were first seen
 	// settledIndex is the index that all members with a lease have settled.
 	settledIndex uint64
 
@@ -123,6 +131,7 @@
 		stats:    r.stats,
 	}
 	r.sync(v)
+	r.countUpstreams()
 }
 
 // Stop ends the leadership: Tick proposes nothing until the next Reset.
@@ -137,7 +146,9 @@
 		return nil
 	}
 	r.advance(now)
-	r.sync(v)
+	if r.sync(v) || now <= r.recountUntil {
+		r.countUpstreams()
+	}
 	r.out = nil
 	r.lapseMembers()
 	r.countSettled()
@@ -178,15 +189,16 @@
 	}
 }
 
-// sync takes over a newer version.
-func (r *Roster) sync(v *version.Version) {
+// sync takes over a newer version, and reports whether there is one.
+func (r *Roster) sync(v *version.Version) bool {
 	if r.version == v {
-		return
+		return false
 	}
 	r.version = v
 	r.syncMembers()
 	r.syncServices()
 	r.syncUpstreams()
+	return true
 }
 
 // propose adds c unless it is pending already or over the rate.
--- a/internal/version/roster/roster_bench_test.go
+++ b/internal/version/roster/roster_bench_test.go
@@ -2,35 +2,91 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
+	"time"
 
+	"github.com/shoenig/test/must"
+
+	"heatherport/internal/version"
 	"heatherport/internal/version/roster"
 )
 
-// BenchmarkTick is one tick at rest, after each member has sent a heartbeat
-// without observations.
+// start is when the benchmarks start.
+const start = time.Second
+
+// fleet returns a version at rest with two upstreams in each service.
+func fleet(members, upstreams int) *version.Version {
+	v := &version.Version{Index: 1}
+	for i := range members {
+		id := version.MemberID(i + 1)
+		v.Members = append(v.Members, version.Member{ID: id, Name: fmt.Sprint("lb", i), State: version.MemberActive})
+		v.Owners.Current = append(v.Owners.Current, id)
+	}
+	for i := range upstreams {
+		id := version.ServiceID(i/2 + 1)
+		u := version.Upstream{
+			ID:      version.UpstreamID(i + 1),
+			Name:    fmt.Sprint("u", i),
+			Service: id,
+			Slots:   2,
+			Healthy: true,
+			Leased:  true,
+			Ramp:    version.RampFull,
+			Listed:  true,
+		}
+		v.Upstream = append(v.Upstream, u)
+		if i%2 == 0 {
+			key := version.ServiceKey{Addr: netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), Port: 1}
+			v.Services = append(v.Services, version.Service{ID: id, Key: key, IdleTimeout: time.Minute})
+		}
+		s := &v.Services[len(v.Services)-1]
+		s.Current = append(s.Current, version.Weighted{Upstream: u.ID, Weight: u.Weight()})
+		s.Base = s.Current
+	}
+	return v.Seal()
+}
+
+// BenchmarkTick is one tick at rest.
 func BenchmarkTick(b *testing.B) {
 	for _, size := range []struct{ members, upstreams int }{{8, 19}, {100, 1_000}, {1_000, 10_000}, {6_600, 38_000}} {
-		l := newLeader(b, size.members, size.upstreams)
-		v := l.machine.Version()
+		v := fleet(size.members, size.upstreams)
 		b.Run(fmt.Sprintf("members=%d/upstreams=%d", size.members, size.upstreams), func(b *testing.B) {
-			l.roster.Reset(l.now, v)
+			r := roster.New()
+			r.Reset(start, v)
 			for b.Loop() {
-				l.roster.Tick(l.now, v)
+				must.Len(b, 0, r.Tick(start, v))
 			}
 		})
 	}
 }
 
-// BenchmarkHeartbeat is one heartbeat with 19 observations and two renewals.
+// BenchmarkHeartbeat is one heartbeat with 29 observations and six renewals,
+// the share of a member at the target size.
 func BenchmarkHeartbeat(b *testing.B) {
-	l := newLeader(b, 8, 19)
-	l.roster.Reset(l.now, l.machine.Version())
-	hb := &roster.Heartbeat{Member: 1, Name: "lb0", Renewals: []roster.Renewal{{Name: "u0"}, {Name: "u1"}}}
-	for _, u := range l.machine.Version().Upstream {
-		hb.Observations = append(hb.Observations, roster.Observation{Upstream: u.ID, Passed: 9})
+	v := fleet(6_600, 38_000)
+	r := roster.New()
+	r.Reset(start, v)
+	hb := &roster.Heartbeat{Member: 1, Name: "lb0"}
+	for i := range 29 {
+		hb.Observations = append(hb.Observations, roster.Observation{Upstream: version.UpstreamID(i*1300 + 1), Passed: 9})
 	}
+	for i := range 6 {
+		hb.Renewals = append(hb.Renewals, roster.Renewal{Name: fmt.Sprint("u", i*6000)})
+	}
+	for b.Loop() {
+		r.Heartbeat(start, hb)
+	}
+}
+
+// BenchmarkSync is one tick with a newer version.
+func BenchmarkSync(b *testing.B) {
+	versions := [2]*version.Version{fleet(6_600, 38_000), fleet(6_600, 38_000)}
+	r := roster.New()
+	r.Reset(start, versions[0])
+	n := 0
 	for b.Loop() {
-		l.roster.Heartbeat(l.now, hb)
+		n++
+		r.Tick(start, versions[n%2])
 	}
 }
--- a/internal/version/roster/upstream.go
+++ b/internal/version/roster/upstream.go
@@ -27,6 +27,7 @@
 type upstreamView struct {
 	version.Upstream
 	service *serviceView
+	index   int // in Roster.upstreams and due
 
 	leaseUntil time.Duration
 	lapsedAt   time.Duration // when the version showed the lease as lapsed
@@ -95,6 +96,9 @@
 	}
 	u.leaseUntil = max(u.leaseUntil, now+AnnounceLease)
 	u.load += (float64(n.LoadFactor) - u.load) * LoadSmoothing
+	if u.loadMoved() {
+		r.due[u.index] = now
+	}
 }
 
 // syncUpstreams merges the upstreams of the version, which are ordered by ID,
@@ -119,6 +123,11 @@
 	for _, view := range old {
 		r.forget(view)
 	}
+	r.due = make([]time.Duration, len(r.upstreams))
+	for i, view := range r.upstreams {
+		view.index = i
+		r.due[i] = r.now
+	}
 }
 
 // newView gives an upstream that the roster does not know a full lease.
@@ -174,17 +183,31 @@
 
 // changeUpstreams proposes changes of status and removals.
 func (r *Roster) changeUpstreams() {
-	r.countUpstreams()
-	for _, u := range r.upstreams {
+	for i := range r.due {
+		if r.now < r.due[i] {
+			continue
+		}
+		u := r.upstreams[i]
 		r.checkLease(u)
 		r.checkHealth(u)
 		r.checkRamp(u)
 		r.checkLoad(u)
 		r.checkGone(u)
+		r.due[i] = r.nextDue(u)
 	}
 	r.flushUpdates()
 }
 
+// nextDue returns when u is to be checked next: when its lease ends if it is
+// at rest, or else in the next tick.
+func (r *Roster) nextDue(u *upstreamView) time.Duration {
+	ramped := u.Ramp >= version.RampFull || !u.Eligible()
+	if u.Leased && u.Healthy && ramped && !u.loadMoved() && !u.health.suspect() {
+		return u.leaseUntil
+	}
+	return r.now
+}
+
 func (r *Roster) countUpstreams() {
 	for _, s := range r.services {
 		s.open, s.ejected, s.ramping = 0, 0, 0
@@ -248,15 +271,18 @@
 
 // checkLoad passes the smoothed load on when it has moved far enough.
 func (r *Roster) checkLoad(u *upstreamView) {
-	moved := math.Abs(u.load-float64(u.LoadFactor)) >= LoadStep
-	idle := u.load < 1 && u.LoadFactor > 0
-	if !moved && !idle || r.now-u.loadAt < LoadInterval {
+	if !u.loadMoved() || r.now-u.loadAt < LoadInterval {
 		return
 	}
 	u.loadAt = r.now
 	r.update(u, state.StatusUpdate{LoadFactor: new(uint8(math.Round(u.load))), Cause: state.CauseLoadReport})
 }
 
+func (u *upstreamView) loadMoved() bool {
+	idle := u.load < 1 && u.LoadFactor > 0
+	return idle || math.Abs(u.load-float64(u.LoadFactor)) >= LoadStep
+}
+
 // checkGone removes an upstream that has been without a lease for the idle
 // timeout of its service, unless observers still reach it.
 func (r *Roster) checkGone(u *upstreamView) {
