--- a/internal/version/roster/observers_test.go
+++ b/internal/version/roster/observers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -46,3 +47,13 @@
 		must.LessEq(t, 4*upstreams*roster.ObserversPerUpstream/40, n, must.Sprint("member ", m))
 	}
 }
+
+func TestObserversDependOnlyOnMembers(t *testing.T) {
+	v := &version.Version{}
+	for i := range 500 {
+		v.Members = append(v.Members, version.Member{ID: version.MemberID(i + 1)})
+	}
+	want := roster.NewObservers(v).Of(7)
+	slices.Reverse(v.Members)
+	must.Eq(t, want, roster.NewObservers(v).Of(7))
+}
--- a/internal/version/roster/roster_bench_test.go
+++ b/internal/version/roster/roster_bench_test.go
@@ -90,3 +90,14 @@
 		r.Tick(start, versions[n%2])
 	}
 }
+
+// BenchmarkObservers assigns all upstreams of the fleet.
+func BenchmarkObservers(b *testing.B) {
+	v := fleet(6_600, 38_000)
+	for b.Loop() {
+		o := roster.NewObservers(v)
+		for i := range v.Upstream {
+			o.Observes(1, v.Upstream[i].ID)
+		}
+	}
+}
