Accept large sheets with fewer allocations

Cause: accepting a sheet described every service twice and encoded the sheet twice. Change: services are compared by field, the canonical encoding is made once. BenchmarkSubmitSheet is new. Tested: the packages' tests with -race, vet, staticcheck: pass. Measured: 38,000 upstreams in 19,000 services, one row changed: 590,000 allocations and 217 ms before, 210,000 and 159 to 215 ms in four runs now, on a machine so busy that the parser alone took 179 ms (79 ms when it was idle). Conclusion: fewer allocations; the gain in time is not shown.

--- a/internal/version/state/machine_bench_test.go
+++ b/internal/version/state/machine_bench_test.go
@@ -16,17 +16,24 @@
 
 func addrOf(i int) string { return fmt.Sprintf("10.%d.%d.%d:5555", i>>16, i>>8&255, i&255) }
 
-// filled returns a replica with n registered upstreams.
-func filled(b *testing.B, n int) *replica {
+// fleetRows returns the rows of a sheet with n upstreams; limit is the
+// connection limit of the first.
+func fleetRows(n, limit int) []string {
 	rows := make([]string, 0, 2*n)
 	for i := range n / upstreamsPerService {
 		rows = append(rows, fmt.Sprintf("service,s%d,192.0.%d.%d,tcp,443,10m,no", i, i>>8, i&255))
 	}
 	for i := range n {
-		rows = append(rows, fmt.Sprintf("upstream,s%d,u%d,active,3,2000", i/upstreamsPerService, i))
+		rows = append(rows, fmt.Sprintf("upstream,s%d,u%d,active,3,%d", i/upstreamsPerService, i, limit))
+		limit = 2000
 	}
+	return rows
+}
+
+// filled returns a replica with n registered upstreams.
+func filled(b *testing.B, n int) *replica {
 	r := newReplica(b)
-	r.want(result.OK, submit(b, 1, rows...))
+	r.want(result.OK, submit(b, 1, fleetRows(n, 2000)...))
 	for i := range n {
 		r.want(result.OK, register(fmt.Sprint("s", i/upstreamsPerService), fmt.Sprint("u", i), addrOf(i+1), 1))
 	}
@@ -75,3 +82,17 @@
 		b.SetBytes(int64(len(r.Snapshot())))
 	}
 }
+
+// BenchmarkSubmitSheet puts a sheet in force that changes one upstream.
+func BenchmarkSubmitSheet(b *testing.B) {
+	r := filled(b, 38_000)
+	number := 1
+	for b.Loop() {
+		b.StopTimer()
+		number++
+		c := submit(b, number, fleetRows(38_000, number)...)
+		b.StartTimer()
+		r.want(result.OK, c)
+		r.Version()
+	}
+}
--- a/internal/version/state/sheet.go
+++ b/internal/version/state/sheet.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
 	"fmt"
 	"slices"
 
@@ -32,13 +33,14 @@
 	if err != nil {
 		return refuse(result.CodeOf(err), "%v", err)
 	}
-	if s.Number != c.Number || s.Digest() != c.Digest {
+	canonical := s.Canonical()
+	if s.Number != c.Number || sha256.Sum256(canonical) != c.Digest {
 		return refuse(result.BadSheet, "the sheet does not match its number and digest")
 	}
-	return m.acceptSheet(c, s)
+	return m.acceptSheet(c, s, canonical)
 }
 
-func (m *Machine) acceptSheet(c *SubmitSheet, s *sheet.Sheet) Outcome {
+func (m *Machine) acceptSheet(c *SubmitSheet, s *sheet.Sheet, canonical []byte) Outcome {
 	var o Outcome
 	o.add(Change{
 		Kind:    SheetAccepted,
@@ -50,7 +52,7 @@
 	})
 	m.sheet = SheetRecord{
 		Ref:       version.SheetRef{Number: c.Number, Digest: c.Digest},
-		Canonical: s.Canonical(),
+		Canonical: canonical,
 		Operator:  c.Operator,
 		At:        c.At,
 	}
@@ -116,16 +118,15 @@
 }
 
 func (m *Machine) updateService(o *Outcome, s *service, row *sheet.Service) {
+	if s.IdleTimeout == row.IdleTimeout && s.Idempotent == row.Idempotent && !s.Retired {
+		return
+	}
 	before := describeService(s)
 	s.IdleTimeout = row.IdleTimeout
 	s.Idempotent = row.Idempotent
 	s.Retired = false
-	after := describeService(s)
-	if before == after {
-		return
-	}
 	m.touchService(s)
-	o.add(Change{Kind: ServiceChanged, Subject: s.Name, Before: before, After: after, Cause: CauseSheet})
+	o.add(Change{Kind: ServiceChanged, Subject: s.Name, Before: before, After: describeService(s), Cause: CauseSheet})
 }
 
 // retireService keeps a service that is no longer listed for the connections
--- a/internal/version/state/snapshot.go
+++ b/internal/version/state/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
 	"net/netip"
 	"slices"
 	"strings"
@@ -204,10 +205,10 @@
 	if err != nil {
 		return result.Wrapf(err, result.StorageCorrupt, "sheet in a snapshot")
 	}
-	if s.Ref() != m.sheet.Ref {
+	m.sheet.Canonical = s.Canonical()
+	if s.Number != m.sheet.Ref.Number || sha256.Sum256(m.sheet.Canonical) != m.sheet.Ref.Digest {
 		return result.Errorf(result.StorageCorrupt, "the sheet in a snapshot does not match its digest")
 	}
-	m.sheet.Canonical = s.Canonical()
 	m.loadRows(s)
 	return nil
 }
