Tell the leader about voters and logs that were lost

Cause: a voter that lost its data folder looked live to the leader, so a removal that left no majority able to vote was accepted, and the leader, which trusted its old match index, never sent the log again (found by the random runs with lost disks). Change: heartbeat responses say when the sender grants no votes and when its log lacks entries that it had acknowledged. The leader begins anew with such a peer, shows it in Status, counts it as failed in checks of membership changes, and promotes no learner that is not in contact.

--- a/internal/version/raft/membership.go
+++ b/internal/version/raft/membership.go
@@ -120,13 +120,17 @@
 
 func (n *Node) checkCaughtUp(id string) error {
 	p := n.progress[id]
+	if !n.isLive(id) {
+		return result.Errorf(result.LearnerBehind, "%s is not in contact or lost its data folder", id)
+	}
 	if p.matchIndex < p.epoch || p.matchIndex+n.cfg.MaxLearnerLag < n.log.lastIndex() {
 		return result.Errorf(result.LearnerBehind, "%s has %d of %d entries", id, p.matchIndex, n.log.lastIndex())
 	}
 	return nil
 }
 
-// checkLiveQuorum refuses a configuration whose quorum is not in contact.
+// checkLiveQuorum refuses a configuration that could not elect a leader from
+// the voters in contact.
 func (n *Node) checkLiveQuorum(next Configuration) error {
 	live := 0
 	for _, id := range next.Voters {
@@ -140,9 +144,10 @@
 	return nil
 }
 
+// isLive reports whether a peer is in contact and grants votes.
 func (n *Node) isLive(id string) bool {
 	p := n.progress[id]
-	return p != nil && n.tick-p.contactTick < uint64(n.cfg.ElectionTicks)
+	return p != nil && !p.unjoined && n.tick-p.contactTick < uint64(n.cfg.ElectionTicks)
 }
 
 // TransferLeadership hands leadership to the voter to, or to the voter that is
--- a/internal/version/raft/membership_test.go
+++ b/internal/version/raft/membership_test.go
@@ -136,6 +136,9 @@
 	c.boot(l)
 	l = c.elect()
 	must.False(t, lost.node.joined)
+	must.Eq(t, c.maxCommit, lost.applied, must.Sprint("it still gets the log"))
+	_, err := l.node.ProposeConfig(ConfigChange{Kind: RemoveMember, ID: other.id})
+	must.Eq(t, result.QuorumAtRisk, code(err))
 
 	c.mustChange(t, RemoveMember, lost.id)
 	c.wipe(lost)
--- a/internal/version/raft/message.go
+++ b/internal/version/raft/message.go
@@ -52,7 +52,9 @@
 	Entries []Entry `cbor:"7,keyasint,omitempty"`
 	// Commit is the leader's commit index.
 	Commit uint64 `cbor:"8,keyasint,omitempty"`
-	Reject bool   `cbor:"9,keyasint,omitempty"`
+	// Reject refuses an append or a vote; in a heartbeat response it says that
+	// the sender's log lacks entries that it had acknowledged.
+	Reject bool `cbor:"9,keyasint,omitempty"`
 	// HintIndex and HintTerm bound the index at which the logs may agree.
 	HintIndex uint64 `cbor:"10,keyasint,omitempty"`
 	HintTerm  uint64 `cbor:"11,keyasint,omitempty"`
@@ -75,6 +77,9 @@
 	// Learner tells a peer that the leader's configuration has it as a
 	// learner (append, snapshot).
 	Learner bool `cbor:"19,keyasint,omitempty"`
+	// Unjoined tells the leader that the sender grants no votes (heartbeat
+	// response).
+	Unjoined bool `cbor:"20,keyasint,omitempty"`
 }
 
 // SnapshotPiece is a part of a snapshot in transfer.
--- a/internal/version/raft/progress.go
+++ b/internal/version/raft/progress.go
@@ -43,7 +43,9 @@
 	// the tick at which it was sent.
 	ackedRound uint64
 	ackedTick  uint64
-	transfer   *transfer
+	// unjoined is set while the peer says that it grants no votes.
+	unjoined bool
+	transfer *transfer
 }
 
 // transfer is a snapshot on its way to a peer.
@@ -76,6 +78,14 @@
 	p.transfer = nil
 }
 
+// restart begins anew with a peer that lost its log. What was committed with its
+// help stays committed.
+func (p *progress) restart() {
+	p.matchIndex = 0
+	p.transfer = nil
+	p.becomeProbe()
+}
+
 func (p *progress) becomeReplicate() {
 	p.state = Replicate
 	p.nextIndex = p.matchIndex + 1
--- a/internal/version/raft/replicate.go
+++ b/internal/version/raft/replicate.go
@@ -107,11 +107,14 @@
 	n.confirmReads()
 }
 
+// handleHeartbeat answers a heartbeat. Its commit index is one that this node
+// has acknowledged, so a shorter log means that entries were lost.
 func (n *Node) handleHeartbeat(m Message) {
+	hasLostEntries := m.Commit > n.log.lastIndex()
 	n.commitTo(min(m.Commit, n.log.lastIndex()))
 	n.send(Message{
-		Type: MessageHeartbeatResponse, To: m.From,
-		Round: m.Round, SentTick: m.SentTick, Epoch: m.Epoch,
+		Type: MessageHeartbeatResponse, To: m.From, Reject: hasLostEntries,
+		Round: m.Round, SentTick: m.SentTick, Epoch: m.Epoch, Unjoined: !n.joined,
 	})
 }
 
@@ -145,7 +148,11 @@
 func (n *Node) handleHeartbeatResponse(p *progress, m Message) {
 	p.ackedRound = max(p.ackedRound, m.Round)
 	p.ackedTick = max(p.ackedTick, m.SentTick)
+	p.unjoined = m.Unjoined
 	p.probeSent = false
+	if m.Reject {
+		p.restart()
+	}
 	n.confirmReads()
 	switch {
 	case p.state == Installing:
--- a/internal/version/raft/status.go
+++ b/internal/version/raft/status.go
@@ -7,6 +7,7 @@
 	NextIndex    uint64
 	State        ProgressState
 	Learner      bool
+	Unjoined     bool   // grants no votes: it lost its data folder
 	SilentTicks  uint64 // ticks since the last response
 	Inflight     int
 	PieceOffset  int // acknowledged bytes of the snapshot in transfer
@@ -51,7 +52,8 @@
 	p := n.progress[id]
 	s := ProgressStatus{
 		ID: id, MatchIndex: p.matchIndex, NextIndex: p.nextIndex, State: p.state,
-		Learner: n.config().IsLearner(id), SilentTicks: n.tick - p.contactTick, Inflight: len(p.inflight),
+		Learner: n.config().IsLearner(id), SilentTicks: n.tick - p.contactTick, Unjoined: p.unjoined,
+		Inflight: len(p.inflight),
 	}
 	if p.transfer != nil {
 		s.PieceOffset = p.transfer.offset
