Bound the search of a torn tail and release recovered entries

Cause: the search for an intact record after a damaged one could checksum large parts of the tail at each byte, and a replica kept its recovered entries for good. Tested: go test -race ./internal/version/... passes.

--- a/internal/version/logstore/record.go
+++ b/internal/version/logstore/record.go
@@ -24,6 +24,12 @@
 	chunkSize = 32 << 20
 )
 
+// Each record body is a CBOR map, which its first byte tells.
+const (
+	cborMajorType = 0xe0
+	cborMap       = 0xa0
+)
+
 var logMagic = [8]byte{'H', 'P', 'R', 'L', 'O', 'G', 0, 1}
 
 // base is the position that the log continues from.
@@ -77,6 +83,9 @@
 		return nil, 0, false
 	}
 	body = rest[recordHeaderSize : recordHeaderSize+size]
+	if body[0]&cborMajorType != cborMap {
+		return nil, 0, false // spares the checksum in a search for records
+	}
 	if binary.BigEndian.Uint32(rest[4:8]) != recordChecksum(offset, body) {
 		return nil, 0, false
 	}
--- a/internal/version/replica/replica.go
+++ b/internal/version/replica/replica.go
@@ -72,6 +72,7 @@
 	if err != nil {
 		return nil, err
 	}
+	boot.Entries = nil
 	return &Replica{node: node, store: store, boot: boot}, nil
 }
 
@@ -79,9 +80,9 @@
 	return s.HardState == raft.HardState{} && s.Snapshot.Index == 0 && len(s.Entries) == 0
 }
 
-// Recovered returns the state from which the replica started. The caller
-// restores the application from its snapshot; the entries known to be committed
-// come out of the first Process.
+// Recovered returns the hard state and the snapshot from which the replica
+// started. The caller restores the application from the snapshot; the entries
+// known to be committed come out of the first Process.
 func (r *Replica) Recovered() raft.State { return r.boot }
 
 // Err returns the storage failure that stopped the replica, if any.
