--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -53,6 +53,8 @@
 	LearnerBehind       Code = 221
 	QuorumAtRisk        Code = 222
 	IncarnationConflict Code = 211
+	VersionStale        Code = 212
+	StateDiverged       Code = 213
 
 	NoLeader      Code = 301
 	NotReady      Code = 302
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -44,6 +44,8 @@
 	{LearnerBehind, "learner_behind", "the learner has not caught up with the log", "wait, then repeat"},
 	{QuorumAtRisk, "quorum_at_risk", "the change would leave no live majority of voters", "bring voters back first"},
 	{IncarnationConflict, "incarnation_conflict", "another process announces the same name and incarnation", "stop one of them"},
+	{VersionStale, "version_stale", "the version offered is older than the one held", "none; the newer one stays"},
+	{StateDiverged, "state_diverged", "a VM holds another state than the leader at the same index", "none; it takes the leader's snapshot; report it"},
 
 	{NoLeader, "no_leader", "no leader is known; nothing was changed", "try again"},
 	{NotReady, "not_ready", "this VM holds no version yet", "try again or use another VM"},
