Refuse voters that cannot catch up, and count open drains

Cause: in a trial, 'voter add' accepted a name that no VM has and a VM without a data folder. Such a learner never catches up, and as only the first learner was tried for promotion, it kept all later ones from becoming voters. The metric drains_open was never set. Two result codes could share a number unnoticed: the later one replaced the first.

Change: adding a voter checks the member (206, 212); each learner is tried until one can be promoted; drains are counted; the table of result codes panics on a repeated number or name.

--- a/internal/process/app/listen.go
+++ b/internal/process/app/listen.go
@@ -226,6 +226,7 @@
 	s.SheetNumber = v.SheetNumber
 	s.Term = v.Term
 	s.LiveVMs = v.LiveVMs
+	s.OpenDrains = v.OpenDrains
 	s.LeaseLive = v.LeaseLive
 	s.CutOff = v.Index > 0 && !v.LeaseLive
 	s.Leader = v.Leading
--- a/internal/process/control/api.go
+++ b/internal/process/control/api.go
@@ -165,11 +165,36 @@
 }
 
 // drains lists what is leaving and what has not finished.
+func isDraining(u *version.Upstream) bool {
+	return u.State == version.Leaving || u.State == version.Paused
+}
+
+// openDrains counts what drains lists.
+func openDrains(v *version.Version) int {
+	n := 0
+	for i := range v.Upstream {
+		if isDraining(&v.Upstream[i]) {
+			n++
+		}
+	}
+	for i := range v.Members {
+		if v.Members[i].State == version.MemberLeaving {
+			n++
+		}
+	}
+	for i := range v.Services {
+		if v.Services[i].NextBase != nil {
+			n++
+		}
+	}
+	return n
+}
+
 func (c *Controller) drains(v *version.Version) []api.Drain {
 	var out []api.Drain
 	for i := range v.Upstream {
 		u := &v.Upstream[i]
-		if u.State != version.Leaving && u.State != version.Paused {
+		if !isDraining(u) {
 			continue
 		}
 		s := c.upstreamStatus(v, u)
--- a/internal/process/control/controller.go
+++ b/internal/process/control/controller.go
@@ -140,6 +140,7 @@
 	Leaving     bool // is stopping
 	LeaseLive   bool
 	LiveVMs     int
+	OpenDrains  int
 	Settled     uint64
 	Open        uint64 // entries in the connection table
 	Owns        uint64 // connections that this VM owns
@@ -391,6 +392,7 @@
 	if v := c.published.Load(); v != nil {
 		view.SheetNumber = v.Sheet.Number
 		view.LiveVMs = len(v.Members)
+		view.OpenDrains = openDrains(v)
 		view.Owned = slices.Contains(v.Owners.Current, c.self)
 		c.summarizeUpstreams(v, view)
 	}
--- a/internal/process/control/leader.go
+++ b/internal/process/control/leader.go
@@ -207,18 +207,21 @@
 		return
 	}
 	for _, id := range status.Config.Learners {
-		c.changeVoter(raft.ConfigChange{Kind: raft.PromoteLearner, ID: id})
-		return
+		if c.changeVoter(raft.ConfigChange{Kind: raft.PromoteLearner, ID: id}) {
+			return
+		}
 	}
 }
 
-func (c *Controller) changeVoter(change raft.ConfigChange) {
+// changeVoter proposes a change and reports whether that was possible.
+func (c *Controller) changeVoter(change raft.ConfigChange) bool {
 	if _, err := c.replica.ProposeConfig(change); err != nil {
 		c.log.Debug("voter change not possible yet", "voter", change.ID, "error", err)
-		return
+		return false
 	}
 	c.log.Info("voter change proposed", "change", changeName(change.Kind), "voter", change.ID)
 	c.recordVoter(change)
+	return true
 }
 
 func (c *Controller) recordVoter(change raft.ConfigChange) {
--- a/internal/process/control/serve.go
+++ b/internal/process/control/serve.go
@@ -153,6 +153,10 @@
 }
 
 func (c *Controller) serveVoter(change raft.ConfigChange, done func(reply)) {
+	if err := checkVoter(c.machine.Version(), change); err != nil {
+		done(failure(err))
+		return
+	}
 	index, err := c.replica.ProposeConfig(change)
 	if err != nil {
 		done(failure(err))
@@ -162,6 +166,22 @@
 	done(reply{Voter: &api.VoterResponse{Index: index, Voters: c.replica.Status().Config.Voters}})
 }
 
+// checkVoter refuses to add a VM that could never catch up. Any name may be
+// removed: the VM may be gone.
+func checkVoter(v *version.Version, change raft.ConfigChange) error {
+	if change.Kind == raft.RemoveMember {
+		return nil
+	}
+	m := v.MemberByName(change.ID)
+	if m == nil {
+		return result.Errorf(result.MemberUnknown, "no VM %q is a member", change.ID)
+	}
+	if !m.Voter {
+		return result.Errorf(result.MemberWithoutDisk, "VM %q has no data folder", change.ID)
+	}
+	return nil
+}
+
 func (c *Controller) leaderStatus() *leaderStatus {
 	s := &leaderStatus{
 		Leader: c.cfg.Name,
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -50,6 +50,7 @@
 	AddressInUse        Code = 208
 	MemberNameTaken     Code = 209
 	ShuttingDown        Code = 210
+	MemberWithoutDisk   Code = 212
 	LearnerBehind       Code = 221
 	QuorumAtRisk        Code = 222
 	IncarnationConflict Code = 211
--- a/internal/result/result_test.go
+++ b/internal/result/result_test.go
@@ -15,3 +15,12 @@
 	must.Eq(t, ClassRefused, CodeOf(err).Class())
 	must.StrContains(t, err.Error(), "202 sheet_stale: version 3")
 }
+
+func TestIndexRefusesDuplicates(t *testing.T) {
+	for _, entries := range [][]Entry{
+		{{Code: 1, Name: "a"}, {Code: 1, Name: "b"}},
+		{{Code: 1, Name: "a"}, {Code: 2, Name: "a"}},
+	} {
+		must.Panic(t, func() { index(entries) })
+	}
+}
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -1,6 +1,9 @@
 package result
 
-import "slices"
+import (
+	"fmt"
+	"slices"
+)
 
 // Entry describes one code for operators.
 type Entry struct {
@@ -40,6 +43,7 @@
 	{NotFound, "not_found", "nothing of this name exists", "check the name"},
 	{AddressInUse, "address_in_use", "the address belongs to another live upstream", "correct the address"},
 	{MemberNameTaken, "member_name_taken", "another live VM uses this name", "correct the settings"},
+	{MemberWithoutDisk, "member_without_disk", "the VM has no data folder and cannot vote", "set data_dir or choose another VM"},
 	{ShuttingDown, "shutting_down", "this VM is stopping", "use another VM"},
 	{LearnerBehind, "learner_behind", "the learner has not caught up with the log", "wait, then repeat"},
 	{QuorumAtRisk, "quorum_at_risk", "the change would leave no live majority of voters", "bring voters back first"},
@@ -86,9 +90,19 @@
 	{Internal, "internal", "a defect in heatherport", "report it"},
 })
 
+// index panics when two entries share a code or a name: that is a defect of the
+// table, which no program should start with.
 func index(entries []Entry) map[Code]Entry {
 	m := make(map[Code]Entry, len(entries))
+	names := make(map[string]Code, len(entries))
 	for _, e := range entries {
+		if first, ok := m[e.Code]; ok {
+			panic(fmt.Sprintf("result code %d is both %s and %s", e.Code, first.Name, e.Name))
+		}
+		if first, ok := names[e.Name]; ok {
+			panic(fmt.Sprintf("result name %s is both %d and %d", e.Name, first, e.Code))
+		}
+		names[e.Name] = e.Code
 		m[e.Code] = e
 	}
 	return m
