Record key changes with before and after

Cause: the audit trail said only that key files had changed.

Change: the record names the certificate's serial and end, the authorities and the ids of the relay keys, before and after; never a secret.

Tested: go test -race ./internal/process/keys passes.

--- a/internal/process/app/listen.go
+++ b/internal/process/app/listen.go
@@ -114,6 +114,7 @@
 }
 
 func (w *keyWatcher) check() {
+	before := w.store.Summary()
 	changed, err := w.store.Reload()
 	if err != nil {
 		w.log.Error("keys not reloaded; the former ones stay in use", "error", err)
@@ -123,7 +124,7 @@
 		return
 	}
 	w.log.Info("keys reloaded")
-	w.trail.Append(audit.Record{Time: time.Now().UTC(), VM: w.vm, Kind: api.AuditKeys, Subject: "keys", Cause: "files changed"})
+	w.trail.Append(audit.Record{Time: time.Now().UTC(), VM: w.vm, Kind: api.AuditKeys, Subject: "keys", Cause: "files changed", Before: before, After: w.store.Summary()})
 	if err := w.ring.Replace(relayKeys(w.store, time.Now(), w.clock())...); err != nil {
 		w.log.Error("relay keys not rotated", "error", err)
 	}
--- a/internal/process/keys/keys_test.go
+++ b/internal/process/keys/keys_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/tls"
+	"encoding/hex"
 	"net"
 	"os"
 	"path/filepath"
@@ -211,6 +212,12 @@
 	r, err = f.RotateRelay(window)
 	must.NoError(t, err)
 	must.Eq(t, 3, r.RelayKey)
+
+	summary := open(t, f, vm("a-1")).Summary()
+	must.StrContains(t, summary, `authority "heatherport CA 2026-12-01T06:00:00Z", relay key 2, relay key 3`)
+	for _, k := range ks {
+		must.StrNotContains(t, summary, hex.EncodeToString(k.Secret[:]))
+	}
 }
 
 func TestRelayKeysRefuse(t *testing.T) {
--- a/internal/process/keys/store.go
+++ b/internal/process/keys/store.go
@@ -6,6 +6,7 @@
 	"crypto/ecdsa"
 	"crypto/tls"
 	"crypto/x509"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +14,9 @@
 	"heatherport/internal/result"
 )
 
+// serialBase is the base in which serial numbers are shown.
+const serialBase = 16
+
 // Files names the key files of one VM, operator or upstream. RelayKeys is
 // empty for all but VMs.
 type Files struct {
@@ -165,6 +169,19 @@
 	return end
 }
 
+// Summary describes the material in use, without secrets, for the audit trail.
+func (s *Store) Summary() string {
+	m := s.current.Load()
+	out := fmt.Sprintf("certificate %s until %s", m.cert.Leaf.SerialNumber.Text(serialBase), m.cert.Leaf.NotAfter.UTC().Format(time.RFC3339))
+	for _, c := range m.bundle {
+		out += fmt.Sprintf(", authority %q", c.cert.Subject.CommonName)
+	}
+	for _, k := range m.relay {
+		out += fmt.Sprintf(", relay key %d", k.ID)
+	}
+	return out
+}
+
 // RelayKeys returns all relay keys in the file.
 func (s *Store) RelayKeys() RelayKeys { return s.current.Load().relay }
 
