--- a/internal/process/metrics/metrics_test.go
+++ b/internal/process/metrics/metrics_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"net/http/httptest"
+	"os"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -96,3 +98,23 @@
 	must.StrContains(t, w.Body.String(), "heatherport_sheet_number 9\n")
 	must.StrContains(t, w.Body.String(), "process_cpu_seconds_total")
 }
+
+// TestPage checks that docs/METRICS.md names each metric, and no other.
+func TestPage(t *testing.T) {
+	b, err := os.ReadFile("../../../docs/METRICS.md")
+	must.NoError(t, err)
+	described := make(map[string]bool)
+	for _, d := range newCollector(nil).descs {
+		name := descName.FindStringSubmatch(d.String())[1]
+		described[name] = true
+		must.StrContains(t, string(b), "`"+name+"`", must.Sprintf("%s has no line", name))
+	}
+	for _, m := range alertName.FindAllStringSubmatch(string(b), -1) {
+		must.True(t, described[m[1]], must.Sprintf("%s is no metric", m[1]))
+	}
+}
+
+var (
+	descName  = regexp.MustCompile(`fqName: "` + namespace + `_([a-z_]+)"`)
+	alertName = regexp.MustCompile(namespace + `_([a-z_]+)`)
+)
