--- a/internal/process/control/controller.go
+++ b/internal/process/control/controller.go
@@ -236,15 +236,20 @@
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
+		var event func()
 		select {
 		case <-c.ctx.Done():
 			return
 		case m := <-c.cfg.Links.Incoming():
-			c.receive(m)
-		case f := <-c.events:
-			f()
+			event = func() { c.receive(m) }
+		case event = <-c.events:
 		case <-ticker.C:
+			event = func() {}
 		}
+		// Ticks come before events: after a stall, a lease must have ended
+		// before a read is answered by it.
+		c.tickRaft(c.now())
+		event()
 		c.drain()
 		c.tick()
 		c.process()
@@ -310,7 +315,6 @@
 // tick does the periodic work that is due.
 func (c *Controller) tick() {
 	now := c.now()
-	c.tickRaft(now)
 	if now-c.engineTicked >= engineInterval {
 		c.engineTicked = now
 		c.tickEngine(now)
--- a/internal/process/control/leader.go
+++ b/internal/process/control/leader.go
@@ -244,7 +244,7 @@
 	if c.replica == nil || !decode(m.Body, &msg) || msg.From != m.From {
 		return
 	}
-	if err := c.replica.Step(msg); err != nil && result.CodeOf(err) != result.StorageFailed {
+	if err := c.replica.Step(msg); err != nil && c.replica.Err() == nil {
 		c.log.Debug("raft message refused", "from", m.From, "error", err)
 	}
 }
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -50,12 +50,12 @@
 	AddressInUse        Code = 208
 	MemberNameTaken     Code = 209
 	ShuttingDown        Code = 210
-	MemberWithoutDisk   Code = 212
-	LearnerBehind       Code = 221
-	QuorumAtRisk        Code = 222
 	IncarnationConflict Code = 211
 	VersionStale        Code = 212
 	StateDiverged       Code = 213
+	MemberWithoutDisk   Code = 214
+	LearnerBehind       Code = 221
+	QuorumAtRisk        Code = 222
 
 	NoLeader      Code = 301
 	NotReady      Code = 302
