--- a/internal/process/control/leader.go
+++ b/internal/process/control/leader.go
@@ -7,7 +7,6 @@
 	"heatherport/internal/process/audit"
 	"heatherport/internal/process/link"
 	"heatherport/internal/request/api"
-	"heatherport/internal/result"
 	"heatherport/internal/version"
 	"heatherport/internal/version/raft"
 	"heatherport/internal/version/roster"
