Accept sheets as spreadsheets export them

Cause: spreadsheets pad rows with empty fields to the length of the longest row, and quote comments that hold a comma; both were refused. Change: empty fields at the end of a row do not count; a row whose first field starts with '#' is a comment even when it is quoted or indented. Tested: TestDigestIgnoresLayout has such rows; FuzzParse for 10 s and 8 s without a failure; -race, vet, staticcheck: pass.

--- a/internal/version/sheet/parse.go
+++ b/internal/version/sheet/parse.go
@@ -24,6 +24,7 @@
 	kindUpstream = "upstream"
 	wordYes      = "yes"
 	wordNo       = "no"
+	comment      = '#' // at the start of a line or of the first field
 )
 
 // The number of fields of each kind of row.
@@ -76,7 +77,7 @@
 
 func newParser(data []byte) *parser {
 	r := csv.NewReader(bytes.NewReader(data))
-	r.Comment = '#'
+	r.Comment = comment
 	r.FieldsPerRecord = -1
 	r.TrimLeadingSpace = true
 	r.ReuseRecord = true
@@ -129,7 +130,8 @@
 }
 
 func (p *parser) readRow() {
-	if !p.checkLengths() {
+	p.trimRow()
+	if len(p.row) == 0 || strings.HasPrefix(p.field(0), string(comment)) || !p.checkLengths() {
 		return
 	}
 	kind := p.field(0)
@@ -149,6 +151,14 @@
 	}
 }
 
+// trimRow drops empty fields at the end, with which spreadsheets pad rows to
+// the length of the longest one.
+func (p *parser) trimRow() {
+	for n := len(p.row); n > 0 && p.field(n-1) == ""; n-- {
+		p.row = p.row[:n-1]
+	}
+}
+
 func (p *parser) checkLengths() bool {
 	for i := range p.row {
 		if len(p.row[i]) > MaxField {
--- a/internal/version/sheet/sheet.go
+++ b/internal/version/sheet/sheet.go
@@ -7,7 +7,8 @@
 //	service,NAME,ADDRESS,PROTOCOL,PORT,IDLE_TIMEOUT,IDEMPOTENT
 //	upstream,SERVICE_NAME,UPSTREAM_NAME,STATE,SLOTS,CONNECTION_LIMIT
 //
-// Lines that start with '#' are comments.
+// Rows whose first field starts with '#' are comments. Empty fields at the end
+// of a row do not count.
 package sheet
 
 import (
--- a/internal/version/sheet/sheet_test.go
+++ b/internal/version/sheet/sheet_test.go
@@ -24,10 +24,10 @@
 func TestDigestIgnoresLayout(t *testing.T) {
 	want, err := sheet.Parse(strings.NewReader(small))
 	must.NoError(t, err)
-	shuffled := "\xef\xbb\xbf# exported\r\nversion, 7\r\n" +
+	shuffled := "\xef\xbb\xbf# 2\" exported\r\n\"# quoted, too\",,\r\nversion, 7,,,,, \r\n,,,,,,\r\n" +
 		"upstream, b ,b1,paused,2,100\r\n\r\n# rows in any order\r\n" +
 		"service,b,2001:DB8:0::1,udp,443,1m30s,yes\r\n" +
-		"upstream,a,a1,\"active\",3,2000\r\nservice,a,::ffff:192.0.2.1,tcp,443,600s,no\r\n"
+		"upstream,a,a1,\"active\",3,2000,\r\nservice,a,::ffff:192.0.2.1,tcp,443,600s,no\r\n"
 	got, err := sheet.Parse(strings.NewReader(shuffled))
 	must.NoError(t, err)
 	must.Eq(t, string(want.Canonical()), string(got.Canonical()))
