Keep the last working upstream when announcements stop

Cause: when all announcers of a service fail at once, for example with an expired certificate, their leases lapse and the service refuses every caller although its upstreams work. Change: the lease of an upstream is not shown as lapsed while it is the only eligible one of its service, a quorum of observers sees it pass, and nobody else claims its address; Explain gives the reason overdue, Stats counts it. Conclusion: announcements alone do not empty a service that works.

--- a/internal/version/roster/explain.go
+++ b/internal/version/roster/explain.go
@@ -15,6 +15,7 @@
 	ReasonLeaving                       // the sheet declares it leaving
 	ReasonPaused                        // the sheet declares it paused
 	ReasonLeaseLapsed                   // it stopped announcing itself
+	ReasonOverdue                       // it stopped announcing itself, but is the last one that works
 	ReasonUnhealthy                     // a quorum of observers saw it fail
 	ReasonHoldDown                      // it passes again, but was out too short
 	ReasonFloor                         // it fails, but too many others are out
@@ -28,6 +29,7 @@
 	"leaving",
 	"paused",
 	"lease_lapsed",
+	"overdue",
 	"unhealthy",
 	"hold_down",
 	"floor",
@@ -101,6 +103,9 @@
 	if !u.Leased {
 		e.add(ReasonLeaseLapsed, r.now-u.lapsedAt)
 	}
+	if u.overdue {
+		e.add(ReasonOverdue, r.now-u.leaseUntil)
+	}
 }
 
 func (r *Roster) explainHealth(e *Explanation, u *upstreamView) {
--- a/internal/version/roster/upstream.go
+++ b/internal/version/roster/upstream.go
@@ -30,6 +30,8 @@
 	index   int // in Roster.upstreams and due
 
 	leaseUntil time.Duration
+	claimed    bool          // another upstream announced its address since its last renewal
+	overdue    bool          // not renewed, but kept as the last resort
 	lapsedAt   time.Duration // when the version showed the lease as lapsed
 	rampSince  time.Duration // when the version showed the slow-start step
 	load       float64       // smoothed
@@ -74,6 +76,9 @@
 		Probe:       a.Probe,
 	}
 	o := registrar.CheckRegister(c)
+	if o.Code == result.AddressInUse {
+		r.claim(now, o.Upstream)
+	}
 	if o.Code != result.OK {
 		return AnnounceReply{Code: o.Code, Detail: o.Detail}
 	}
@@ -86,6 +91,14 @@
 	return reply
 }
 
+// claim notes that another upstream announced the address of holder.
+func (r *Roster) claim(now time.Duration, holder version.UpstreamID) {
+	if u := r.viewByID(holder); u != nil {
+		u.claimed = true
+		r.due[u.index] = now
+	}
+}
+
 // renew renews the lease of an upstream. An incarnation that the version does
 // not show has no lease.
 func (r *Roster) renew(now time.Duration, n *Renewal) {
@@ -95,6 +108,7 @@
 		return
 	}
 	u.leaseUntil = max(u.leaseUntil, now+AnnounceLease)
+	u.claimed = false
 	u.load += (float64(n.LoadFactor) - u.load) * LoadSmoothing
 	if u.loadMoved() {
 		r.due[u.index] = now
@@ -213,7 +227,7 @@
 		s.open, s.ejected, s.ramping = 0, 0, 0
 	}
 	for _, u := range r.upstreams {
-		if !u.Open() {
+		if !u.Open() || u.lapsing(r.now) {
 			continue
 		}
 		u.service.open++
@@ -242,18 +256,55 @@
 	}
 }
 
+// lapsing reports whether the lease of u is about to be shown as lapsed.
+func (u *upstreamView) lapsing(now time.Duration) bool {
+	return u.sent.leased.value == bit(false) && now < u.sent.leased.until
+}
+
 // checkLease compares the lease with what the version shows.
 func (r *Roster) checkLease(u *upstreamView) {
 	leased := u.leaseUntil > r.now
+	if !r.checkOverdue(u, leased) {
+		return
+	}
 	if leased == u.Leased || u.sent.leased.pending(r.now, bit(leased)) {
 		return
 	}
-	cause := state.CauseLeaseRenewed
-	if !leased {
-		cause = state.CauseLeaseLapsed
-		r.stats.LeasesLapsed++
+	if leased {
+		r.update(u, state.StatusUpdate{Leased: new(true), Cause: state.CauseLeaseRenewed})
+		return
+	}
+	r.stats.LeasesLapsed++
+	r.recountUntil = r.now + PendingTimeout
+	if u.Open() {
+		u.service.open--
 	}
-	r.update(u, state.StatusUpdate{Leased: new(leased), Cause: cause})
+	r.update(u, state.StatusUpdate{Leased: new(false), Cause: state.CauseLeaseLapsed})
+}
+
+// checkOverdue reports whether the lease of u may be shown as it is. One that
+// ran out is not while u is the last resort of its service.
+func (r *Roster) checkOverdue(u *upstreamView, leased bool) bool {
+	overdue := !leased && r.lastResort(u)
+	if overdue && !u.overdue {
+		r.stats.LapsesKept++
+	}
+	u.overdue = overdue
+	return !overdue
+}
+
+// lastResort reports whether u is the only eligible upstream of its service, a
+// quorum of observers sees it pass, and nobody else claims its address: then
+// announcements may have failed, but u has not.
+func (r *Roster) lastResort(u *upstreamView) bool {
+	if !u.Eligible() || u.claimed || u.lapsing(r.now) {
+		return false
+	}
+	if u.service.open-u.service.ejected > 1 {
+		return false
+	}
+	v := r.poll(u)
+	return 2*v.passing > v.fresh
 }
 
 // checkRamp raises the slow-start step of an upstream that has held the last
--- a/internal/version/state/outcome.go
+++ b/internal/version/state/outcome.go
@@ -13,7 +13,7 @@
 	Changes []Change
 
 	Sheet    version.SheetRef   // in force after a SubmitSheet, accepted or refused
-	Upstream version.UpstreamID // of a RegisterUpstream
+	Upstream version.UpstreamID // of a RegisterUpstream; with AddressInUse, the holder
 	Member   version.MemberID   // of a JoinMember
 }
 
--- a/internal/version/state/upstream.go
+++ b/internal/version/state/upstream.go
@@ -69,7 +69,9 @@
 		return r, Outcome{}
 	}
 	if holder.Leased {
-		return r, refuse(result.AddressInUse, "%s belongs to %q", r.addr, holder.Name)
+		o := refuse(result.AddressInUse, "%s belongs to %q", r.addr, holder.Name)
+		o.Upstream = holder.ID
+		return r, o
 	}
 	r.holder = holder
 	return r, Outcome{}
