--- a/internal/process/control/leader.go
+++ b/internal/process/control/leader.go
@@ -7,7 +7,6 @@
 	"heatherport/internal/process/audit"
 	"heatherport/internal/process/link"
 	"heatherport/internal/request/api"
-	"heatherport/internal/result"
 	"heatherport/internal/version"
 	"heatherport/internal/version/raft"
 	"heatherport/internal/version/roster"
@@ -244,7 +243,7 @@
 	if c.replica == nil || !decode(m.Body, &msg) || msg.From != m.From {
 		return
 	}
-	if err := c.replica.Step(msg); err != nil && result.CodeOf(err) != result.StorageFailed {
+	if err := c.replica.Step(msg); err != nil && c.replica.Err() == nil {
 		c.log.Debug("raft message refused", "from", m.From, "error", err)
 	}
 }
