--- a/internal/connection/owner/choose.go
+++ b/internal/connection/owner/choose.go
@@ -86,6 +86,7 @@
 	if t == nil {
 		return e.refuse(r, s, st)
 	}
+	t = e.recordable(r, s, t)
 	up, ok := e.store(r, t, table.Counted)
 	if !ok {
 		return drop(result.DropTableFull)
@@ -98,6 +99,34 @@
 	return e.forward(r, up, r.packet.Seq, 0)
 }
 
+// recordable returns t, or the base's first choice if t deviates from it and
+// the standby cannot record that now: the exception would be lost with this
+// owner.
+func (e *Engine) recordable(r *request, s *service, t *target) *target {
+	if r.view.others == 0 || !r.deviates(s, t.id) || e.recorder(r, t) != nil {
+		return t
+	}
+	b := r.view.targets.get(r.first(s))
+	if b == nil || !b.active || e.full(r, b) {
+		return t
+	}
+	return b
+}
+
+// recorder returns the standby if it can record an exception for t now.
+func (e *Engine) recorder(r *request, t *target) *route {
+	to := r.view.peers[r.view.owners.cur.Standby(r.slot)]
+	if to == nil || !to.alive(r.now) || to.applied.Load() < t.counter.since {
+		return nil
+	}
+	return to
+}
+
+// full reports whether t is at its connection limit.
+func (e *Engine) full(r *request, t *target) bool {
+	return t.limit > 0 && int64(t.counter.Estimate(r.view.others*peerShare)) >= t.limit
+}
+
 // previousUpstream returns the upstream of the connection that used the same
 // 5-tuple before, if it takes new connections: entries of other members may
 // still name it.
@@ -113,10 +142,7 @@
 	}
 	sh.Unlock()
 	t := r.view.targets.get(id)
-	if t == nil || !t.active || t.service != s {
-		return nil
-	}
-	if n := int64(t.counter.Estimate(r.view.others * peerShare)); t.limit > 0 && n >= t.limit {
+	if t == nil || !t.active || t.service != s || e.full(r, t) {
 		return nil
 	}
 	return t
@@ -173,9 +199,12 @@
 	if r.owner() != r.view.self {
 		return connection.Decision{}, false
 	}
-	to := r.view.peers[r.view.owners.cur.Standby(r.slot)]
 	t, same := r.view.resolve(id, &r.packet.Key)
-	if to == nil || !same || !to.alive(r.now) || to.applied.Load() < t.counter.since {
+	if !same {
+		return connection.Decision{}, false
+	}
+	to := e.recorder(r, t)
+	if to == nil {
 		return connection.Decision{}, false
 	}
 	return connection.Decision{
--- a/internal/connection/owner/engine.go
+++ b/internal/connection/owner/engine.go
@@ -20,6 +20,9 @@
 	// silentAfter is the time without a message after which a member
 	// counts as unreachable.
 	silentAfter = 3 * heartbeat
+	// lostAfter is the silence after which a member that hears neither the
+	// owner nor the standby decides alone.
+	lostAfter = 6 * heartbeat
 	// fullEvery is the interval of complete load reports.
 	fullEvery = 10 * time.Second
 	// refreshCap bounds the time between refreshes of an owner's entry.
@@ -64,11 +67,14 @@
 	report     report
 	spend      spend
 	settled    uint64
-	based      uint64        // see SettledBase
-	doubtUntil time.Duration // latest doubt of any slot
-	knownAt    time.Duration // when this member knows all connections of its slots
+	based      uint64                      // see SettledBase
+	doubtUntil time.Duration               // latest doubt of any slot
+	deepUntil  time.Duration               // latest deep doubt of any slot
+	departed   map[version.MemberID]uint64 // synced epochs of the members that the last version dropped
+	knownAt    time.Duration               // when this member knows all connections of its slots
 	sweepAt    int
 	leaving    bool
+	drained    bool // see Drained
 }
 
 // New returns an engine without a version.
@@ -135,6 +141,7 @@
 		p.member = true
 		w.peers[m.ID] = &route{p, m.Relay}
 	}
+	e.departed = make(map[version.MemberID]uint64)
 	for id, p := range e.peers {
 		if p.member && w.peers[id] == nil {
 			e.forget(id, p)
@@ -158,6 +165,7 @@
 			c.AddHeard(-n)
 		}
 	}
+	e.departed[id] = p.synced
 	delete(e.peers, id)
 	e.preds = slices.DeleteFunc(e.preds, func(q *predecessor) bool { return q.peer == p })
 	delete(e.handovers, id)
@@ -178,23 +186,24 @@
 func (e *Engine) Leave() { e.leaving = true }
 
 // Drained reports whether this member owns nothing and has handed over what
-// it owned.
+// it owned. It stays true under later versions in which the member owns
+// nothing, because the leader may already have removed it.
 func (e *Engine) Drained() bool {
 	w := e.view.Load()
 	if w == nil {
 		return true
 	}
-	for _, id := range w.owners.members {
-		if id == w.self {
-			return false
-		}
+	if slices.Contains(w.owners.members, w.self) {
+		e.drained = false
+		return false
 	}
 	for _, h := range e.handovers {
 		if !h.complete {
-			return false
+			return e.drained
 		}
 	}
-	return e.settled >= w.version.Index
+	e.drained = e.drained || e.settled >= w.version.Index
+	return e.drained
 }
 
 // handedOver reports whether every new owner has acknowledged its tenure.
--- a/internal/connection/owner/message.go
+++ b/internal/connection/owner/message.go
@@ -48,6 +48,8 @@
 	// Doubt is the time in seconds for which callers may retransmit opening
 	// packets that a lost owner has forwarded.
 	Doubt uint32 `cbor:"4,keyasint,omitempty"`
+	// Deep is the same for connections whose exceptions may be missing.
+	Deep uint32 `cbor:"5,keyasint,omitempty"`
 }
 
 // Outbound is a message to send to a member.
--- a/internal/connection/owner/miss.go
+++ b/internal/connection/owner/miss.go
@@ -52,6 +52,9 @@
 	if owner != nil && owner.alive(r.now) {
 		var flags connection.RelayFlags
 		if st.gave == owner.id {
+			if r.opening() && !s.idempotent && r.now < st.deepUntil {
+				return drop(result.DropInDoubt)
+			}
 			flags = connection.RelayTenure
 			if r.now < st.doubtUntil {
 				flags |= connection.RelayDoubt
@@ -63,7 +66,14 @@
 	if standby == r.view.self || r.via != nil && r.via.Flags&connection.RelayOwnerSilent != 0 {
 		return e.decideInDoubt(r, s)
 	}
-	if to := r.view.peers[standby]; to != nil && to.alive(r.now) && r.hops() > 0 {
+	to := r.view.peers[standby]
+	if to != nil && to.alive(r.now) && r.hops() > 0 {
+		return e.relayTo(r, to, connection.RelayOwnerSilent)
+	}
+	if owner != nil && !owner.lost(r.now) && r.hops() > 0 {
+		return e.relayTo(r, owner, 0)
+	}
+	if to != nil && !to.lost(r.now) && r.hops() > 0 {
 		return e.relayTo(r, to, connection.RelayOwnerSilent)
 	}
 	return e.decideInDoubt(r, s)
@@ -142,6 +152,9 @@
 // that a lost owner has forwarded. A connection without an exception went to
 // the base, so the base is the only safe choice while it takes connections.
 func (e *Engine) openAfterLoss(r *request, s *service, st *slotState) connection.Decision {
+	if !s.idempotent && r.now < st.deep() {
+		return drop(result.DropInDoubt)
+	}
 	t := r.view.targets.get(r.first(s))
 	if t != nil && (t.active || r.unmarked() && r.now < st.doubt()-synHorizon+unmarkedGrace) {
 		return e.openAt(r, t)
--- a/internal/connection/owner/ownership.go
+++ b/internal/connection/owner/ownership.go
@@ -25,6 +25,7 @@
 	gave       version.MemberID // new owner, if this member gave the slot up in this epoch
 	since      time.Duration    // when this member became the owner
 	doubtUntil time.Duration    // until then, connections of a lost owner may be retransmitting their opening packet
+	deepUntil  time.Duration    // until then, exceptions of lost owners may be missing too
 	pred       *predecessor     // owner before this member, while it is a member
 }
 
@@ -37,6 +38,15 @@
 	return max(st.doubtUntil, time.Duration(st.pred.doubtUntil.Load()))
 }
 
+// deep returns the time until which exceptions of young connections may be
+// missing: their owner and its standby were lost one after the other.
+func (st *slotState) deep() time.Duration {
+	if st.pred == nil {
+		return st.deepUntil
+	}
+	return max(st.deepUntil, time.Duration(st.pred.deepUntil.Load()))
+}
+
 // predecessor is the member that owned slots before this one.
 type predecessor struct {
 	*peer
@@ -109,23 +119,25 @@
 	case owner != w.self:
 		if held || before == w.self {
 			e.giveUp(&st, owner, o.epoch)
-			st.doubtUntil = old.doubtOf(slot)
+			st.doubtUntil, st.deepUntil = old.doubtOf(slot)
 		} else if old != nil && e.stillGiving(old.slots[slot].gave) {
-			st.gave, st.doubtUntil = old.slots[slot].gave, old.slots[slot].doubtUntil
+			st.gave = old.slots[slot].gave
+			st.doubtUntil, st.deepUntil = old.doubtOf(slot)
 		}
 	case held:
 		st = old.slots[slot]
 	default:
-		e.takeSlot(now, w, o, &st, before)
+		e.takeSlot(now, w, o, &st, before, e.wasReplica(w, old, slot, before))
 	}
 	return st
 }
 
-func (o *ownership) doubtOf(slot uint16) time.Duration {
+func (o *ownership) doubtOf(slot uint16) (doubt, deep time.Duration) {
 	if o == nil {
-		return 0
+		return 0, 0
 	}
-	return o.slots[slot].doubt()
+	st := &o.slots[slot]
+	return st.doubt(), st.deep()
 }
 
 // giveUp notes that a slot goes to a new owner.
@@ -146,7 +158,7 @@
 }
 
 // takeSlot notes that this member becomes the owner of a slot.
-func (e *Engine) takeSlot(now time.Duration, w *view, o *ownership, st *slotState, before version.MemberID) {
+func (e *Engine) takeSlot(now time.Duration, w *view, o *ownership, st *slotState, before version.MemberID, replica bool) {
 	st.since = now
 	if before == 0 {
 		st.since = now - synHorizon
@@ -154,7 +166,7 @@
 	}
 	r := w.peers[before]
 	if r == nil {
-		e.loseOwner(now, w, st)
+		e.loseOwner(now, w, st, replica)
 		return
 	}
 	st.pred = e.predecessor(r.peer, o.epoch)
@@ -179,9 +191,9 @@
 		if st.pred == nil || w.peers[st.pred.id] != nil {
 			continue
 		}
-		st.doubtUntil = st.doubt()
+		st.doubtUntil, st.deepUntil = st.doubt(), st.deep()
 		if !st.pred.finished() {
-			e.loseOwner(now, w, st)
+			e.loseOwner(now, w, st, false)
 		}
 		st.pred = nil
 	}
@@ -191,14 +203,29 @@
 // knew. The slot is in doubt until retransmissions of opening packets have
 // ended, and all connections are known when each of them has had to send a
 // packet.
-func (e *Engine) loseOwner(now time.Duration, w *view, st *slotState) {
+//
+// replica says that this member was the standby and held the exceptions.
+func (e *Engine) loseOwner(now time.Duration, w *view, st *slotState, replica bool) {
 	st.doubtUntil = now + synHorizon
 	e.doubtUntil = st.doubtUntil
+	if !replica {
+		st.deepUntil = st.doubtUntil
+		e.deepUntil = st.deepUntil
+	}
 	for i := range w.version.Services {
 		e.knownAt = max(e.knownAt, now+w.version.Services[i].IdleTimeout)
 	}
 }
 
+// wasReplica reports whether this member held all exceptions of a slot as the
+// standby of an owner that has departed.
+func (e *Engine) wasReplica(w *view, old *ownership, slot uint16, owner version.MemberID) bool {
+	if old == nil || old.cur.Owner(slot) != owner || old.cur.Standby(slot) != w.self {
+		return false
+	}
+	return e.departed[owner] >= old.epoch
+}
+
 // dropHandovers forgets the complete handovers.
 func (e *Engine) dropHandovers() {
 	for id, h := range e.handovers {
--- a/internal/connection/owner/peer.go
+++ b/internal/connection/owner/peer.go
@@ -16,6 +16,7 @@
 	applied    atomic.Uint64
 	tenure     atomic.Uint64 // highest epoch for which it has handed its slots over
 	doubtUntil atomic.Int64  // until then, connections of owners before it may be in doubt
+	deepUntil  atomic.Int64
 	complete   atomic.Uint64 // highest epoch for which it has also sent all their connections
 
 	// The rest belongs to the control goroutine.
@@ -60,6 +61,12 @@
 	return int64(now)-p.heard.Load() <= int64(silentAfter)
 }
 
+// lost reports whether p has been silent for so long that this member decides
+// alone rather than relay to it.
+func (p *peer) lost(now time.Duration) bool {
+	return int64(now)-p.heard.Load() > int64(lostAfter)
+}
+
 // certain reports whether p cannot have decided without the owner within the
 // SYN horizon.
 func (p *peer) certain(now time.Duration) bool {
--- a/internal/connection/owner/receive.go
+++ b/internal/connection/owner/receive.go
@@ -120,6 +120,10 @@
 		e.doubtUntil = max(e.doubtUntil, now+time.Duration(t.Doubt)*time.Second)
 		p.doubtUntil.Store(int64(e.doubtUntil))
 	}
+	if t.Deep > 0 {
+		e.deepUntil = max(e.deepUntil, now+time.Duration(t.Deep)*time.Second)
+		p.deepUntil.Store(int64(e.deepUntil))
+	}
 	p.tenure.Store(max(p.tenure.Load(), t.Epoch))
 	if t.Complete && t.Epoch > p.complete.Load() {
 		p.complete.Store(t.Epoch)
--- a/internal/connection/owner/tick.go
+++ b/internal/connection/owner/tick.go
@@ -128,6 +128,7 @@
 		Epoch: h.epoch, Complete: complete,
 		Wait:  secondsUntil(now, e.knownAt),
 		Doubt: secondsUntil(now, e.doubtUntil),
+		Deep:  secondsUntil(now, e.deepUntil),
 	}
 }
 
