Check agreement, and keep failures as named tests

Cause: histories ended without asking whether all members agree, and found failures had no tests of their own. Change: after each history every member is asked about every live connection; seeds that once failed run by name. Owners after an epoch without owners are in doubt, and a member reports its doubt with its load. The oracle dates a connection by its first opening packet, so that a retransmission for which the owner has already decided is not taken for a new connection; members that the leader has expelled start again before agreement is asked.

--- a/internal/connection/owner/engine.go
+++ b/internal/connection/owner/engine.go
@@ -67,11 +67,11 @@
 	report     report
 	spend      spend
 	settled    uint64
-	based      uint64                      // see SettledBase
-	doubtUntil time.Duration               // latest doubt of any slot
-	deepUntil  time.Duration               // latest deep doubt of any slot
-	departed   map[version.MemberID]uint64 // synced epochs of the members that the last version dropped
-	knownAt    time.Duration               // when this member knows all connections of its slots
+	based      uint64                     // see SettledBase
+	doubtUntil time.Duration              // latest doubt of any slot
+	deepUntil  time.Duration              // latest deep doubt of any slot
+	departed   map[version.MemberID]*peer // members that the last version dropped
+	knownAt    time.Duration              // when this member knows all connections of its slots
 	sweepAt    int
 	leaving    bool
 	drained    bool // see Drained
@@ -141,7 +141,7 @@
 		p.member = true
 		w.peers[m.ID] = &route{p, m.Relay}
 	}
-	e.departed = make(map[version.MemberID]uint64)
+	e.departed = make(map[version.MemberID]*peer)
 	for id, p := range e.peers {
 		if p.member && w.peers[id] == nil {
 			e.forget(id, p)
@@ -165,7 +165,7 @@
 			c.AddHeard(-n)
 		}
 	}
-	e.departed[id] = p.synced
+	e.departed[id] = p
 	delete(e.peers, id)
 	e.preds = slices.DeleteFunc(e.preds, func(q *predecessor) bool { return q.peer == p })
 	delete(e.handovers, id)
--- a/internal/connection/owner/ownership.go
+++ b/internal/connection/owner/ownership.go
@@ -19,6 +19,10 @@
 	slots   [placement.Slots]slotState
 }
 
+// firstEpoch is the epoch of the first owners, before which no member has
+// decided anything.
+const firstEpoch = 1
+
 // slotState is what this member knows of one slot besides its owner.
 type slotState struct {
 	moved      uint16           // low bits of the epoch in which the owner last changed
@@ -127,7 +131,7 @@
 	case held:
 		st = old.slots[slot]
 	default:
-		e.takeSlot(now, w, o, &st, before, e.wasReplica(w, old, slot, before))
+		e.takeSlot(now, w, o, &st, before, e.wasReplica(now, w, old, slot, before))
 	}
 	return st
 }
@@ -160,7 +164,7 @@
 // takeSlot notes that this member becomes the owner of a slot.
 func (e *Engine) takeSlot(now time.Duration, w *view, o *ownership, st *slotState, before version.MemberID, replica bool) {
 	st.since = now
-	if before == 0 {
+	if before == 0 && o.epoch <= firstEpoch {
 		st.since = now - synHorizon
 		return
 	}
@@ -219,11 +223,12 @@
 
 // wasReplica reports whether this member held all exceptions of a slot as the
 // standby of an owner that has departed.
-func (e *Engine) wasReplica(w *view, old *ownership, slot uint16, owner version.MemberID) bool {
+func (e *Engine) wasReplica(now time.Duration, w *view, old *ownership, slot uint16, owner version.MemberID) bool {
 	if old == nil || old.cur.Owner(slot) != owner || old.cur.Standby(slot) != w.self {
 		return false
 	}
-	return e.departed[owner] >= old.epoch
+	p := e.departed[owner]
+	return p != nil && p.synced >= old.epoch && p.deepUntil.Load() <= int64(now)
 }
 
 // dropHandovers forgets the complete handovers.
--- a/internal/connection/owner/receive.go
+++ b/internal/connection/owner/receive.go
@@ -17,7 +17,7 @@
 	p := e.peer(now, from)
 	p.hear(now)
 	if m.Load != nil {
-		e.receiveLoad(p, m.Load)
+		e.receiveLoad(now, p, m.Load)
 	}
 	if m.Ack != nil {
 		p.out.ack(m.Ack.Seq)
@@ -43,12 +43,15 @@
 	return []Outbound{{from, answer}}
 }
 
-func (e *Engine) receiveLoad(p *peer, l *Load) {
+func (e *Engine) receiveLoad(now time.Duration, p *peer, l *Load) {
 	if l.Seq <= p.loadSeq {
 		return
 	}
 	p.loadSeq = l.Seq
 	p.doubt.Store(l.Doubt)
+	if l.Deep > 0 {
+		p.deepUntil.Store(int64(now + time.Duration(l.Deep)*time.Second))
+	}
 	p.applied.Store(max(p.applied.Load(), l.Applied))
 	e.mergeCounts(p, l)
 	p.synced = max(p.synced, l.Synced)
--- a/internal/connection/owner/stateful_test.go
+++ b/internal/connection/owner/stateful_test.go
@@ -5,10 +5,12 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
 	"heatherport/internal/connection"
@@ -155,7 +157,7 @@
 func (m *model) checkOpening(n *fleet.Node, c *conn, d *connection.Decision) {
 	if c.upstream == 0 {
 		c.upstream = d.Upstream
-		if at, gone := m.left[d.Upstream]; gone && m.Now > at+time.Second && !m.cuts {
+		if at, gone := m.left[d.Upstream]; gone && c.at > at+time.Second && !m.cuts {
 			m.failConn(c, "member %d opened %v at leaving upstream %d", n.ID, c.key.Caller(), d.Upstream)
 		}
 	}
@@ -400,6 +402,9 @@
 // agree on every live connection.
 func (m *model) quiet() {
 	m.Heal()
+	for _, n := range m.Leader.Expelled() {
+		m.Fleet.Kill(n)
+	}
 	m.Run(45 * time.Second)
 	for _, c := range m.conns {
 		if !m.alive(c) {
@@ -422,44 +427,101 @@
 	}
 }
 
-func TestPlannedChangesMoveNoConnection(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		m := newModel(t, false)
-		t.Repeat(m.planned())
-		m.quiet()
-		m.Check(t)
-	})
+// agree checks that all members send packets of every live connection to one
+// upstream.
+func (m *model) agree() {
+	m.Run(refreshTime)
+	seen := make(map[version.UpstreamID]bool)
+	observe := m.OnPacket
+	m.OnPacket = func(n *fleet.Node, p *connection.Packet, d *connection.Decision) {
+		if d.Action == connection.Forward {
+			seen[d.Upstream] = true
+		}
+	}
+	defer func() { m.OnPacket = observe }()
+	for _, c := range m.conns {
+		if c.upstream == 0 || c.closed || m.Leader.Upstream(c.upstream) == nil {
+			continue
+		}
+		m.sendToAll(c) // entries that are wrong are refreshed and corrected
+		seen = make(map[version.UpstreamID]bool)
+		m.sendToAll(c)
+		if len(seen) > 1 {
+			m.failConn(c, "members disagree about %v: %v", c.key.Caller(), seen)
+		}
+	}
 }
 
-func TestPlannedChangesOverLossyLinks(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		m := newModel(t, true)
-		t.Repeat(m.planned())
-		m.quiet()
-		m.Check(t)
-	})
+func (m *model) sendToAll(c *conn) {
+	for _, n := range m.Ready() {
+		m.Send(n, connection.Packet{Key: c.key, Marks: connection.MarkLater})
+	}
+	m.Run(50 * time.Millisecond)
 }
 
-func TestKilledMembers(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		m := newModel(t, false)
-		actions := m.planned()
-		actions["killMember"] = m.killMember
-		t.Repeat(actions)
-		m.quiet()
-		m.Check(t)
-	})
-}
+// refreshTime is the time in which members refresh the owner's entries.
+const refreshTime = 31 * time.Second
+
+// The kinds of histories.
+func plannedHistory(t *rapid.T) { history(t, false) }
 
-func TestPartitions(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		m := newModel(t, true)
-		actions := m.planned()
+func lossyHistory(t *rapid.T) { history(t, true) }
+
+func killHistory(t *rapid.T) { history(t, false, "kill") }
+
+func partitionHistory(t *rapid.T) { history(t, true, "kill", "partition") }
+
+func history(t *rapid.T, lossy bool, faults ...string) {
+	m := newModel(t, lossy)
+	actions := m.planned()
+	if slices.Contains(faults, "kill") {
 		actions["killMember"] = m.killMember
-		actions["partition"] = m.partition
-		actions["heal"] = m.heal
-		t.Repeat(actions)
-		m.quiet()
-		m.Check(t)
-	})
+	}
+	if slices.Contains(faults, "partition") {
+		actions["partition"], actions["heal"] = m.partition, m.heal
+	}
+	t.Repeat(actions)
+	m.quiet()
+	m.agree()
+	m.Check(t)
+}
+
+func TestPlannedChangesMoveNoConnection(t *testing.T) { rapid.Check(t, plannedHistory) }
+
+func TestPlannedChangesOverLossyLinks(t *testing.T) { rapid.Check(t, lossyHistory) }
+
+func TestKilledMembers(t *testing.T) { rapid.Check(t, killHistory) }
+
+func TestPartitions(t *testing.T) { rapid.Check(t, partitionHistory) }
+
+// TestFailuresFound runs the histories that once broke a property.
+func TestFailuresFound(t *testing.T) {
+	for _, f := range []struct {
+		name    string
+		seed    string
+		history func(*rapid.T)
+	}{
+		{"base connections unknown to a new owner", "20262915", plannedHistory},
+		{"first upstream removed before a retransmission", "20264364", lossyHistory},
+		{"doubt lost in a second handover", "20264690", killHistory},
+		{"handover overtaken by the next epoch", "20278224", lossyHistory},
+		{"exception from two senders", "20261207", plannedHistory},
+		{"owner lost while its standby lagged", "20431440", killHistory},
+		{"three heartbeats lost", "20510775", lossyHistory},
+		{"drained member forgotten", "20356470", plannedHistory},
+		{"all owners lost", "21175832", partitionHistory},
+	} {
+		t.Run(f.name, func(t *testing.T) {
+			setFlag(t, "rapid.seed", f.seed)
+			setFlag(t, "rapid.checks", "3")
+			rapid.Check(t, f.history)
+		})
+	}
+}
+
+// setFlag sets a flag for the duration of a test.
+func setFlag(t *testing.T, name, value string) {
+	old := flag.Lookup(name).Value.String()
+	must.NoError(t, flag.Set(name, value))
+	t.Cleanup(func() { must.NoError(t, flag.Set(name, old)) })
 }
--- a/internal/connection/owner/tick.go
+++ b/internal/connection/owner/tick.go
@@ -164,6 +164,7 @@
 	head := Load{
 		Seq: e.report.seq, Applied: w.version.Index, Leaving: e.leaving,
 		Doubt: now-time.Duration(e.aloneAt.Load()) < synHorizon,
+		Deep:  secondsUntil(now, e.deepUntil),
 	}
 	if e.settled >= w.version.Index {
 		head.Synced = w.owners.epoch
--- a/internal/measure/fleet/leader.go
+++ b/internal/measure/fleet/leader.go
@@ -206,6 +206,18 @@
 	l.ownersAt, l.epochAt = 0, l.Index+1
 }
 
+// Expelled returns the members that run although the leader has taken them
+// out. They have to start again as new members.
+func (l *Leader) Expelled() []*Node {
+	var out []*Node
+	for _, n := range l.fleet.Running() {
+		if !l.isMember(n.ID) {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
 func (l *Leader) isMember(id version.MemberID) bool {
 	return slices.ContainsFunc(l.members, func(m member) bool { return m.node.ID == id })
 }
