Keep limits and doubts over the loss of an owner

Cause: a test of refusals found that a lost owner's connections no longer counted, and that openings after a loss ignored the connection limit. Change: a lost member's counts stay until the new owners have learned its connections; an opening packet whose base is full is dropped in doubt. Tests of refusals, limits, reused ports, unmarked packets and damaged messages.

--- a/internal/connection/owner/engine.go
+++ b/internal/connection/owner/engine.go
@@ -73,6 +73,7 @@
 	departed   map[version.MemberID]*peer // members that the last version dropped
 	knownAt    time.Duration              // when this member knows all connections of its slots
 	sweepAt    int
+	ghosts     []ghost
 	leaving    bool
 	drained    bool // see Drained
 }
@@ -144,7 +145,7 @@
 	e.departed = make(map[version.MemberID]*peer)
 	for id, p := range e.peers {
 		if p.member && w.peers[id] == nil {
-			e.forget(id, p)
+			e.forget(now, id, p)
 		}
 	}
 }
@@ -158,19 +159,37 @@
 	return p
 }
 
-// forget drops a former member and its counts.
-func (e *Engine) forget(id version.MemberID, p *peer) {
-	for up, n := range p.counts {
-		if c := e.counters[up]; c != nil {
-			c.AddHeard(-n)
-		}
-	}
+// forget drops a former member. Its counts stay for the time in which the new
+// owners learn its connections, so that upstreams do not seem to have room.
+func (e *Engine) forget(now time.Duration, id version.MemberID, p *peer) {
+	e.ghosts = append(e.ghosts, ghost{p.counts, now + refreshCap})
 	e.departed[id] = p
 	delete(e.peers, id)
 	e.preds = slices.DeleteFunc(e.preds, func(q *predecessor) bool { return q.peer == p })
 	delete(e.handovers, id)
 }
 
+// ghost is the last report of a former member.
+type ghost struct {
+	counts map[version.UpstreamID]int32
+	until  time.Duration
+}
+
+// dropGhosts takes out the counts of members that departed long enough ago.
+func (e *Engine) dropGhosts(now time.Duration) {
+	e.ghosts = slices.DeleteFunc(e.ghosts, func(g ghost) bool {
+		if now < g.until {
+			return false
+		}
+		for id, n := range g.counts {
+			if c := e.counters[id]; c != nil {
+				c.AddHeard(-n)
+			}
+		}
+		return true
+	})
+}
+
 // Member reports whether id is a member whose relay endpoint is from.
 func (e *Engine) Member(id version.MemberID, from netip.AddrPort) bool {
 	w := e.view.Load()
--- /dev/null
+++ b/internal/connection/owner/engine_test.go
@@ -0,0 +1,188 @@
+package owner_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"heatherport/internal/connection"
+	"heatherport/internal/connection/owner"
+	"heatherport/internal/measure/fleet"
+	"heatherport/internal/result"
+	"heatherport/internal/version"
+)
+
+// rig is a small fleet that keeps the last final decision.
+type rig struct {
+	*fleet.Fleet
+	service version.ServiceID
+	last    connection.Decision
+	next    uint64
+}
+
+func newRig(members, upstreams int, limit uint32) *rig {
+	r := &rig{Fleet: fleet.New(fleet.Config{Seed: 1, Delay: time.Millisecond})}
+	r.service = r.Leader.AddService(false, idleTimeout)
+	for range upstreams {
+		r.Leader.AddUpstream(r.service, 3, limit, netip.AddrPort{})
+	}
+	for range members {
+		r.Leader.Join(r.Start())
+	}
+	r.OnPacket = func(_ *fleet.Node, _ *connection.Packet, d *connection.Decision) { r.last = *d }
+	r.Leader.Begin()
+	r.Run(3 * time.Second)
+	return r
+}
+
+func (r *rig) open() connection.Packet {
+	r.next++
+	return connection.Packet{
+		Key:   fleet.Key(r.Leader.Service(r.service).Key, r.next),
+		Marks: connection.MarkOpen, Seq: uint32(r.next),
+	}
+}
+
+// decide sends a packet to a member and returns the final decision.
+func (r *rig) decide(n *fleet.Node, p connection.Packet) connection.Decision {
+	r.last = connection.Decision{}
+	r.Send(n, p)
+	r.Run(10 * time.Millisecond)
+	return r.last
+}
+
+// ownedBy returns an opening packet of a connection that n owns.
+func (r *rig) ownedBy(n *fleet.Node) connection.Packet {
+	for {
+		if p := r.open(); n.Engine.Explain(r.Now, p.Key).Owner == n.ID {
+			return p
+		}
+	}
+}
+
+func (r *rig) any() *fleet.Node { return r.Nodes[r.Rand.IntN(len(r.Nodes))] }
+
+func TestRetransmittedOpeningPacketFollowsTheFirst(t *testing.T) {
+	r := newRig(4, 4, 0)
+	for range 50 {
+		p := r.open()
+		first := r.decide(r.any(), p)
+		again := r.decide(r.any(), p)
+		must.Eq(t, connection.Forward, first.Action)
+		must.Eq(t, first.Upstream, again.Upstream)
+	}
+}
+
+func TestReusedPortAfterFinOpensNewConnection(t *testing.T) {
+	r := newRig(4, 4, 0)
+	p := r.open()
+	first := r.decide(r.Nodes[0], p)
+	fin := p
+	fin.Marks = connection.MarkLater | connection.MarkFin
+	r.decide(r.Nodes[1], fin)
+	r.Leader.SetState(first.Upstream, version.Leaving)
+	r.Run(5 * time.Second)
+	p.Seq += 1000
+	second := r.decide(r.Nodes[2], p)
+	must.Eq(t, connection.Forward, second.Action)
+	must.NotEq(t, first.Upstream, second.Upstream)
+}
+
+func TestFullUpstreamsRefuseOnlyWhenCertain(t *testing.T) {
+	r := newRig(4, 2, 10)
+	var refused, opened int
+	var conns []connection.Packet
+	for range 60 {
+		p := r.open()
+		switch d := r.decide(r.any(), p); d.Action {
+		case connection.Forward:
+			opened++
+			conns = append(conns, p)
+		case connection.Refuse:
+			must.Eq(t, result.RefusedFull, d.Code)
+			refused++
+		}
+		r.Run(600 * time.Millisecond)
+	}
+	must.Eq(t, 20, opened)
+	must.Eq(t, 40, refused)
+	lost := r.ownedBy(r.Nodes[3])
+	r.Kill(r.Nodes[3])
+	r.Run(10 * time.Second)
+	d := r.decide(r.Nodes[0], lost)
+	must.Eq(t, connection.Drop, d.Action, must.Sprint("a lost owner may have forwarded this connection"))
+	r.Run(20 * time.Second)
+	for _, p := range conns {
+		p.Marks = connection.MarkLater
+		r.decide(r.Nodes[0], p)
+	}
+	r.Run(70 * time.Second)
+	d = r.decide(r.Nodes[0], lost)
+	must.Eq(t, connection.Refuse, d.Action)
+}
+
+// TestConnLimitOvershoot opens connections at once at all members. Each owner
+// may miss what the others opened since their last reports.
+func TestConnLimitOvershoot(t *testing.T) {
+	const limit = 200
+	r := newRig(8, 2, limit)
+	open := map[version.UpstreamID]int{}
+	for range 1000 {
+		if d := r.decide(r.any(), r.open()); d.Action == connection.Forward {
+			open[d.Upstream]++
+		}
+	}
+	for id, n := range open {
+		t.Logf("upstream %d: %d open, limit %d", id, n, limit)
+		must.LessEq(t, limit*11/10, n)
+	}
+}
+
+func TestNonIdempotentOpeningIsDroppedWithoutOwner(t *testing.T) {
+	r := newRig(4, 4, 0)
+	alone := r.Nodes[0]
+	for _, n := range r.Nodes[1:] {
+		r.Cut(alone, n)
+		r.Cut(n, alone)
+	}
+	r.Run(4 * time.Second)
+	var dropped int
+	for range 20 {
+		if d := r.decide(alone, r.open()); d.Code == result.DropInDoubt {
+			dropped++
+		}
+	}
+	must.Positive(t, dropped)
+}
+
+func TestUnmarkedPacketsFollowTheFirst(t *testing.T) {
+	r := newRig(4, 4, 0)
+	for range 50 {
+		p := r.open()
+		p.Marks, p.Seq = 0, 0
+		first := r.decide(r.any(), p)
+		for range 5 {
+			must.Eq(t, first.Upstream, r.decide(r.any(), p).Upstream)
+		}
+	}
+}
+
+func TestExplainNamesOwnerAndUpstream(t *testing.T) {
+	r := newRig(4, 4, 0)
+	p := r.open()
+	d := r.decide(r.Nodes[0], p)
+	x := r.Nodes[0].Engine.Explain(r.Now, p.Key)
+	must.Len(t, 4, x.Ranking)
+	must.NotEq(t, x.Owner, x.Standby)
+	must.Eq(t, d.Upstream, x.Upstream)
+}
+
+func TestDamagedMessagesAreIgnored(t *testing.T) {
+	r := newRig(2, 2, 0)
+	e, from := r.Nodes[0].Engine, r.Nodes[1].ID
+	e.Receive(r.Now, from, owner.Message{Load: &owner.Load{Seq: 1 << 20, Counts: []byte{0xff, 0xff}}})
+	e.Receive(r.Now, from, owner.Message{Exceptions: &owner.Exceptions{Seq: 1, Items: []byte{2, 1, 2, 3}}})
+	must.Eq(t, connection.Forward, r.decide(r.Nodes[0], r.open()).Action)
+}
--- a/internal/connection/owner/miss.go
+++ b/internal/connection/owner/miss.go
@@ -156,10 +156,11 @@
 		return drop(result.DropInDoubt)
 	}
 	t := r.view.targets.get(r.first(s))
-	if t != nil && (t.active || r.unmarked() && r.now < st.doubt()-synHorizon+unmarkedGrace) {
+	room := t != nil && t.active && !e.full(r, t)
+	if room || t != nil && r.unmarked() && r.now < st.doubt()-synHorizon+unmarkedGrace {
 		return e.openAt(r, t)
 	}
-	recent := t == nil || t.counter.leftAt > r.now-synHorizon
+	recent := t == nil || t.active || t.counter.leftAt > r.now-synHorizon
 	if recent && !s.idempotent {
 		return drop(result.DropInDoubt)
 	}
--- a/internal/connection/owner/tick.go
+++ b/internal/connection/owner/tick.go
@@ -31,6 +31,7 @@
 		return nil
 	}
 	e.table.Expire(now)
+	e.dropGhosts(now)
 	e.events.drain(func(it item) {
 		e.spend.steady += e.replicate(w, it) * itemBytes
 	})
