--- a/internal/connection/owner/tick.go
+++ b/internal/connection/owner/tick.go
@@ -31,6 +31,7 @@
 		return nil
 	}
 	e.table.Expire(now)
+	e.dropGhosts(now)
 	e.events.drain(func(it item) {
 		e.spend.steady += e.replicate(w, it) * itemBytes
 	})
@@ -128,6 +129,7 @@
 		Epoch: h.epoch, Complete: complete,
 		Wait:  secondsUntil(now, e.knownAt),
 		Doubt: secondsUntil(now, e.doubtUntil),
+		Deep:  secondsUntil(now, e.deepUntil),
 	}
 }
 
@@ -163,6 +165,7 @@
 	head := Load{
 		Seq: e.report.seq, Applied: w.version.Index, Leaving: e.leaving,
 		Doubt: now-time.Duration(e.aloneAt.Load()) < synHorizon,
+		Deep:  secondsUntil(now, e.deepUntil),
 	}
 	if e.settled >= w.version.Index {
 		head.Synced = w.owners.epoch
