Decide about whole batches, and print benchmark medians as figures

Cause: the engine can bring the entries of a batch into the cache before it decides, but the forwarder decided packet by packet; loopback, commit and recovery figures were not among those of make measure. Change: the forwarder decodes a batch, warms the engine and then decides; benchfigures prints medians of selected benchmarks; make fuzz.

--- a/Makefile
+++ b/Makefile
@@ -13,3 +13,10 @@
 
 measure:
 	go run ./internal/measure/cmd
+	go test -run '^$$' -bench 'Loopback|CopyLoop' -count 5 ./internal/request/forward | go run ./internal/measure/benchfigures
+	go test -run '^$$' -bench 'CommitSync|Recover10000' ./internal/version/replica | go run ./internal/measure/benchfigures
+
+# Fuzz targets, a minute each.
+fuzz:
+	go test -fuzz FuzzDecodePacket -fuzztime 60s -fuzzminimizetime 10x -parallel 2 ./internal/request/wire
+	go test -fuzz FuzzDecodeRelay -fuzztime 60s -fuzzminimizetime 10x -parallel 2 ./internal/request/relay
--- a/internal/request/forward/bench_test.go
+++ b/internal/request/forward/bench_test.go
@@ -28,6 +28,8 @@
 // fixedEngine forwards every packet to one address.
 type fixedEngine struct{ to netip.AddrPort }
 
+func (*fixedEngine) Warm([]connection.Packet) {}
+
 func (e *fixedEngine) Decide(time.Duration, *connection.Packet, *connection.Relay) connection.Decision {
 	return connection.Decision{Action: connection.Forward, Addr: e.to}
 }
--- a/internal/request/forward/config.go
+++ b/internal/request/forward/config.go
@@ -86,6 +86,8 @@
 // Engine decides about packets. Its methods are called by several goroutines
 // at a time and may keep none of their arguments.
 type Engine interface {
+	// Warm prepares the decisions about a batch of packets from the fabric.
+	Warm(packets []connection.Packet)
 	// Decide decides about one packet. via is nil for a packet from the fabric.
 	Decide(now time.Duration, p *connection.Packet, via *connection.Relay) connection.Decision
 	// Refresh renews the entry of a connection. Of the decision, only the
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -44,6 +44,8 @@
 	e.decision = d
 }
 
+func (*stubEngine) Warm([]connection.Packet) {}
+
 func (e *stubEngine) Decide(_ time.Duration, p *connection.Packet, via *connection.Relay) connection.Decision {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/request/forward/receiver.go
+++ b/internal/request/forward/receiver.go
@@ -34,7 +34,7 @@
 type receiver struct {
 	f      *Forwarder
 	in     *socket
-	handle func(r *receiver, i int)
+	handle func(r *receiver, n int) // handles the first n messages
 
 	// bufs are the read buffers. The packet always starts after HeaderSize
 	// bytes, so that it is relayed from where it was read.
@@ -48,6 +48,8 @@
 	icmp    *rate.Limiter
 	codec   *relay.Codec
 	now     time.Duration
+	decoded []connection.Packet // packets of the batch
+	origin  []int               // their positions in ms
 	packet  connection.Packet
 	message relay.Message
 	hint    connection.Hint
@@ -81,6 +83,8 @@
 		answers: makeBuffers(batch, wire.MaxRefusalSize),
 		bufs:    makeBuffers(batch, relay.HeaderSize+f.cfg.PacketSize),
 		ms:      make([]ipv4.Message, batch),
+		decoded: make([]connection.Packet, 0, batch),
+		origin:  make([]int, 0, batch),
 	}
 	headroom := relay.HeaderSize
 	if in == relays {
@@ -137,10 +141,8 @@
 // batch handles the first n messages and sends what they lead to.
 func (r *receiver) batch(n int) {
 	r.now = r.f.clock()
-	for i := range max(n, 0) {
-		r.handle(r, i)
-	}
 	if n > 0 {
+		r.handle(r, n)
 		r.countOverflow(&r.ms[n-1])
 	}
 	r.fabric.flush(&r.counts)
@@ -161,25 +163,50 @@
 	r.overflowed = total
 }
 
-// fromFabric handles message i as a caller's packet.
-func (r *receiver) fromFabric(i int) {
+// fromFabric handles the first n messages as callers' packets. All are decoded
+// before the first decision, so that the engine can look ahead.
+func (r *receiver) fromFabric(n int) {
+	r.decoded = r.decoded[:0]
+	r.origin = r.origin[:0]
+	for i := range n {
+		r.decode(i)
+	}
+	r.f.engine.Warm(r.decoded)
+	for k, i := range r.origin {
+		r.packet = r.decoded[k]
+		d := r.f.engine.Decide(r.now, &r.packet, nil)
+		r.execute(r.bufs[i][:relay.HeaderSize+r.ms[i].N], &d, nil)
+	}
+}
+
+// decode decodes message i and keeps its packet for a decision.
+func (r *receiver) decode(i int) {
 	size := r.ms[i].N
 	r.counts.add(packetsIn, 1)
 	r.counts.add(bytesIn, size)
 	if r.cut(i) {
 		return
 	}
-	full := r.bufs[i][:relay.HeaderSize+size]
-	if code := r.decoder.Decode(full[relay.HeaderSize:], &r.packet); code != result.OK {
+	b := r.bufs[i][relay.HeaderSize : relay.HeaderSize+size]
+	k := len(r.decoded)
+	r.decoded = append(r.decoded, connection.Packet{})
+	if code := r.decoder.Decode(b, &r.decoded[k]); code != result.OK {
 		r.counts.addCode(code)
+		r.decoded = r.decoded[:k]
 		return
 	}
-	d := r.f.engine.Decide(r.now, &r.packet, nil)
-	r.execute(full, &d, nil)
+	r.origin = append(r.origin, i)
+}
+
+// fromRelay handles the first n messages as ones of other balancers.
+func (r *receiver) fromRelay(n int) {
+	for i := range n {
+		r.receive(i)
+	}
 }
 
-// fromRelay handles message i as one of another balancer.
-func (r *receiver) fromRelay(i int) {
+// receive handles message i as one of another balancer.
+func (r *receiver) receive(i int) {
 	if r.cut(i) {
 		return
 	}
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -34,6 +34,8 @@
 	e.addrs[version.ServiceKey{Addr: addr.Addr(), Port: addr.Port(), Protocol: p}] = to
 }
 
+func (*staticEngine) Warm([]connection.Packet) {}
+
 func (e *staticEngine) Decide(_ time.Duration, p *connection.Packet, _ *connection.Relay) connection.Decision {
 	e.mu.Lock()
 	defer e.mu.Unlock()
