Measure the slopes of control

Cause: nothing told how the cost of control grows with the number of VMs, services, upstreams and connections.

--- a/Makefile
+++ b/Makefile
@@ -13,3 +13,6 @@
 
 measure:
 	go run ./internal/measure/cmd
+
+slopes:
+	go run ./internal/measure/slopes/cmd
--- a/internal/measure/figures.go
+++ b/internal/measure/figures.go
@@ -39,8 +39,11 @@
 
 // Print measures the runs whose name contains one of the given words, or all,
 // and prints their figures to w.
-func Print(w io.Writer, words []string) {
-	for _, r := range Runs() {
+func Print(w io.Writer, words []string) { PrintRuns(w, Runs(), words) }
+
+// PrintRuns is Print for the given measurements.
+func PrintRuns(w io.Writer, runs []Run, words []string) {
+	for _, r := range runs {
 		if len(words) > 0 && !slices.ContainsFunc(words, func(s string) bool { return strings.Contains(r.Name, s) }) {
 			continue
 		}
