--- a/internal/measure/slopes/balancer.go
+++ b/internal/measure/slopes/balancer.go
@@ -171,6 +171,7 @@
 // Traffic of the fleets that exchange exceptions.
 const (
 	fleetUpstreams = 19
+	fleetCapacity  = 1 << 17 // connections in the table of each member
 	fleetDelay     = 1500 * time.Microsecond
 	fleetLifetime  = 20 * time.Second
 	fleetPackets   = 100
@@ -191,7 +192,7 @@
 }
 
 func coordinationAt(f *figures, n int) {
-	fl := fleet.New(fleet.Config{Seed: 1, Delay: fleetDelay, Capacity: capacity})
+	fl := fleet.New(fleet.Config{Seed: 1, Delay: fleetDelay, Capacity: fleetCapacity})
 	s := fl.Leader.AddService(false, idle)
 	for range fleetUpstreams {
 		fl.Leader.AddUpstream(s, 3, 0, netip.AddrPort{})
