--- a/internal/measure/slopes/balancer.go
+++ b/internal/measure/slopes/balancer.go
@@ -62,10 +62,32 @@
 			}
 		}
 		f.add(fmt.Sprintf("decide_new_u%d", n), nsPerOp(open), "ns")
+		f.add(fmt.Sprintf("decide_imbalance_u%d", n), imbalanceAt(v, connectionsEach*n), "max/mean")
 	}
 	return f
 }
 
+// connectionsEach is the mean of open connections of an upstream at which the
+// imbalance is measured.
+const connectionsEach = 20
+
+// imbalanceAt opens n connections at one owner and compares the upstream with
+// most of them with the mean.
+func imbalanceAt(v *version.Version, n int) float64 {
+	e := owner.New(owner.Config{Self: 1, Capacity: 2 * n})
+	e.SetLease(0, true)
+	e.Publish(0, v)
+	for i := range uint64(n) {
+		p := connection.Packet{Key: fleet.Key(v.Services[0].Key, i), Marks: connection.MarkOpen, Seq: 1}
+		e.Decide(time.Hour, &p, nil)
+	}
+	var most uint64
+	for i := range v.Upstream {
+		most = max(most, e.Open(v.Upstream[i].ID))
+	}
+	return float64(most) * float64(len(v.Upstream)) / float64(n)
+}
+
 // publish times the change to a version that differs in one upstream, and
 // measures the memory of the engine's view.
 func publish() []measure.Figure {
@@ -87,11 +109,23 @@
 			e.Publish(now, w.Version())
 		})/nsPerMs, "ms")
 		f.add(s.name("publish_owner_change"), nsPerOp(func() { w.replaceMember(); e.Publish(now, w.Version()) })/nsPerMs, "ms")
+		f.add(s.name("publish_member_loss"), medianMs(losses, func() {
+			w.apply(state.Command{RemoveMember: &state.RemoveMember{ID: w.newestMember()}})
+			e.Publish(now, w.Version())
+		}), "ms")
 		f.add(s.name("engine_tick"), nsPerOp(func() { now += 100 * time.Millisecond; e.Tick(now) })/nsPerMs, "ms")
 	}
 	return f
 }
 
+// losses is the number of members that are removed one by one.
+const losses = 3
+
+func (w *world) newestMember() version.MemberID {
+	members := w.Version().Members
+	return members[len(members)-1].ID
+}
+
 // replaceMember removes the newest member, and joins and activates the next
 // incarnation of it.
 func (w *world) replaceMember() {
--- a/internal/measure/slopes/feed.go
+++ b/internal/measure/slopes/feed.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"runtime"
+	"slices"
 	"time"
 
 	"heatherport/internal/measure"
@@ -20,9 +22,32 @@
 	for _, s := range upstreamSizes {
 		feedState(&f, s)
 	}
+	for _, s := range upstreamSizes[:4] {
+		historyMemory(&f, s)
+	}
 	return f
 }
 
+// historySheets is the number of sheets that a source has to remember. It is
+// small enough for the memory of the machine at all sizes.
+const historySheets = 256
+
+// historyMemory measures what a source remembers of entries that are whole
+// sheets.
+func historyMemory(f *figures, s size) {
+	data, err := state.EncodeCommand(state.Command{SubmitSheet: s.sheet(1)})
+	check(err)
+	source, heap := heapBytes(func() *feed.Source {
+		source := feed.NewSource(0, 0, func() []byte { return nil })
+		for i := range uint64(historySheets) {
+			source.Applied(0, feed.Entry{Index: i + 1, Data: slices.Clone(data)}, i)
+		}
+		return source
+	})
+	runtime.KeepAlive(source)
+	f.add(s.name("feed_history_heap"), heap/mega, "MB")
+}
+
 // feedChange pushes one change of an upstream to n subscribers.
 func feedChange(f *figures, n int) {
 	w := newWorld(today)
--- a/internal/measure/slopes/slopes.go
+++ b/internal/measure/slopes/slopes.go
@@ -53,6 +53,16 @@
 	return float64(times[batches/2].Nanoseconds()) / float64(n)
 }
 
+// medianMs returns the median time of n calls of f in milliseconds.
+func medianMs(n int, f func()) float64 {
+	times := make([]time.Duration, n)
+	for i := range times {
+		times[i] = elapsed(1, f)
+	}
+	slices.Sort(times)
+	return float64(times[n/2].Nanoseconds()) / nsPerMs
+}
+
 func elapsed(n int, f func()) time.Duration {
 	start := time.Now()
 	for range n {
