--- a/Makefile
+++ b/Makefile
@@ -20,3 +20,7 @@
 fuzz:
 	go test -fuzz FuzzDecodePacket -fuzztime 60s -fuzzminimizetime 10x -parallel 2 ./internal/request/wire
 	go test -fuzz FuzzDecodeRelay -fuzztime 60s -fuzzminimizetime 10x -parallel 2 ./internal/request/relay
+
+
+slopes:
+	go run ./internal/measure/slopes/cmd
