Tick before every event, and lead as the only voter

Cause 1: the control goroutine gave the replica its missed ticks once a turn. Events that arrived after a pause, drained in the same turn, counted leases and the voter's promise from before it; a leader without a lease went on granting leases until the end of the turn. Cause 2: a voter that wins the election and commits in one turn, as a single voter does, handled the first entry of its term before it knew that it leads, and never became ready. Ruled out: the margins of the lease in package raft; its ticks are right when they come in time. Before: TestPausedVoterKeepsItsPromise granted a vote to c-1 in term 2, and TestSingleVoterLeads found no ready leader. After: both hold, with TestPausedLeaderServesNothing. Conclusion: each event is preceded by the ticks that are due, and leadership that ended in them is given up at once.

--- a/internal/process/control/apply.go
+++ b/internal/process/control/apply.go
@@ -49,6 +49,10 @@
 			c.log.Error("snapshot refused", "index", out.Snapshot.Index, "error", err)
 		}
 	}
+	if out.Soft.Role == raft.Leader {
+		// Among the committed entries may be the first of the new term.
+		c.setSoft(out.Soft)
+	}
 	for _, e := range out.Committed {
 		c.commit(e)
 	}
--- a/internal/process/control/controller.go
+++ b/internal/process/control/controller.go
@@ -236,20 +236,15 @@
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
-		var event func()
 		select {
 		case <-c.ctx.Done():
 			return
 		case m := <-c.cfg.Links.Incoming():
-			event = func() { c.receive(m) }
-		case event = <-c.events:
+			c.receive(m)
+		case f := <-c.events:
+			c.run(f)
 		case <-ticker.C:
-			event = func() {}
 		}
-		// Ticks come before events: after a stall, a lease must have ended
-		// before a read is answered by it.
-		c.tickRaft(c.now())
-		event()
 		c.drain()
 		c.tick()
 		c.process()
@@ -263,7 +258,7 @@
 		case m := <-c.cfg.Links.Incoming():
 			c.receive(m)
 		case f := <-c.events:
-			f()
+			c.run(f)
 		default:
 			return
 		}
@@ -293,7 +288,15 @@
 
 func (c *Controller) now() time.Duration { return c.cfg.Clock() }
 
+// run carries out an event that was posted.
+func (c *Controller) run(f func()) {
+	c.tickRaft(c.now())
+	f()
+}
+
+// receive handles a message of another VM.
 func (c *Controller) receive(m link.Message) {
+	c.tickRaft(c.now())
 	switch m.Kind {
 	case link.KindRaft:
 		c.receiveRaft(m)
@@ -315,6 +318,7 @@
 // tick does the periodic work that is due.
 func (c *Controller) tick() {
 	now := c.now()
+	c.tickRaft(now)
 	if now-c.engineTicked >= engineInterval {
 		c.engineTicked = now
 		c.tickEngine(now)
@@ -330,9 +334,11 @@
 	}
 }
 
-// tickRaft gives the replica one tick for each interval that has passed.
+// tickRaft gives the replica one tick for each interval that has passed. Each
+// event is handled after it: leases and the promises of voters would otherwise
+// be counted from before a pause of the process.
 func (c *Controller) tickRaft(now time.Duration) {
-	if c.replica == nil {
+	if c.replica == nil || now-c.raftTicked < raftTickInterval {
 		return
 	}
 	for now-c.raftTicked >= raftTickInterval {
@@ -341,6 +347,9 @@
 			c.raftTicked = now
 		}
 	}
+	if c.leader != nil {
+		c.setSoft(c.replica.Status().Soft)
+	}
 }
 
 func (c *Controller) tickEngine(now time.Duration) {
