--- /dev/null
+++ b/cmd/heatherport/cluster_test.go
@@ -0,0 +1,326 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"heatherport/internal/process/keys"
+	"heatherport/internal/process/metrics"
+	"heatherport/internal/request/api"
+	"heatherport/internal/result"
+)
+
+const (
+	waitTimeout  = 60 * time.Second // of every wait
+	pollInterval = 20 * time.Millisecond
+	httpTimeout  = 2 * time.Second
+	callTimeout  = 5 * time.Second
+)
+
+// program builds the binary once.
+var program = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "heatherport-test-")
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(dir, "heatherport")
+	out, err := exec.Command("go", "build", "-o", path, ".").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("build: %w: %s", err, out)
+	}
+	return path, nil
+})
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if path, err := program(); err == nil {
+		os.RemoveAll(filepath.Dir(path))
+	}
+	os.Exit(code)
+}
+
+// vm is one VM of a cluster and its process.
+type vm struct {
+	name, dir string
+	addr      netip.Addr
+
+	process *exec.Cmd // nil when it does not run
+	stderr  bytes.Buffer
+}
+
+func (v *vm) dataDir() string { return filepath.Join(v.dir, "data") }
+
+// cluster is three voters and a diskless VM, each a process of its own.
+type cluster struct {
+	t      *testing.T
+	dir    string
+	binary string
+	vms    []*vm
+	client *api.Client
+}
+
+const clusterVoters = 3 // the first VMs
+
+var clusterNames = []string{"ibadan-1", "akure-1", "abeokuta-1", "oshogbo-1"}
+
+// newCluster prepares keys, settings and data folders, and starts all VMs.
+func newCluster(t *testing.T) *cluster {
+	binary, err := program()
+	must.NoError(t, err)
+	c := &cluster{t: t, dir: t.TempDir(), binary: binary}
+	t.Cleanup(c.close)
+	c.command("keys", "init", "--dir", c.dir)
+	c.command("keys", "issue", "--dir", c.dir, "--operator", "amina")
+	net := newSubnet()
+	for i, name := range clusterNames {
+		c.command("keys", "issue", "--dir", c.dir, "--name", name)
+		addr := netip.AddrFrom4([4]byte{net[0], net[1], net[2], byte(1 + i)})
+		v := &vm{name: name, dir: filepath.Join(c.dir, name), addr: addr}
+		must.NoError(t, os.Mkdir(v.dir, 0o700))
+		c.vms = append(c.vms, v)
+	}
+	for i, v := range c.vms {
+		must.NoError(t, os.WriteFile(c.settings(v), []byte(c.ini(i)), 0o600))
+		if i < clusterVoters {
+			c.command("voter", "bootstrap", "--settings", c.settings(v))
+		}
+	}
+	c.client = c.operator()
+	for i := range c.vms {
+		c.start(i)
+	}
+	c.waitReady()
+	return c
+}
+
+// clusters counts the clusters of this test process.
+var clusters atomic.Uint32
+
+// newSubnet returns the first three bytes of loopback addresses that no other
+// cluster uses, so that its ports are free whatever ports clients are given.
+func newSubnet() [3]byte {
+	return [3]byte{127, byte(1 + os.Getpid()%250), byte(clusters.Add(1))}
+}
+
+// Ports of a VM.
+const (
+	fabricPort  = 5555
+	relayPort   = 5556
+	linkPort    = 5557
+	apiPort     = 8443
+	metricsPort = 9464
+)
+
+// at returns an address of the VM.
+func (v *vm) at(port uint16) netip.AddrPort { return netip.AddrPortFrom(v.addr, port) }
+
+func (c *cluster) settings(v *vm) string { return filepath.Join(v.dir, "settings.ini") }
+
+// ini returns the settings of VM i.
+func (c *cluster) ini(i int) string {
+	v := c.vms[i]
+	domain, _, _ := strings.Cut(v.name, "-")
+	var b strings.Builder
+	fmt.Fprintf(&b, "[vm]\nname = %s\ndomain = %s\nstop_timeout = 30s\n", v.name, domain)
+	if i < clusterVoters {
+		fmt.Fprintf(&b, "data_dir = %s\n", v.dataDir())
+	}
+	fmt.Fprintf(&b, "[fabric]\nlisten = %s\nreturn = 127.0.0.1:9\n", v.at(fabricPort))
+	fmt.Fprintf(&b, "[relay]\nlisten = %s\n", v.at(relayPort))
+	fmt.Fprintf(&b, "[link]\nlisten = %s\n", v.at(linkPort))
+	fmt.Fprintf(&b, "[api]\nlisten = %s\n", v.at(apiPort))
+	fmt.Fprintf(&b, "[metrics]\nlisten = %s\n[peers]\n", v.at(metricsPort))
+	for _, p := range c.vms {
+		fmt.Fprintf(&b, "%s = %s\n", p.name, p.at(linkPort))
+	}
+	fmt.Fprintf(&b, "[voters]\ninitial = %s\n", strings.Join(clusterNames[:clusterVoters], ", "))
+	file := func(name string) string { return filepath.Join(c.dir, name) }
+	fmt.Fprintf(&b, "[keys]\nca = %s\ncertificate = %s\nkey = %s\nrelay_keys = %s\n", file(keys.CAFile),
+		file(keys.CertificateFile(v.name)), file(keys.KeyFile(v.name)), file(keys.RelayFile))
+	return b.String()
+}
+
+// command runs a command of the binary that must succeed.
+func (c *cluster) command(args ...string) {
+	c.t.Helper()
+	out, err := exec.Command(c.binary, args...).CombinedOutput()
+	must.NoError(c.t, err, must.Sprintf("%s: %s", args, out))
+}
+
+func (c *cluster) operator() *api.Client {
+	store, err := keys.Open(keys.Files{
+		CA:          filepath.Join(c.dir, keys.CAFile),
+		Certificate: filepath.Join(c.dir, keys.CertificateFile("amina")),
+		Key:         filepath.Join(c.dir, keys.KeyFile("amina")),
+	})
+	must.NoError(c.t, err)
+	var addrs []netip.AddrPort
+	for _, v := range c.vms {
+		addrs = append(addrs, v.at(apiPort))
+	}
+	return api.NewClient(addrs, store.ClientTLS(""))
+}
+
+// start starts the process of VM i.
+func (c *cluster) start(i int) {
+	v := c.vms[i]
+	v.stderr.Reset()
+	v.process = exec.Command(c.binary, "run", "--settings", c.settings(v))
+	v.process.Stderr = &v.stderr
+	must.NoError(c.t, v.process.Start())
+}
+
+// signal sends a signal to the process of VM i.
+func (c *cluster) signal(i int, s syscall.Signal) {
+	must.NoError(c.t, c.vms[i].process.Process.Signal(s))
+}
+
+// end waits for the end of the process of VM i and returns how it ended.
+func (c *cluster) end(i int) syscall.WaitStatus {
+	v := c.vms[i]
+	timer := time.AfterFunc(waitTimeout, func() { _ = v.process.Process.Kill() })
+	defer timer.Stop()
+	// The error repeats the status.
+	_ = v.process.Wait()
+	status := v.process.ProcessState.Sys().(syscall.WaitStatus)
+	v.process = nil
+	return status
+}
+
+// kill ends the process of VM i by SIGKILL.
+func (c *cluster) kill(i int) {
+	c.signal(i, syscall.SIGKILL)
+	c.end(i)
+}
+
+func (c *cluster) close() {
+	for i, v := range c.vms {
+		if v.process == nil {
+			continue
+		}
+		c.kill(i)
+		if c.t.Failed() {
+			c.t.Logf("%s:\n%s", v.name, v.stderr.String())
+		}
+	}
+}
+
+// health returns the answer to /readyz of a VM.
+func (v *vm) health() (h metrics.Health, ok bool) {
+	client := http.Client{Timeout: httpTimeout}
+	resp, err := client.Get("http://" + v.at(metricsPort).String() + "/readyz")
+	if err != nil {
+		return h, false
+	}
+	defer resp.Body.Close()
+	return h, json.NewDecoder(resp.Body).Decode(&h) == nil
+}
+
+// waitFor polls until ok holds.
+func (c *cluster) waitFor(what string, ok func() bool) {
+	c.t.Helper()
+	deadline := time.Now().Add(waitTimeout)
+	for !ok() {
+		if time.Now().After(deadline) {
+			c.t.Fatalf("%s: not within %s", what, waitTimeout)
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
+// waitAll polls until ok holds for the health of all VMs that run.
+func (c *cluster) waitAll(what string, ok func(metrics.Health) bool) {
+	c.t.Helper()
+	for _, v := range c.vms {
+		if v.process == nil {
+			continue
+		}
+		c.waitFor(v.name+": "+what, func() bool {
+			h, answered := v.health()
+			return answered && ok(h)
+		})
+	}
+}
+
+func (c *cluster) waitReady() {
+	c.t.Helper()
+	c.waitAll("ready", func(h metrics.Health) bool { return h.Ready })
+}
+
+// submit submits sheet number once.
+func (c *cluster) submit(number uint64) error {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	_, err := c.client.SubmitSheet(ctx, fmt.Appendf(nil, "version,%d\nservice,permit,198.51.100.1,tcp,443,10m,no\n", number))
+	return err
+}
+
+// mustSubmit submits sheet number until it is accepted and in force.
+func (c *cluster) mustSubmit(number uint64) {
+	c.t.Helper()
+	c.waitFor("sheet accepted", func() bool { return c.submit(number) == nil })
+	c.waitAll("sheet in force", func(h metrics.Health) bool { return h.SheetNumber == number })
+}
+
+// voters returns how many voters the leader counts, zero without a leader.
+func (c *cluster) voters() map[string]bool {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	s, err := c.client.Status(ctx)
+	if err != nil || !s.Majority {
+		return nil
+	}
+	out := make(map[string]bool)
+	for _, m := range s.VMs {
+		if m.Voter {
+			out[m.Name] = true
+		}
+	}
+	return out
+}
+
+// changes returns the voter changes of one VM that the leaders have recorded.
+func (c *cluster) changes(name string) []string {
+	var out []string
+	for _, v := range c.vms[:clusterVoters] {
+		data, _ := os.ReadFile(filepath.Join(v.dataDir(), "audit.jsonl"))
+		for line := range bytes.Lines(data) {
+			var r api.AuditRecord
+			if json.Unmarshal(line, &r) == nil && r.Subject == "voter "+name {
+				out = append(out, r.After)
+			}
+		}
+	}
+	return out
+}
+
+// exitClass is the exit code of a process that failed with c.
+func exitClass(c result.Code) int { return int(c.Class()) }
+
+// members returns the names of the VMs that are members.
+func (c *cluster) members() map[string]bool {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	s, err := c.client.Status(ctx)
+	must.NoError(c.t, err)
+	out := make(map[string]bool)
+	for _, m := range s.VMs {
+		out[m.Name] = true
+	}
+	return out
+}
--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -35,7 +35,9 @@
 	stopTimeout  = 15 * time.Second
 )
 
-var loopback = netip.MustParseAddr("127.0.0.1")
+// address returns the loopback address of VM i. It is none that clients are
+// given, so that the ports of a VM stay free while it is down.
+func address(i int) netip.Addr { return netip.AddrFrom4([4]byte{127, 0, 0, byte(2 + i)}) }
 
 // Options configure a Fleet.
 type Options struct {
@@ -113,14 +115,15 @@
 	s.Fabric.Receivers = 1
 	s.Fabric.Batch = settings.DefaultBatch
 	s.Connections.Capacity = capacity
+	addr := address(i)
 	s.Connections.ExceptionBudget = settings.DefaultExceptionBudget
 	for _, a := range []*netip.AddrPort{&s.Fabric.Listen, &s.Relay.Listen, &s.Link.Listen} {
-		if err := freeUDP(a); err != nil {
+		if err := freeUDP(addr, a); err != nil {
 			return nil, err
 		}
 	}
 	for _, a := range []*netip.AddrPort{&s.API.Listen, &s.Metrics.Listen} {
-		if err := freeTCP(a); err != nil {
+		if err := freeTCP(addr, a); err != nil {
 			return nil, err
 		}
 	}
@@ -130,8 +133,8 @@
 	return s, nil
 }
 
-func freeUDP(a *netip.AddrPort) error {
-	c, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.AddrPortFrom(loopback, 0)))
+func freeUDP(addr netip.Addr, a *netip.AddrPort) error {
+	c, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.AddrPortFrom(addr, 0)))
 	if err != nil {
 		return result.Wrapf(err, result.Internal, "free UDP port")
 	}
@@ -140,8 +143,8 @@
 	return nil
 }
 
-func freeTCP(a *netip.AddrPort) error {
-	l, err := net.Listen("tcp", netip.AddrPortFrom(loopback, 0).String())
+func freeTCP(addr netip.Addr, a *netip.AddrPort) error {
+	l, err := net.Listen("tcp", netip.AddrPortFrom(addr, 0).String())
 	if err != nil {
 		return result.Wrapf(err, result.Internal, "free TCP port")
 	}
--- a/internal/process/fleet/fleet_test.go
+++ b/internal/process/fleet/fleet_test.go
@@ -26,7 +26,7 @@
 
 // start starts a fleet and waits until all VMs are members with a share.
 func start(t *testing.T) *harness {
-	fabric, err := standin.NewFabric(netip.AddrPortFrom(loopback, 0), 1)
+	fabric, err := standin.NewFabric(netip.MustParseAddrPort("127.0.0.1:0"), 1)
 	must.NoError(t, err)
 	t.Cleanup(func() { _ = fabric.Close() })
 	f, err := New(Options{Dir: t.TempDir(), Fabric: fabric, Log: hclog.NewNullLogger()})
