--- a/internal/connection/owner/engine.go
+++ b/internal/connection/owner/engine.go
@@ -20,6 +20,9 @@
 	// silentAfter is the time without a message after which a member
 	// counts as unreachable.
 	silentAfter = 3 * heartbeat
+	// lostAfter is the silence after which a member that hears neither the
+	// owner nor the standby decides alone.
+	lostAfter = 6 * heartbeat
 	// fullEvery is the interval of complete load reports.
 	fullEvery = 10 * time.Second
 	// refreshCap bounds the time between refreshes of an owner's entry.
@@ -64,11 +67,15 @@
 	report     report
 	spend      spend
 	settled    uint64
-	based      uint64        // see SettledBase
-	doubtUntil time.Duration // latest doubt of any slot
-	knownAt    time.Duration // when this member knows all connections of its slots
+	based      uint64                     // see SettledBase
+	doubtUntil time.Duration              // latest doubt of any slot
+	deepUntil  time.Duration              // latest deep doubt of any slot
+	departed   map[version.MemberID]*peer // members that the last version dropped
+	knownAt    time.Duration              // when this member knows all connections of its slots
 	sweepAt    int
+	ghosts     []ghost
 	leaving    bool
+	drained    bool // see Drained
 }
 
 // New returns an engine without a version.
@@ -135,9 +142,10 @@
 		p.member = true
 		w.peers[m.ID] = &route{p, m.Relay}
 	}
+	e.departed = make(map[version.MemberID]*peer)
 	for id, p := range e.peers {
 		if p.member && w.peers[id] == nil {
-			e.forget(id, p)
+			e.forget(now, id, p)
 		}
 	}
 }
@@ -151,18 +159,37 @@
 	return p
 }
 
-// forget drops a former member and its counts.
-func (e *Engine) forget(id version.MemberID, p *peer) {
-	for up, n := range p.counts {
-		if c := e.counters[up]; c != nil {
-			c.AddHeard(-n)
-		}
-	}
+// forget drops a former member. Its counts stay for the time in which the new
+// owners learn its connections, so that upstreams do not seem to have room.
+func (e *Engine) forget(now time.Duration, id version.MemberID, p *peer) {
+	e.ghosts = append(e.ghosts, ghost{p.counts, now + refreshCap})
+	e.departed[id] = p
 	delete(e.peers, id)
 	e.preds = slices.DeleteFunc(e.preds, func(q *predecessor) bool { return q.peer == p })
 	delete(e.handovers, id)
 }
 
+// ghost is the last report of a former member.
+type ghost struct {
+	counts map[version.UpstreamID]int32
+	until  time.Duration
+}
+
+// dropGhosts takes out the counts of members that departed long enough ago.
+func (e *Engine) dropGhosts(now time.Duration) {
+	e.ghosts = slices.DeleteFunc(e.ghosts, func(g ghost) bool {
+		if now < g.until {
+			return false
+		}
+		for id, n := range g.counts {
+			if c := e.counters[id]; c != nil {
+				c.AddHeard(-n)
+			}
+		}
+		return true
+	})
+}
+
 // Member reports whether id is a member whose relay endpoint is from.
 func (e *Engine) Member(id version.MemberID, from netip.AddrPort) bool {
 	w := e.view.Load()
@@ -178,23 +205,24 @@
 func (e *Engine) Leave() { e.leaving = true }
 
 // Drained reports whether this member owns nothing and has handed over what
-// it owned.
+// it owned. It stays true under later versions in which the member owns
+// nothing, because the leader may already have removed it.
 func (e *Engine) Drained() bool {
 	w := e.view.Load()
 	if w == nil {
 		return true
 	}
-	for _, id := range w.owners.members {
-		if id == w.self {
-			return false
-		}
+	if slices.Contains(w.owners.members, w.self) {
+		e.drained = false
+		return false
 	}
 	for _, h := range e.handovers {
 		if !h.complete {
-			return false
+			return e.drained
 		}
 	}
-	return e.settled >= w.version.Index
+	e.drained = e.drained || e.settled >= w.version.Index
+	return e.drained
 }
 
 // handedOver reports whether every new owner has acknowledged its tenure.
--- a/internal/version/roster/upstream.go
+++ b/internal/version/roster/upstream.go
@@ -27,8 +27,11 @@
 type upstreamView struct {
 	version.Upstream
 	service *serviceView
+	index   int // in Roster.upstreams and due
 
 	leaseUntil time.Duration
+	claimed    bool          // another upstream announced its address since its last renewal
+	overdue    bool          // not renewed, but kept as the last resort
 	lapsedAt   time.Duration // when the version showed the lease as lapsed
 	rampSince  time.Duration // when the version showed the slow-start step
 	load       float64       // smoothed
@@ -73,6 +76,9 @@
 		Probe:       a.Probe,
 	}
 	o := registrar.CheckRegister(c)
+	if o.Code == result.AddressInUse {
+		r.claim(now, o.Upstream)
+	}
 	if o.Code != result.OK {
 		return AnnounceReply{Code: o.Code, Detail: o.Detail}
 	}
@@ -85,6 +91,14 @@
 	return reply
 }
 
+// claim notes that another upstream announced the address of holder.
+func (r *Roster) claim(now time.Duration, holder version.UpstreamID) {
+	if u := r.viewByID(holder); u != nil {
+		u.claimed = true
+		r.due[u.index] = now
+	}
+}
+
 // renew renews the lease of an upstream. An incarnation that the version does
 // not show has no lease.
 func (r *Roster) renew(now time.Duration, n *Renewal) {
@@ -94,7 +108,11 @@
 		return
 	}
 	u.leaseUntil = max(u.leaseUntil, now+AnnounceLease)
+	u.claimed = false
 	u.load += (float64(n.LoadFactor) - u.load) * LoadSmoothing
+	if u.loadMoved() {
+		r.due[u.index] = now
+	}
 }
 
 // syncUpstreams merges the upstreams of the version, which are ordered by ID,
@@ -119,6 +137,11 @@
 	for _, view := range old {
 		r.forget(view)
 	}
+	r.due = make([]time.Duration, len(r.upstreams))
+	for i, view := range r.upstreams {
+		view.index = i
+		r.due[i] = r.now
+	}
 }
 
 // newView gives an upstream that the roster does not know a full lease.
@@ -174,23 +197,37 @@
 
 // changeUpstreams proposes changes of status and removals.
 func (r *Roster) changeUpstreams() {
-	r.countUpstreams()
-	for _, u := range r.upstreams {
+	for i := range r.due {
+		if r.now < r.due[i] {
+			continue
+		}
+		u := r.upstreams[i]
 		r.checkLease(u)
 		r.checkHealth(u)
 		r.checkRamp(u)
 		r.checkLoad(u)
 		r.checkGone(u)
+		r.due[i] = r.nextDue(u)
 	}
 	r.flushUpdates()
 }
 
+// nextDue returns when u is to be checked next: in the next tick, or when its
+// lease ends if it is at rest. A failed probe or a moved load makes it due.
+func (r *Roster) nextDue(u *upstreamView) time.Duration {
+	ramped := u.Ramp >= version.RampFull || !u.Eligible()
+	if u.Leased && u.Healthy && ramped {
+		return u.leaseUntil
+	}
+	return r.now
+}
+
 func (r *Roster) countUpstreams() {
 	for _, s := range r.services {
 		s.open, s.ejected, s.ramping = 0, 0, 0
 	}
 	for _, u := range r.upstreams {
-		if !u.Open() {
+		if !u.Open() || u.lapsing(r.now) {
 			continue
 		}
 		u.service.open++
@@ -219,18 +256,55 @@
 	}
 }
 
+// lapsing reports whether the lease of u is about to be shown as lapsed.
+func (u *upstreamView) lapsing(now time.Duration) bool {
+	return u.sent.leased.value == bit(false) && now < u.sent.leased.until
+}
+
 // checkLease compares the lease with what the version shows.
 func (r *Roster) checkLease(u *upstreamView) {
 	leased := u.leaseUntil > r.now
+	if !r.checkOverdue(u, leased) {
+		return
+	}
 	if leased == u.Leased || u.sent.leased.pending(r.now, bit(leased)) {
 		return
 	}
-	cause := state.CauseLeaseRenewed
-	if !leased {
-		cause = state.CauseLeaseLapsed
-		r.stats.LeasesLapsed++
+	if leased {
+		r.update(u, state.StatusUpdate{Leased: new(true), Cause: state.CauseLeaseRenewed})
+		return
+	}
+	r.stats.LeasesLapsed++
+	r.recountUntil = r.now + PendingTimeout
+	if u.Open() {
+		u.service.open--
+	}
+	r.update(u, state.StatusUpdate{Leased: new(false), Cause: state.CauseLeaseLapsed})
+}
+
+// checkOverdue reports whether the lease of u may be shown as it is. One that
+// ran out is not while u is the last resort of its service.
+func (r *Roster) checkOverdue(u *upstreamView, leased bool) bool {
+	overdue := !leased && r.lastResort(u)
+	if overdue && !u.overdue {
+		r.stats.LapsesKept++
+	}
+	u.overdue = overdue
+	return !overdue
+}
+
+// lastResort reports whether u is the only eligible upstream of its service, a
+// quorum of observers sees it pass, and nobody else claims its address: then
+// announcements may have failed, but u has not.
+func (r *Roster) lastResort(u *upstreamView) bool {
+	if !u.Eligible() || u.claimed || u.lapsing(r.now) {
+		return false
 	}
-	r.update(u, state.StatusUpdate{Leased: new(leased), Cause: cause})
+	if u.service.open-u.service.ejected > 1 {
+		return false
+	}
+	v := r.poll(u)
+	return 2*v.passing > v.fresh
 }
 
 // checkRamp raises the slow-start step of an upstream that has held the last
@@ -248,15 +322,18 @@
 
 // checkLoad passes the smoothed load on when it has moved far enough.
 func (r *Roster) checkLoad(u *upstreamView) {
-	moved := math.Abs(u.load-float64(u.LoadFactor)) >= LoadStep
-	idle := u.load < 1 && u.LoadFactor > 0
-	if !moved && !idle || r.now-u.loadAt < LoadInterval {
+	if !u.loadMoved() || r.now-u.loadAt < LoadInterval {
 		return
 	}
 	u.loadAt = r.now
 	r.update(u, state.StatusUpdate{LoadFactor: new(uint8(math.Round(u.load))), Cause: state.CauseLoadReport})
 }
 
+func (u *upstreamView) loadMoved() bool {
+	idle := u.load < 1 && u.LoadFactor > 0
+	return idle || math.Abs(u.load-float64(u.LoadFactor)) >= LoadStep
+}
+
 // checkGone removes an upstream that has been without a lease for the idle
 // timeout of its service, unless observers still reach it.
 func (r *Roster) checkGone(u *upstreamView) {
