Test returning VMs, cut-off domains and leaders, and announcements

At process level, with eight VMs: a voter and a diskless VM are away for 300 and for 2,100 changes; a diskless VM restarts while no voter runs; a leader is silently cut off for 6 s; a failure domain is cut off; and one upstream is announced through several VMs, also during a partition.

--- /dev/null
+++ b/internal/process/fleet/membership_test.go
@@ -0,0 +1,257 @@
+package fleet
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"heatherport/internal/process/app"
+	"heatherport/internal/process/metrics"
+	"heatherport/internal/request/api"
+	"heatherport/internal/request/identity"
+	"heatherport/internal/result"
+	"heatherport/internal/version"
+)
+
+const httpTimeout = 2 * time.Second
+
+// health returns the answer of VM i to /readyz.
+func (h *harness) health(i int) (out metrics.Health, ok bool) {
+	client := http.Client{Timeout: httpTimeout}
+	resp, err := client.Get("http://" + h.Settings(i).Metrics.Listen.String() + "/readyz")
+	if err != nil {
+		return out, false
+	}
+	defer resp.Body.Close()
+	return out, json.NewDecoder(resp.Body).Decode(&out) == nil
+}
+
+// waitReady waits until VM i is ready and returns its first answer that says so.
+func (h *harness) waitReady(i int) metrics.Health {
+	h.t.Helper()
+	var out metrics.Health
+	h.waitFor(h.Name(i)+" ready", func() bool {
+		var ok bool
+		out, ok = h.health(i)
+		return ok && out.Ready
+	})
+	return out
+}
+
+// submitAll submits sheets from number first to last to the leader.
+func (h *harness) submitAll(first, last uint64) {
+	h.t.Helper()
+	for n := first; n <= last; n++ {
+		h.waitFor("sheet accepted", func() bool {
+			a := h.App(h.awaitLeader())
+			_, err := a.Controller.SubmitSheet(h.ctx, api.SubmitRequest{Operator: "operator", Sheet: sheetCSV(n, 0)})
+			return err == nil
+		})
+	}
+}
+
+// follower returns a voter that does not lead.
+func (h *harness) follower() int { return (h.awaitLeader() + 1) % voters }
+
+// Numbers of changes while a VM is away: fewer than a peer can replay, and more
+// than both a peer and the log keep.
+const (
+	fewChanges  = 300
+	manyChanges = 2400
+)
+
+// A VM that returns after many changes is ready only with the newest version.
+func TestReturningVMsCatchUp(t *testing.T) {
+	t.Parallel()
+	h := start(t)
+	voter, diskless := h.follower(), voters+2
+	h.Kill(voter)
+	h.Kill(diskless)
+	h.submitAll(1, fewChanges)
+	must.NoError(t, h.Start(h.ctx, diskless))
+	must.Eq(t, fewChanges, h.waitReady(diskless).SheetNumber)
+
+	h.Kill(diskless)
+	h.submitAll(fewChanges+1, manyChanges)
+	must.NoError(t, h.Start(h.ctx, voter))
+	must.NoError(t, h.Start(h.ctx, diskless))
+	must.Eq(t, manyChanges, h.waitReady(voter).SheetNumber)
+	must.Eq(t, manyChanges, h.waitReady(diskless).SheetNumber)
+	h.submit(manyChanges + 1)
+	h.waitSheet(manyChanges + 1)
+}
+
+// A diskless VM that restarts while no voter runs takes the newest version
+// from another diskless VM.
+func TestDisklessVMCatchesUpFromAnyPeer(t *testing.T) {
+	t.Parallel()
+	h := start(t)
+	h.submit(7)
+	h.waitSheet(7)
+	for i := range voters {
+		h.Kill(i)
+	}
+	h.Kill(voters)
+	must.NoError(t, h.Start(h.ctx, voters))
+	h.waitSheet(7)
+	health, ok := h.health(voters)
+	must.True(t, ok)
+	must.False(t, health.Ready)
+}
+
+// cutTime is much longer than an election.
+const cutTime = 6 * time.Second
+
+// A leader that is silently cut off answers no read from old state, and does
+// not disturb its successor when it returns.
+func TestCutOffLeaderNeitherReadsNorDisrupts(t *testing.T) {
+	t.Parallel()
+	h := start(t)
+	h.submit(1)
+	h.waitSheet(1)
+	old := h.awaitLeader()
+	h.Isolate(old)
+	h.waitFor("a successor", func() bool { return h.leaderBut(old) >= 0 })
+	next := h.leaderBut(old)
+	_, err := h.OperatorAt(next).SubmitSheet(h.ctx, sheetCSV(2, 0))
+	must.NoError(t, err)
+	for end := time.Now().Add(cutTime); time.Now().Before(end); {
+		s, err := h.OperatorAt(old).Sheet(h.ctx)
+		must.Error(t, err, must.Sprintf("read sheet %d", s.Number))
+	}
+	must.Eq(t, 1, sheetNumber(h.App(old)))
+	term := h.App(next).Controller.View().Term
+	h.Cuts.Heal()
+	h.waitSheet(2)
+	h.submit(3)
+	h.waitSheet(3)
+	must.Eq(t, term, h.App(next).Controller.View().Term)
+	must.Eq(t, next, h.awaitLeader())
+}
+
+// leaderBut returns a leader other than VM i, or -1.
+func (h *harness) leaderBut(i int) int {
+	for _, j := range h.Live() {
+		if j != i && h.App(j).Controller.View().Leading {
+			return j
+		}
+	}
+	return -1
+}
+
+// A failure domain that is cut off goes on with its last version and says so.
+func TestCutOffDomainGoesOn(t *testing.T) {
+	t.Parallel()
+	h := start(t)
+	h.submit(1)
+	h.waitSheet(1)
+	const first = voters // of the failure domain without a voter
+	inside := h.Domain(first)
+	h.Isolate(inside...)
+	h.submit(2)
+	for _, i := range inside {
+		h.waitFor("cut off", func() bool {
+			health, ok := h.health(i)
+			return ok && health.CutOff
+		})
+		health, ok := h.health(i)
+		must.True(t, ok)
+		must.True(t, health.Ready)
+		must.Eq(t, 1, health.SheetNumber)
+		status, err := h.OperatorAt(i).Status(h.ctx)
+		must.NoError(t, err)
+		must.True(t, status.Stale)
+		must.False(t, status.Majority)
+		_, err = h.OperatorAt(i).SubmitSheet(h.ctx, sheetCSV(3, 0))
+		must.Error(t, err)
+	}
+	h.Cuts.Heal()
+	h.waitSheet(2)
+	h.waitOwned()
+	h.wait("a lease", func(a *app.App) bool { return a.Controller.View().LeaseLive })
+	h.sameEverywhere()
+}
+
+// sameEverywhere waits until the state of all VMs is the same.
+func (h *harness) sameEverywhere() {
+	h.t.Helper()
+	h.waitFor("the same upstreams and sheet on all VMs", func() bool {
+		var first *version.Version
+		for _, i := range h.Live() {
+			v := h.App(i).Controller.Version()
+			if first == nil {
+				first = v
+			}
+			if v.Index != first.Index || v.Sheet != first.Sheet || !slices.EqualFunc(v.Upstream, first.Upstream, sameUpstream) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func sameUpstream(a, b version.Upstream) bool {
+	return a.ID == b.ID && a.Name == b.Name && a.Addr == b.Addr && a.Incarnation == b.Incarnation && a.Slots == b.Slots
+}
+
+// announce announces the upstream permit-01 to VM i.
+func (h *harness) announce(i int, incarnation uint64, port uint16) (api.AnnounceResponse, error) {
+	store, err := h.authority.Issue(identity.Upstream, "permit-01")
+	if err != nil {
+		return api.AnnounceResponse{}, err
+	}
+	return h.client(store, []int{i}).Announce(h.ctx, api.Announcement{
+		Name: "permit-01", Service: "permit", Incarnation: incarnation, Slots: 3,
+		Address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port),
+	})
+}
+
+// Announcements are idempotent, and all VMs merge what several VMs were told
+// in the same way.
+func TestAnnouncementsMergeEverywhere(t *testing.T) {
+	t.Parallel()
+	h := start(t)
+	h.submit(1)
+	h.waitSheet(1)
+	var calls sync.WaitGroup
+	ids := make([]uint32, h.Size())
+	for i := range ids {
+		calls.Go(func() {
+			r, err := h.announce(i, 5, 9000)
+			if err != nil {
+				t.Error(err)
+			}
+			ids[i] = r.Upstream
+		})
+	}
+	calls.Wait()
+	must.Eq(t, 1, len(slices.Compact(ids)))
+	again, err := h.announce(4, 5, 9000)
+	must.NoError(t, err)
+	must.Eq(t, ids[0], again.Upstream)
+
+	// During a partition one side hears the former process and the other its
+	// successor.
+	inside := h.Domain(voters)
+	h.Isolate(inside...)
+	_, err = h.announce(0, 6, 9001)
+	must.NoError(t, err)
+	_, err = h.announce(inside[0], 5, 9000)
+	must.Error(t, err)
+	h.Cuts.Heal()
+	h.waitFor("the former process refused", func() bool {
+		_, err := h.announce(inside[0], 5, 9000)
+		return result.CodeOf(err) == result.IncarnationStale
+	})
+	h.sameEverywhere()
+	v := h.App(inside[0]).Controller.Version()
+	must.Len(t, 1, v.Upstream)
+	must.Eq(t, 6, v.Upstream[0].Incarnation)
+	must.Eq(t, 9001, v.Upstream[0].Addr.Port())
+}
