--- a/cmd/heatherport/kill_test.go
+++ b/cmd/heatherport/kill_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -63,10 +64,7 @@
 		kills     = 6
 		between   = 20 // acknowledged submissions between two kills
 	)
-	f := newTestFleet(t, "a-1", "b-1", "c-1")
-	for _, vm := range f.vms {
-		f.start(vm)
-	}
+	f := newCluster(t)
 	h := &history{digests: make(map[uint64]api.Digest)}
 	ctx, cancel := context.WithCancel(context.Background())
 	var accepted atomic.Int64
@@ -97,23 +95,21 @@
 }
 
 // killSome kills one or two VMs at once and starts them again.
-func killSome(f *testFleet, rng *rand.Rand) {
+func killSome(f *cluster, rng *rand.Rand) {
 	order := rng.Perm(len(f.vms))[:1+rng.IntN(2)]
 	for _, i := range order {
-		f.kill(f.vms[i])
+		f.kill(i)
 	}
 	for _, i := range order {
-		f.start(f.vms[i])
+		f.start(i)
 	}
 }
 
 // shuffled returns a client that tries the VMs in an order of its own.
-func shuffled(f *testFleet, rng *rand.Rand) *api.Client {
-	vms := make([]*testVM, 0, len(f.vms))
-	for _, i := range rng.Perm(len(f.vms)) {
-		vms = append(vms, f.vms[i])
-	}
-	return f.client(vms...)
+func shuffled(f *cluster, rng *rand.Rand) *api.Client {
+	vms := slices.Clone(f.vms)
+	rng.Shuffle(len(vms), func(i, k int) { vms[i], vms[k] = vms[k], vms[i] })
+	return f.operator(vms...)
 }
 
 // expected reports whether an answer may come while VMs die and others race.
@@ -129,7 +125,7 @@
 	return ctx.Err() != nil
 }
 
-func submitUntil(ctx context.Context, t *testing.T, f *testFleet, h *history, operator int, accepted *atomic.Int64) {
+func submitUntil(ctx context.Context, t *testing.T, f *cluster, h *history, operator int, accepted *atomic.Int64) {
 	rng := rand.New(rand.NewPCG(3, uint64(operator)))
 	for ctx.Err() == nil {
 		floor := h.floor()
@@ -148,7 +144,7 @@
 	}
 }
 
-func readUntil(ctx context.Context, t *testing.T, f *testFleet, h *history, reader int) {
+func readUntil(ctx context.Context, t *testing.T, f *cluster, h *history, reader int) {
 	rng := rand.New(rand.NewPCG(4, uint64(reader)))
 	for ctx.Err() == nil {
 		floor := h.floor()
@@ -168,11 +164,11 @@
 
 // checkAgreement waits until every VM has the same sheet in force, and checks
 // that it is not older than what was acknowledged.
-func checkAgreement(t *testing.T, f *testFleet, h *history) {
+func checkAgreement(t *testing.T, f *cluster, h *history) {
 	agreed := func() error {
 		var first api.StatusResponse
 		for i, vm := range f.vms {
-			st, err := f.client(vm).Status(context.Background())
+			st, err := f.operator(vm).Status(context.Background())
 			if err != nil {
 				return err
 			}
