--- a/internal/version/roster/roster_test.go
+++ b/internal/version/roster/roster_test.go
@@ -486,6 +486,12 @@
 	must.True(t, l.upstream(0).Leased)
 	moved := &roster.Announcement{Name: "u1", Service: "a", Addr: l.upstream(0).Addr, Incarnation: 2}
 	must.Eq(t, result.AddressInUse, l.roster.Announce(l.now, l.machine, moved).Code)
+
+	// A claim counts no more once the holder has announced itself again.
+	l.announce(0)
+	l.run(time.Minute)
+	must.True(t, l.upstream(0).Leased)
+	must.Eq(t, result.AddressInUse, l.roster.Announce(l.now, l.machine, moved).Code)
 	l.run(2 * tick)
 	reply := l.roster.Announce(l.now, l.machine, moved)
 	must.Eq(t, result.OK, reply.Code)
