--- a/internal/process/cli/human.go
+++ b/internal/process/cli/human.go
@@ -20,11 +20,18 @@
 	return t.UTC().Format(time.RFC3339)
 }
 
+func sheetRef(number uint64, digest api.Digest) string {
+	if number == 0 {
+		return "none"
+	}
+	return fmt.Sprintf("%d (%s)", number, digest)
+}
+
 func writeStatus(w io.Writer, s *api.StatusResponse) {
 	pairs(w,
 		[2]string{"answer of", s.VM},
 		[2]string{"ready", yesNo(s.Ready)},
-		[2]string{"sheet", fmt.Sprintf("%d (%s)", s.SheetNumber, s.SheetDigest)},
+		[2]string{"sheet", sheetRef(s.SheetNumber, s.SheetDigest)},
 		[2]string{"index", number(s.Index)},
 		[2]string{"leader", fmt.Sprintf("%s (term %d)", orDash(s.Leader), s.Term)},
 		[2]string{"majority", yesNo(s.Majority)},
@@ -150,7 +157,7 @@
 func writeSheetExplanation(w io.Writer, x *api.SheetExplanation) {
 	pairs(w,
 		[2]string{"answer of", x.VM},
-		[2]string{"sheet", fmt.Sprintf("%d (%s)", x.Number, x.Digest)},
+		[2]string{"sheet", sheetRef(x.Number, x.Digest)},
 		[2]string{"index", number(x.Index)},
 		[2]string{"in force on", orDash(strings.Join(x.InForce, ", "))},
 	)
