Spread connections in the moment after upstreams join

Cause: the demo put 450 of 690 connections on one of 15 upstreams. Traces: the first upstream to announce became the base at once, the others joined within 100 ms, and owners did not yet know that their standbys had applied the new version; each choice that the standby could not record fell back to the base. Ruled out: announced loads, the heartbeat's digest, slow start. Change: a member reports a new version with its next tick instead of within 500 ms; while the standby lags, the base's first choice stands in only up to twice its fair share, then the packet waits for its retransmission; a base that ranks less than half of the upstreams advances after 0.5 s.

--- a/internal/connection/owner/choose.go
+++ b/internal/connection/owner/choose.go
@@ -86,7 +86,9 @@
 	if t == nil {
 		return e.refuse(r, s, st)
 	}
-	t = e.recordable(r, s, t)
+	if t = e.recordable(r, s, t); t == nil {
+		return drop(result.DropInDoubt)
+	}
 	up, ok := e.store(r, t, table.Counted)
 	if !ok {
 		return drop(result.DropTableFull)
@@ -101,7 +103,9 @@
 
 // recordable returns t, or the base's first choice if t deviates from it and
 // the standby cannot record that now: the exception would be lost with this
-// owner.
+// owner. It returns nil when the base's first choice has more than its part
+// already and the standby, which is only about to apply this version, can
+// record the choice when the packet comes again.
 func (e *Engine) recordable(r *request, s *service, t *target) *target {
 	if r.view.others == 0 || !r.deviates(s, t.id) || e.recorder(r, t) != nil {
 		return t
@@ -110,9 +114,35 @@
 	if b == nil || !b.active || e.full(r, b) {
 		return t
 	}
+	if e.standbyLags(r) && e.crowded(r, s, b) {
+		return nil
+	}
 	return b
 }
 
+// standbyLags reports whether the standby is there but is not known to have
+// applied this version.
+func (e *Engine) standbyLags(r *request) bool {
+	to := r.view.peers[r.view.owners.cur.Standby(r.slot)]
+	return to != nil && to.alive(r.now) && to.applied.Load() < r.view.version.Index
+}
+
+// Bounds of a base's first choice that stands in for another choice.
+const (
+	crowdedFactor = 2 // over its fair share
+	crowdedSlack  = 8 // connections
+)
+
+// crowded reports whether b has far more than its fair share of connections.
+func (e *Engine) crowded(r *request, s *service, b *target) bool {
+	var total int64
+	for _, t := range s.targets {
+		total += int64(t.counter.Estimate(r.view.others * peerShare))
+	}
+	n := int64(b.counter.Estimate(r.view.others * peerShare))
+	return n*int64(len(s.targets)) > crowdedFactor*total+crowdedSlack*int64(len(s.targets))
+}
+
 // recorder returns the standby if it can record an exception for t now.
 func (e *Engine) recorder(r *request, t *target) *route {
 	to := r.view.peers[r.view.owners.cur.Standby(r.slot)]
--- a/internal/connection/owner/engine_test.go
+++ b/internal/connection/owner/engine_test.go
@@ -186,3 +186,52 @@
 	e.Receive(r.Now, from, owner.Message{Exceptions: &owner.Exceptions{Seq: 1, Items: []byte{2, 1, 2, 3}}})
 	must.Eq(t, connection.Forward, r.decide(r.Nodes[0], r.open()).Action)
 }
+
+// TestBurstAfterUpstreamsJoin opens many connections in the moment in which
+// standbys are not yet known to have applied a version with new upstreams. The
+// base, which ranks the old upstream only, must not take them all.
+func TestBurstAfterUpstreamsJoin(t *testing.T) {
+	const joining, burst = 9, 400
+	r := newRig(8, 1, 0)
+	for range joining {
+		r.Leader.AddUpstream(r.service, 3, 0, netip.AddrPort{})
+	}
+	probe := r.open()
+	applied := func() bool {
+		for _, n := range r.Nodes {
+			if len(n.Engine.Explain(r.Now, probe.Key).Ranking) <= joining {
+				return false
+			}
+		}
+		return true
+	}
+	for !applied() {
+		r.Run(time.Millisecond)
+	}
+	open := make(map[version.UpstreamID]int)
+	seen := make(map[uint64]bool)
+	r.OnPacket = func(_ *fleet.Node, p *connection.Packet, d *connection.Decision) {
+		if d.Action == connection.Forward && !seen[p.Key.Hash()] {
+			seen[p.Key.Hash()] = true
+			open[d.Upstream]++
+		}
+	}
+	var packets []connection.Packet
+	for range burst {
+		packets = append(packets, r.open())
+	}
+	const tries, retransmit = 4, 500 * time.Millisecond
+	for range tries {
+		for _, p := range packets {
+			if !seen[p.Key.Hash()] {
+				r.Send(r.any(), p)
+			}
+		}
+		r.Run(retransmit)
+	}
+	must.MapLen(t, burst, seen)
+	for id, n := range open {
+		t.Logf("upstream %d: %d open", id, n)
+		must.LessEq(t, 3*burst/(joining+1), n)
+	}
+}
--- a/internal/connection/owner/tick.go
+++ b/internal/connection/owner/tick.go
@@ -4,8 +4,6 @@
 	"maps"
 	"slices"
 	"time"
-
-	"heatherport/internal/version"
 )
 
 const (
@@ -69,7 +67,7 @@
 
 // collect builds the messages of one tick.
 func (e *Engine) collect(now time.Duration, w *view) []Outbound {
-	beat := e.report.due(now, w.self)
+	beat := e.report.due(now, w)
 	var changes, full *Load
 	if beat {
 		changes, full = e.loads(now, w)
@@ -142,12 +140,19 @@
 	next   time.Duration
 	seq    uint64
 	fullAt time.Duration
+	index  uint64 // version index of the last report
 }
 
-// due reports whether a heartbeat is due. Members start at different phases.
-func (r *report) due(now time.Duration, self version.MemberID) bool {
+// due reports whether a heartbeat is due. Members start at different phases. A
+// new version is reported at once: owners send nothing that names its
+// upstreams to a standby that is not known to have applied it.
+func (r *report) due(now time.Duration, w *view) bool {
 	if r.next == 0 {
-		r.next = now + time.Duration(self%5)*heartbeat/5
+		r.next = now + time.Duration(w.self%5)*heartbeat/5
+	}
+	if r.index != w.version.Index {
+		r.index = w.version.Index
+		r.next = min(r.next, now)
 	}
 	if now < r.next {
 		return false
--- a/internal/process/control/api.go
+++ b/internal/process/control/api.go
@@ -128,6 +128,7 @@
 		s.Upstreams = append(s.Upstreams, c.upstreamStatus(v, &v.Upstream[i]))
 	}
 	s.Drains = c.drains(v)
+	c.dateDrains(s.Drains)
 	return s
 }
 
@@ -164,6 +165,24 @@
 	return s
 }
 
+// dateDrains fills in since when this VM has seen each drain.
+func (c *Controller) dateDrains(drains []api.Drain) {
+	seen := make(map[drainKey]time.Time, len(drains))
+	for i := range drains {
+		d := &drains[i]
+		key := drainKey{d.Kind, d.Name}
+		d.Since = c.drainsSeen[key]
+		if d.Since.IsZero() {
+			d.Since = time.Now().UTC()
+		}
+		seen[key] = d.Since
+	}
+	c.drainsSeen = seen
+}
+
+// drainKey names a drain.
+type drainKey struct{ kind, name string }
+
 // drains lists what is leaving and what has not finished.
 func isDraining(u *version.Upstream) bool {
 	return u.State == version.Leaving || u.State == version.Paused
--- a/internal/process/control/controller.go
+++ b/internal/process/control/controller.go
@@ -33,7 +33,7 @@
 // Intervals of the control goroutine.
 const (
 	tickInterval      = 50 * time.Millisecond
-	raftTickInterval  = 100 * time.Millisecond
+	raftTickInterval  = 50 * time.Millisecond
 	engineInterval    = 100 * time.Millisecond
 	rosterInterval    = 100 * time.Millisecond
 	heartbeatInterval = 500 * time.Millisecond
@@ -48,8 +48,8 @@
 
 // Raft timing in ticks of raftTickInterval.
 const (
-	electionTicks      = 10
-	raftHeartbeatTicks = 2
+	electionTicks      = 14
+	raftHeartbeatTicks = 4
 )
 
 // compactEvery is the number of log entries after which a voter takes a
@@ -125,6 +125,7 @@
 	engineTicked time.Duration
 	rosterTicked time.Duration
 	observations []roster.Observation
+	drainsSeen   map[drainKey]time.Time // when each open drain was first seen
 }
 
 // View is a summary of the control state for metrics and health.
@@ -406,6 +407,7 @@
 		view.SheetNumber = v.Sheet.Number
 		view.LiveVMs = len(v.Members)
 		view.OpenDrains = openDrains(v)
+		c.dateDrains(c.drains(v))
 		view.Owned = slices.Contains(v.Owners.Current, c.self)
 		c.summarizeUpstreams(v, view)
 	}
--- a/internal/process/control/explain.go
+++ b/internal/process/control/explain.go
@@ -54,7 +54,7 @@
 		Known:    x.Entry != nil,
 		Upstream: upstreamName(v, x.Upstream),
 		Current:  c.rank(v, x.Ranking),
-		Base:     rankBase(v, svc.Base, x.Bucket),
+		Base:     c.rankBase(v, svc.Base, x.Bucket),
 	}
 	out.Exception = x.Upstream != x.Base
 	out.Reasons = connectionReasons(v, &x)
@@ -109,12 +109,19 @@
 	return out
 }
 
-func rankBase(v *version.Version, r version.Ranking, bucket uint16) []api.Ranked {
+func (c *Controller) rankBase(v *version.Version, r version.Ranking, bucket uint16) []api.Ranked {
 	var out []api.Ranked
 	var walk placement.Walker
 	walk.Start(r, bucket)
 	for i, ok := walk.Next(); ok; i, ok = walk.Next() {
-		ranked := api.Ranked{Upstream: upstreamName(v, r[i].Upstream), Weight: r[i].Weight}
+		ranked := api.Ranked{
+			Upstream: upstreamName(v, r[i].Upstream),
+			Weight:   r[i].Weight,
+			Open:     c.cfg.Engine.Open(r[i].Upstream),
+		}
+		if u := v.UpstreamByID(r[i].Upstream); u != nil {
+			ranked.Limit = uint64(u.ConnLimit)
+		}
 		ranked.Eligible, ranked.Reason = eligibility(v.UpstreamByID(r[i].Upstream))
 		out = append(out, ranked)
 	}
--- a/internal/request/api/announcement.go
+++ b/internal/request/api/announcement.go
@@ -44,6 +44,7 @@
 	add(a.Address.Addr().IsUnspecified() || a.Address.Addr().IsMulticast(), "address: cannot be a destination")
 	add(!plain(a.Address.Addr()) || !plain(a.Probe.Addr()), "address or probe: has a zone or is an IPv4-mapped IPv6 address")
 	add(a.Probe.IsValid() && a.Probe.Port() == 0, "probe: no port")
+	add(a.Probe.IsValid() && a.Probe.Addr() != a.Address.Addr(), "probe: not on the VM of address")
 	add(a.Incarnation == 0, "incarnation: missing or zero")
 	add(a.Slots == 0 || a.Slots > maxAnnouncedSlots, "slots: zero or too many")
 	add(a.Load != nil && !(*a.Load >= 0 && *a.Load <= 1), "load: not between 0 and 1")
--- a/internal/version/roster/base.go
+++ b/internal/version/roster/base.go
@@ -16,6 +16,10 @@
 	// BaseMaxWait is how long slow start and further changes may put a
 	// change of the base off.
 	BaseMaxWait = 30 * time.Second
+	// NarrowBaseQuiet takes the place of BaseQuiet, and slow start is not
+	// waited for, while the base ranks less than half of the upstreams that
+	// the current ranking has: nearly all connections would be exceptions.
+	NarrowBaseQuiet = 500 * time.Millisecond
 )
 
 // serviceView is what the leader knows of a service.
@@ -96,7 +100,8 @@
 }
 
 func (r *Roster) prepareBase(s changingService) {
-	quiet := r.now-s.view.currentSince >= BaseQuiet && s.view.ramping == 0
+	rest := r.now - s.view.currentSince
+	quiet := rest >= BaseQuiet && s.view.ramping == 0 || rest >= NarrowBaseQuiet && narrowBase(s.Service)
 	overdue := r.now-s.view.divergedAt >= BaseMaxWait
 	if len(s.Current) == 0 || !quiet && !overdue {
 		return
@@ -105,6 +110,18 @@
 	r.propose(key, state.Command{PrepareBase: &state.PrepareBase{Service: s.ID}})
 }
 
+// narrowBase reports whether the base ranks less than half of the upstreams of
+// the current ranking.
+func narrowBase(s *version.Service) bool {
+	shared := 0
+	for i := range s.Current {
+		if slices.ContainsFunc(s.Base, func(w version.Weighted) bool { return w.Upstream == s.Current[i].Upstream }) {
+			shared++
+		}
+	}
+	return 2*shared < len(s.Current)
+}
+
 func (r *Roster) advanceBase(s changingService) {
 	since := s.view.preparedAt.see(r.now, s.PreparedAt)
 	cause, ok := r.settled(s.PreparedAt, since)
--- a/internal/version/roster/roster_test.go
+++ b/internal/version/roster/roster_test.go
@@ -436,6 +436,15 @@
 	must.Between(t, roster.BaseMaxWait, prepared(), roster.BaseMaxWait+2*tick)
 }
 
+// TestNarrowBaseDoesNotWaitForSlowStart: the first upstream of a service
+// becomes its base at once; the others must not be exceptions for the whole
+// slow start.
+func TestNarrowBaseDoesNotWaitForSlowStart(t *testing.T) {
+	l := newLeader(t, 3, 6)
+	l.run(roster.NarrowBaseQuiet + roster.HeartbeatInterval + 4*tick)
+	must.Len(t, 6, l.machine.Version().Services[0].Base)
+}
+
 func TestJoinerOwnsNothingBeforeItCatchesUp(t *testing.T) {
 	l := newLeader(t, 3, 1)
 	l.run(5 * time.Second)
