Bound the choice among many upstreams of one service

Cause: a ranking of more than 64 upstreams was hashed again for each step of the walk, and the walk went on until an upstream was under the limit. At 20 open connections an upstream, a new connection took 14 to 17 ms among 1,024 upstreams and up to 2.2 ms among 256.

Change: the walker sorts the first 64 upstreams in one pass over the ranking, and a choice looks at no more than 64 upstreams with room. The order of a ranking is unchanged.

--- a/internal/connection/owner/choose.go
+++ b/internal/connection/owner/choose.go
@@ -28,9 +28,14 @@
 	return s.targets[i]
 }
 
+// maxWalk bounds the upstreams with room that are looked at for a new
+// connection.
+const maxWalk = placement.MaxCached
+
 // choose returns the upstream for a new connection: the first of the ranking
 // whose open connections stay within the limit times its fair share, else the
-// one with the fewest for its weight. It returns nil when all are full.
+// one with the fewest for its weight among the first maxWalk with room. It
+// returns nil when all are full.
 func (e *Engine) choose(r *request, s *service) *target {
 	others := r.view.others
 	var c chooser
@@ -46,6 +51,7 @@
 	var least *target
 	var leastOpen int64
 	var leastWeight uint64
+	room := 0
 	for i, ok := c.walker.Next(); ok; i, ok = c.walker.Next() {
 		t := s.targets[i]
 		if s.settled && r.base == 0 {
@@ -62,6 +68,9 @@
 		if least == nil || uint64(n)*leastWeight < uint64(leastOpen)*weight {
 			least, leastOpen, leastWeight = t, n, weight
 		}
+		if room++; room == maxWalk {
+			break
+		}
 	}
 	return least
 }
--- a/internal/version/placement/rank.go
+++ b/internal/version/placement/rank.go
@@ -10,7 +10,8 @@
 	// Buckets is the number of buckets of a service.
 	Buckets = 1 << 16
 	// MaxCached is the size up to which a Walker keeps the costs of a
-	// ranking; larger rankings are hashed again for each step.
+	// ranking. Of a larger ranking it keeps the first MaxCached upstreams,
+	// and hashes the ranking again for each step after them.
 	MaxCached = 64
 
 	costShift = 24 // keeps the quotient of cost precise for large weights
@@ -56,12 +57,17 @@
 	last    uint64 // cost of the upstream returned last
 	lastAt  int    // its index; breaks ties
 	costs   [MaxCached]uint64
+	// Of a ranking larger than MaxCached, costs is sorted, at holds the
+	// indexes that belong to it, and the first served of them are visited.
+	at     [MaxCached]int32
+	served int
 }
 
 // Start positions w before the first upstream.
 func (w *Walker) Start(r version.Ranking, bucket uint16) {
-	w.ranking, w.bucket, w.started = r, bucket, false
+	w.ranking, w.bucket, w.started, w.served = r, bucket, false, 0
 	if len(r) > MaxCached {
+		w.sortFirst()
 		return
 	}
 	for i := range r {
@@ -69,8 +75,37 @@
 	}
 }
 
+// sortFirst keeps the first MaxCached upstreams in order.
+func (w *Walker) sortFirst() {
+	n := 0
+	for i := range w.ranking {
+		c := cost(w.ranking[i], w.bucket)
+		if n == MaxCached && c >= w.costs[n-1] {
+			continue
+		}
+		n = min(n+1, MaxCached)
+		w.insert(n-1, c, int32(i))
+	}
+}
+
+// insert puts an upstream into the sorted costs, which end at last. Of equal
+// costs, the one inserted first stays first.
+func (w *Walker) insert(last int, c uint64, index int32) {
+	i := last
+	for ; i > 0 && w.costs[i-1] > c; i-- {
+		w.costs[i], w.at[i] = w.costs[i-1], w.at[i-1]
+	}
+	w.costs[i], w.at[i] = c, index
+}
+
 // Next returns the index in the ranking of the next upstream, or false.
 func (w *Walker) Next() (int, bool) {
+	if len(w.ranking) > MaxCached && w.served < MaxCached {
+		at, c := int(w.at[w.served]), w.costs[w.served]
+		w.served++
+		w.started, w.last, w.lastAt = true, c, at
+		return at, true
+	}
 	at, least := -1, ^uint64(0)
 	for i := range w.ranking {
 		c := w.cost(i)
