--- a/internal/process/control/controller.go
+++ b/internal/process/control/controller.go
@@ -140,6 +140,7 @@
 	Leaving     bool // is stopping
 	LeaseLive   bool
 	LiveVMs     int
+	OpenDrains  int
 	Settled     uint64
 	Open        uint64 // entries in the connection table
 	Owns        uint64 // connections that this VM owns
@@ -235,15 +236,20 @@
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
+		var event func()
 		select {
 		case <-c.ctx.Done():
 			return
 		case m := <-c.cfg.Links.Incoming():
-			c.receive(m)
-		case f := <-c.events:
-			f()
+			event = func() { c.receive(m) }
+		case event = <-c.events:
 		case <-ticker.C:
+			event = func() {}
 		}
+		// Ticks come before events: after a stall, a lease must have ended
+		// before a read is answered by it.
+		c.tickRaft(c.now())
+		event()
 		c.drain()
 		c.tick()
 		c.process()
@@ -309,7 +315,6 @@
 // tick does the periodic work that is due.
 func (c *Controller) tick() {
 	now := c.now()
-	c.tickRaft(now)
 	if now-c.engineTicked >= engineInterval {
 		c.engineTicked = now
 		c.tickEngine(now)
@@ -391,6 +396,7 @@
 	if v := c.published.Load(); v != nil {
 		view.SheetNumber = v.Sheet.Number
 		view.LiveVMs = len(v.Members)
+		view.OpenDrains = openDrains(v)
 		view.Owned = slices.Contains(v.Owners.Current, c.self)
 		c.summarizeUpstreams(v, view)
 	}
--- a/internal/process/control/leader.go
+++ b/internal/process/control/leader.go
@@ -7,7 +7,6 @@
 	"heatherport/internal/process/audit"
 	"heatherport/internal/process/link"
 	"heatherport/internal/request/api"
-	"heatherport/internal/result"
 	"heatherport/internal/version"
 	"heatherport/internal/version/raft"
 	"heatherport/internal/version/roster"
@@ -207,18 +206,21 @@
 		return
 	}
 	for _, id := range status.Config.Learners {
-		c.changeVoter(raft.ConfigChange{Kind: raft.PromoteLearner, ID: id})
-		return
+		if c.changeVoter(raft.ConfigChange{Kind: raft.PromoteLearner, ID: id}) {
+			return
+		}
 	}
 }
 
-func (c *Controller) changeVoter(change raft.ConfigChange) {
+// changeVoter proposes a change and reports whether that was possible.
+func (c *Controller) changeVoter(change raft.ConfigChange) bool {
 	if _, err := c.replica.ProposeConfig(change); err != nil {
 		c.log.Debug("voter change not possible yet", "voter", change.ID, "error", err)
-		return
+		return false
 	}
 	c.log.Info("voter change proposed", "change", changeName(change.Kind), "voter", change.ID)
 	c.recordVoter(change)
+	return true
 }
 
 func (c *Controller) recordVoter(change raft.ConfigChange) {
@@ -241,7 +243,7 @@
 	if c.replica == nil || !decode(m.Body, &msg) || msg.From != m.From {
 		return
 	}
-	if err := c.replica.Step(msg); err != nil && result.CodeOf(err) != result.StorageFailed {
+	if err := c.replica.Step(msg); err != nil && c.replica.Err() == nil {
 		c.log.Debug("raft message refused", "from", m.From, "error", err)
 	}
 }
--- a/internal/version/roster/health.go
+++ b/internal/version/roster/health.go
@@ -67,6 +67,9 @@
 func (r *Roster) observe(now time.Duration, member version.MemberID, o *Observation) {
 	if u := r.viewByID(o.Upstream); u != nil {
 		u.health.note(observer{member: member, at: now, last: *o})
+		if o.Failed > 0 || u.health.kept {
+			r.due[u.index] = now
+		}
 	}
 }
 
@@ -156,6 +159,7 @@
 	if u.Open() {
 		u.service.ejected++
 	}
+	r.recountUntil = r.now + PendingTimeout
 	u.health.eject(r.now)
 	r.stats.Ejections++
 	r.update(u, state.StatusUpdate{Healthy: new(false), Cause: state.CauseProbesFailed})
--- a/internal/version/roster/roster.go
+++ b/internal/version/roster/roster.go
@@ -41,11 +41,19 @@
 	now     time.Duration
 	version *version.Version // nil before the first Reset
 
-	members   map[version.MemberID]*memberView
-	upstreams []*upstreamView // ordered by ID
-	names     map[string]*upstreamView
-	services  map[version.ServiceID]*serviceView
-	ownersAt  stamp // when the owners being prepared were first seen
+	members    map[version.MemberID]*memberView
+	memberList []*memberView   // ordered by ID
+	upstreams  []*upstreamView // ordered by ID
+	// due holds for each of upstreams when it is to be checked next. At
+	// rest that is when its lease ends.
+	due      []time.Duration
+	names    map[string]*upstreamView
+	services map[version.ServiceID]*serviceView
+	changing []changingService
+	// recountUntil is when the last ejection has surely taken effect; until
+	// then the counts of the services are made anew in each tick.
+	recountUntil time.Duration
+	ownersAt     stamp // when the owners being prepared were first seen
 	// settledIndex is the index that all members with a lease have settled.
 	settledIndex uint64
 
@@ -60,13 +68,15 @@
 type Stats struct {
 	MembersLapsed   uint64 // member leases that ran out
 	LeasesLapsed    uint64 // announcement leases that ran out
+	LapsesKept      uint64 // of upstreams that were the last resort of their service
 	Ejections       uint64 // upstreams marked unhealthy
 	Readmissions    uint64 // upstreams marked healthy again
 	FloorKept       uint64 // ejections that the floor prevented, per upstream and failure
 	WaitsExceeded   uint64 // changes that did not wait for all members
 	RateLimited     uint64 // commands put off
 	TickGaps        uint64 // gaps between ticks that extended the leases
-	UnknownMembers  uint64 // heartbeats of unknown members
+	Refused         uint64 // heartbeats refused
+	Diverged        uint64 // of these, the ones with another state
 	UnknownRenewals uint64 // renewals of unknown upstreams
 }
 
@@ -122,6 +132,7 @@
 		stats:    r.stats,
 	}
 	r.sync(v)
+	r.countUpstreams()
 }
 
 // Stop ends the leadership: Tick proposes nothing until the next Reset.
@@ -136,7 +147,9 @@
 		return nil
 	}
 	r.advance(now)
-	r.sync(v)
+	if r.sync(v) || now <= r.recountUntil {
+		r.countUpstreams()
+	}
 	r.out = nil
 	r.lapseMembers()
 	r.countSettled()
@@ -177,15 +190,16 @@
 	}
 }
 
-// sync takes over a newer version.
-func (r *Roster) sync(v *version.Version) {
+// sync takes over a newer version, and reports whether there is one.
+func (r *Roster) sync(v *version.Version) bool {
 	if r.version == v {
-		return
+		return false
 	}
 	r.version = v
 	r.syncMembers()
 	r.syncServices()
 	r.syncUpstreams()
+	return true
 }
 
 // propose adds c unless it is pending already or over the rate.
--- a/internal/version/state/snapshot.go
+++ b/internal/version/state/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
 	"net/netip"
 	"slices"
 	"strings"
@@ -130,8 +131,8 @@
 	return encode(s)
 }
 
-// Restore replaces the state by an encoded one. On an error the state stays as
-// it was.
+// Restore replaces the state by an encoded one that is not older. On an error
+// the state stays as it was.
 func (m *Machine) Restore(data []byte) error {
 	var s snapshot
 	if err := decoder.Unmarshal(data, &s); err != nil {
@@ -140,6 +141,9 @@
 	if s.Format != snapshotFormat {
 		return result.Errorf(result.StorageCorrupt, "snapshot format %d, want %d", s.Format, snapshotFormat)
 	}
+	if s.Header.Index < m.index {
+		return result.Errorf(result.VersionStale, "snapshot at index %d, index %d is applied", s.Header.Index, m.index)
+	}
 	fresh := New()
 	if err := fresh.load(&s); err != nil {
 		return err
@@ -201,10 +205,10 @@
 	if err != nil {
 		return result.Wrapf(err, result.StorageCorrupt, "sheet in a snapshot")
 	}
-	if s.Ref() != m.sheet.Ref {
+	m.sheet.Canonical = s.Canonical()
+	if s.Number != m.sheet.Ref.Number || sha256.Sum256(m.sheet.Canonical) != m.sheet.Ref.Digest {
 		return result.Errorf(result.StorageCorrupt, "the sheet in a snapshot does not match its digest")
 	}
-	m.sheet.Canonical = s.Canonical()
 	m.loadRows(s)
 	return nil
 }
