Bound the feed's history in bytes

Cause: a source kept 1,024 entries whatever their size. Entries that are whole sheets add up: 256 of them took 75 MB at 3,800 upstreams and 255 MB at 12,700.

Change: the oldest entries go once their data exceeds 16 MB; the newest always stays.

Conclusion: the memory of a source no longer grows with the sheet.

--- a/internal/version/feed/history.go
+++ b/internal/version/feed/history.go
@@ -1,8 +1,11 @@
 package feed
 
-// historyCapacity is the number of entries that a source can replay. It
-// covers more than an hour at 13,000 changes a day.
-const historyCapacity = 1024
+// Bounds of what a source can replay. The entries cover more than an hour at
+// 13,000 changes a day.
+const (
+	historyCapacity = 1024     // entries
+	historyBytes    = 16 << 20 // of their data, unless a single entry is larger
+)
 
 // record is an entry with the digest of the state that it led to.
 type record struct {
@@ -16,23 +19,34 @@
 	start       uint64
 	startDigest uint64
 	records     []record
+	bytes       int // data of records
 }
 
 func (h *history) reset(index, digest uint64) {
 	h.start = index
 	h.startDigest = digest
 	h.records = nil
+	h.bytes = 0
 }
 
 func (h *history) append(r record) {
-	if len(h.records) >= historyCapacity {
-		h.start = h.records[0].entry.Index
-		h.startDigest = h.records[0].digest
-		h.records = h.records[1:]
+	h.bytes += len(r.entry.Data)
+	for len(h.records) > 0 && (len(h.records) >= historyCapacity || h.bytes > historyBytes) {
+		h.dropFirst()
 	}
 	h.records = append(h.records, r)
 }
 
+// dropFirst forgets the oldest record.
+func (h *history) dropFirst() {
+	first := h.records[0]
+	h.start = first.entry.Index
+	h.startDigest = first.digest
+	h.bytes -= len(first.entry.Data)
+	h.records[0] = record{}
+	h.records = h.records[1:]
+}
+
 // last returns the position after the newest record.
 func (h *history) last() (index, digest uint64) {
 	if len(h.records) == 0 {
