Describe a change of many owners by its difference

Cause: the audit trail listed all owners before and after each change. The replacement of one VM wrote 457 KB at 6,600 members, on every VM; the trail of 8 files of 16 MB held under 300 of them.

Change: up to 16 members are listed as before; of larger sets the trail gives the size and the members that came or went, at most 16 by name.

Conclusion: the size of a record no longer grows with the fleet.

--- a/internal/measure/slopes/balancer.go
+++ b/internal/measure/slopes/balancer.go
@@ -109,6 +109,7 @@
 			e.Publish(now, w.Version())
 		})/nsPerMs, "ms")
 		f.add(s.name("publish_owner_change"), nsPerOp(func() { w.replaceMember(); e.Publish(now, w.Version()) })/nsPerMs, "ms")
+		f.add(s.name("owner_change_audit"), float64(w.replaceMember()), "bytes")
 		f.add(s.name("publish_member_loss"), medianMs(losses, func() {
 			w.apply(state.Command{RemoveMember: &state.RemoveMember{ID: w.newestMember()}})
 			e.Publish(now, w.Version())
@@ -127,14 +128,24 @@
 }
 
 // replaceMember removes the newest member, and joins and activates the next
-// incarnation of it.
-func (w *world) replaceMember() {
+// incarnation of it. It returns the size of the records in the audit trail.
+func (w *world) replaceMember() (auditBytes int) {
 	last := w.Version().Members[w.members-1]
 	j := joinMember(w.members - 1)
 	j.Incarnation = last.Incarnation + 1
-	w.apply(state.Command{JoinMember: j})
-	w.apply(state.Command{PrepareOwners: &state.PrepareOwners{}})
-	w.apply(state.Command{ActivateOwners: &state.ActivateOwners{Prepared: w.Index()}})
+	auditBytes = changeBytes(w.apply(state.Command{JoinMember: j}))
+	auditBytes += changeBytes(w.apply(state.Command{PrepareOwners: &state.PrepareOwners{}}))
+	activate := &state.ActivateOwners{Prepared: w.Index()}
+	return auditBytes + changeBytes(w.apply(state.Command{ActivateOwners: activate}))
+}
+
+// changeBytes returns the size of what the audit trail says of an outcome.
+func changeBytes(o state.Outcome) int {
+	n := 0
+	for _, c := range o.Changes {
+		n += len(c.Before) + len(c.After)
+	}
+	return n
 }
 
 const (
--- a/internal/version/state/member.go
+++ b/internal/version/state/member.go
@@ -140,13 +140,7 @@
 	if before == nil && m.owners.Next == nil {
 		return
 	}
-	o.add(Change{
-		Kind:    OwnersPrepared,
-		Subject: "owners",
-		Before:  m.memberList(before),
-		After:   m.memberList(m.owners.Next),
-		Cause:   cause,
-	})
+	o.add(m.ownersChange(OwnersPrepared, before, m.owners.Next, cause))
 }
 
 func (m *Machine) activateOwners(c *ActivateOwners) Outcome {
@@ -171,13 +165,44 @@
 	m.owners.Epoch++
 	m.owners.Previous = before
 	m.owners.Current = current
-	o.add(Change{
-		Kind:    OwnersActivated,
-		Subject: "owners",
-		Before:  m.memberList(before),
-		After:   m.memberList(current),
-		Cause:   cause,
+	o.add(m.ownersChange(OwnersActivated, before, current, cause))
+}
+
+// maxListed is the number of members up to which the audit trail lists a set
+// of owners; of a larger one it gives the size and what has changed.
+const maxListed = 16
+
+// ownersChange describes the step from one set of owners to another.
+func (m *Machine) ownersChange(kind ChangeKind, before, after []version.MemberID, cause Cause) Change {
+	c := Change{Kind: kind, Subject: "owners", Cause: cause}
+	if max(len(before), len(after)) <= maxListed {
+		c.Before = m.memberList(before)
+		c.After = m.memberList(after)
+		return c
+	}
+	c.Before = fmt.Sprintf("%d members", len(before))
+	c.After = fmt.Sprintf("%d members", len(after))
+	if len(before) > 0 && len(after) > 0 {
+		c.Before += m.listMissing(before, after)
+		c.After += m.listMissing(after, before)
+	}
+	return c
+}
+
+// listMissing names the members of set that other lacks, up to maxListed of
+// them. Both are ordered.
+func (m *Machine) listMissing(set, other []version.MemberID) string {
+	missing := slices.DeleteFunc(slices.Clone(set), func(id version.MemberID) bool {
+		_, found := slices.BinarySearch(other, id)
+		return found
 	})
+	switch n := len(missing); {
+	case n == 0:
+		return ""
+	case n > maxListed:
+		return fmt.Sprintf(", among them %s and %d more", m.memberList(missing[:maxListed]), n-maxListed)
+	}
+	return ", among them " + m.memberList(missing)
 }
 
 // memberList names the members ids for the audit trail.
