Measure control state on a live fleet; send the digest in heartbeats

make measure runs eight VMs with synced data folders in one process. The leader's check for diverged state was never given a digest: heartbeats left it out. TestHeartbeatCarriesDigest keeps it.

--- a/internal/measure/figures.go
+++ b/internal/measure/figures.go
@@ -1,4 +1,5 @@
-// Package measure runs the engines in virtual time and prints figures. Every
+// Package measure runs the engines in virtual time, and a fleet in real time,
+// and prints figures. Every
 // figure is one line: "figure NAME VALUE UNIT".
 package measure
 
@@ -34,6 +35,10 @@
 		{"planned", planned},
 		{"kill", kill},
 		{"kill_drain", killDrain},
+		{"sheet", sheetInForce},
+		{"commit", commits},
+		{"catch_up", catchUp},
+		{"control", controlCost},
 	}
 }
 
--- a/internal/process/control/heartbeat.go
+++ b/internal/process/control/heartbeat.go
@@ -96,6 +96,7 @@
 		Name:         c.cfg.Name,
 		Incarnation:  c.cfg.Incarnation,
 		Applied:      c.machine.Index(),
+		Digest:       c.machine.Digest(),
 		Settled:      c.cfg.Engine.Settled(),
 		Observations: c.observations,
 	}
--- a/internal/process/control/pause_test.go
+++ b/internal/process/control/manual_test.go
@@ -114,3 +114,14 @@
 	must.NotNil(t, m.leader)
 	must.True(t, m.leader.ready)
 }
+
+// The leader compares the digest in a heartbeat with its own to find a VM whose
+// state has diverged.
+func TestHeartbeatCarriesDigest(t *testing.T) {
+	m := newManual(t, "a-1")
+	m.advance(2 * electionTicks * raftTickInterval)
+	m.advance(heartbeatInterval)
+	hb := m.newHeartbeat(m.clock)
+	must.Positive(t, hb.Roster.Applied)
+	must.Eq(t, m.Version().Digest, hb.Roster.Digest)
+}
--- a/internal/process/link/link.go
+++ b/internal/process/link/link.go
@@ -210,6 +210,21 @@
 	return l.sent[k].load(), l.received[k].load()
 }
 
+// Traffic returns the bytes of UDP payload that the open connections have sent
+// and received, with handshakes, acknowledgements and retransmissions.
+func (l *Links) Traffic() (sent, received uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, p := range l.peers {
+		if conn := p.current(); conn != nil {
+			stats := conn.ConnectionStats()
+			sent += stats.BytesSent
+			received += stats.BytesReceived
+		}
+	}
+	return sent, received
+}
+
 // Dropped returns how many messages full queues have dropped.
 func (l *Links) Dropped() uint64 {
 	l.mu.Lock()
