Check histories of failing VMs and cut links side by side

Each fleet gets loopback addresses of its own: two fleets on the same addresses sometimes chose the same port.

--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -35,9 +36,21 @@
 	stopTimeout  = 15 * time.Second
 )
 
-// address returns the loopback address of VM i. It is none that clients are
-// given, so that the ports of a VM stay free while it is down.
-func address(i int) netip.Addr { return netip.AddrFrom4([4]byte{127, 0, 0, byte(2 + i)}) }
+// fleets counts the fleets of this process.
+var fleets atomic.Uint32
+
+// newNetwork returns the first three bytes of loopback addresses that no other
+// fleet and no client uses, so that the ports of a VM stay free while it is
+// down.
+func newNetwork() [3]byte {
+	const networks = 250
+	return [3]byte{127, byte(1 + os.Getpid()%networks), byte(fleets.Add(1))}
+}
+
+// address returns the loopback address of VM i.
+func (f *Fleet) address(i int) netip.Addr {
+	return netip.AddrFrom4([4]byte{f.network[0], f.network[1], f.network[2], byte(1 + i)})
+}
 
 // Options configure a Fleet.
 type Options struct {
@@ -51,6 +64,7 @@
 	Options
 	// Cuts tells which links are cut.
 	Cuts      Cuts
+	network   [3]byte
 	authority *keys.Ephemeral
 	operator  *keys.Store
 	settings  []*settings.Settings
@@ -69,7 +83,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &Fleet{Options: o, authority: authority, operator: operator}
+	f := &Fleet{Options: o, network: newNetwork(), authority: authority, operator: operator}
 	return f, f.configure()
 }
 
@@ -115,7 +129,7 @@
 	s.Fabric.Receivers = 1
 	s.Fabric.Batch = settings.DefaultBatch
 	s.Connections.Capacity = capacity
-	addr := address(i)
+	addr := f.address(i)
 	s.Connections.ExceptionBudget = settings.DefaultExceptionBudget
 	for _, a := range []*netip.AddrPort{&s.Fabric.Listen, &s.Relay.Listen, &s.Link.Listen} {
 		if err := freeUDP(addr, a); err != nil {
--- a/internal/process/fleet/history_test.go
+++ b/internal/process/fleet/history_test.go
@@ -253,7 +253,8 @@
 	do   func(h *harness, r *rand.Rand) (undo func())
 }
 
-var faults = []fault{
+// vmFaults end processes.
+var vmFaults = []fault{
 	{"kill the leader", func(h *harness, _ *rand.Rand) func() {
 		i := h.awaitLeader()
 		h.Kill(i)
@@ -264,6 +265,21 @@
 		must.NoError(h.t, h.Stop(h.ctx, i))
 		return func() { must.NoError(h.t, h.Start(h.ctx, i)) }
 	}},
+	{"kill a voter and a diskless VM", func(h *harness, r *rand.Rand) func() {
+		vms := []int{r.IntN(voters), voters + r.IntN(h.Size()-voters)}
+		for _, i := range vms {
+			h.Kill(i)
+		}
+		return func() {
+			for _, i := range vms {
+				must.NoError(h.t, h.Start(h.ctx, i))
+			}
+		}
+	}},
+}
+
+// linkFaults cut links.
+var linkFaults = []fault{
 	{"isolate the leader", func(h *harness, _ *rand.Rand) func() {
 		h.Isolate(h.awaitLeader())
 		return h.Cuts.Heal
@@ -281,17 +297,6 @@
 		h.Cuts.Cut(outside, inside)
 		return h.Cuts.Heal
 	}},
-	{"kill a voter and a diskless VM", func(h *harness, r *rand.Rand) func() {
-		vms := []int{r.IntN(voters), voters + r.IntN(h.Size()-voters)}
-		for _, i := range vms {
-			h.Kill(i)
-		}
-		return func() {
-			for _, i := range vms {
-				must.NoError(h.t, h.Start(h.ctx, i))
-			}
-		}
-	}},
 }
 
 func (h *harness) awaitLeader() int {
@@ -299,17 +304,27 @@
 	return max(h.Leader(), 0)
 }
 
-// TestHistoryUnderFaults checks that the sheet in force behaves as one register
-// for operators who race and resend through all VMs.
-func TestHistoryUnderFaults(t *testing.T) {
+// inject brings about all faults in an order that r chooses.
+func (h *harness) inject(faults []fault, r *rand.Rand) {
+	for _, i := range r.Perm(len(faults)) {
+		h.t.Log(faults[i].name)
+		undo := faults[i].do(h, r)
+		time.Sleep(faultTime)
+		undo()
+	}
+}
+
+// The sheet in force behaves as one register for operators who race and resend
+// through all VMs, while VMs are killed and stopped.
+func TestHistoryWhileVMsFail(t *testing.T) {
+	t.Parallel()
 	h := start(t)
-	h.record(2, func(r *rand.Rand) {
-		for _, i := range r.Perm(len(faults)) {
-			f := faults[i]
-			t.Log(f.name)
-			undo := f.do(h, r)
-			time.Sleep(faultTime)
-			undo()
-		}
-	})
+	h.record(2, func(r *rand.Rand) { h.inject(vmFaults, r) })
+}
+
+// The same while links are cut.
+func TestHistoryWhileLinksAreCut(t *testing.T) {
+	t.Parallel()
+	h := start(t)
+	h.record(3, func(r *rand.Rand) { h.inject(linkFaults, r) })
 }
