--- a/cmd/heatherport/cluster_test.go
+++ b/cmd/heatherport/cluster_test.go
@@ -11,7 +11,6 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -32,26 +31,21 @@
 	callTimeout  = 5 * time.Second
 )
 
-// program builds the binary once.
-var program = sync.OnceValues(func() (string, error) {
-	dir, err := os.MkdirTemp("", "heatherport-test-")
-	if err != nil {
-		return "", err
-	}
-	path := filepath.Join(dir, "heatherport")
-	out, err := exec.Command("go", "build", "-o", path, ".").CombinedOutput()
-	if err != nil {
-		return "", fmt.Errorf("build: %w: %s", err, out)
-	}
-	return path, nil
-})
+// childEnv makes the test program run as heatherport.
+const childEnv = "HEATHERPORT_TEST_CHILD"
 
 func TestMain(m *testing.M) {
-	code := m.Run()
-	if path, err := program(); err == nil {
-		os.RemoveAll(filepath.Dir(path))
+	if os.Getenv(childEnv) != "" {
+		main()
 	}
-	os.Exit(code)
+	os.Exit(m.Run())
+}
+
+// program returns the command that runs heatherport with args.
+func program(args ...string) *exec.Cmd {
+	c := exec.Command(os.Args[0], args...)
+	c.Env = append(os.Environ(), childEnv+"=1")
+	return c
 }
 
 // vm is one VM of a cluster and its process.
@@ -69,7 +63,6 @@
 type cluster struct {
 	t      *testing.T
 	dir    string
-	binary string
 	vms    []*vm
 	client *api.Client
 }
@@ -80,9 +73,7 @@
 
 // newCluster prepares keys, settings and data folders, and starts all VMs.
 func newCluster(t *testing.T) *cluster {
-	binary, err := program()
-	must.NoError(t, err)
-	c := &cluster{t: t, dir: t.TempDir(), binary: binary}
+	c := &cluster{t: t, dir: t.TempDir()}
 	t.Cleanup(c.close)
 	c.command("keys", "init", "--dir", c.dir)
 	c.command("keys", "issue", "--dir", c.dir, "--operator", "amina")
@@ -100,7 +91,7 @@
 			c.command("voter", "bootstrap", "--settings", c.settings(v))
 		}
 	}
-	c.client = c.operator()
+	c.client = c.operator(c.vms...)
 	for i := range c.vms {
 		c.start(i)
 	}
@@ -158,11 +149,12 @@
 // command runs a command of the binary that must succeed.
 func (c *cluster) command(args ...string) {
 	c.t.Helper()
-	out, err := exec.Command(c.binary, args...).CombinedOutput()
+	out, err := program(args...).CombinedOutput()
 	must.NoError(c.t, err, must.Sprintf("%s: %s", args, out))
 }
 
-func (c *cluster) operator() *api.Client {
+// operator returns a client of the operator that tries the given VMs in turn.
+func (c *cluster) operator(vms ...*vm) *api.Client {
 	store, err := keys.Open(keys.Files{
 		CA:          filepath.Join(c.dir, keys.CAFile),
 		Certificate: filepath.Join(c.dir, keys.CertificateFile("amina")),
@@ -170,7 +162,7 @@
 	})
 	must.NoError(c.t, err)
 	var addrs []netip.AddrPort
-	for _, v := range c.vms {
+	for _, v := range vms {
 		addrs = append(addrs, v.at(apiPort))
 	}
 	return api.NewClient(addrs, store.ClientTLS(""))
@@ -180,7 +172,7 @@
 func (c *cluster) start(i int) {
 	v := c.vms[i]
 	v.stderr.Reset()
-	v.process = exec.Command(c.binary, "run", "--settings", c.settings(v))
+	v.process = program("run", "--settings", c.settings(v))
 	v.process.Stderr = &v.stderr
 	must.NoError(c.t, v.process.Start())
 }
