Run the four stateful tests of owners at the same time

Cause: they took 338 s one after the other under the race detector. Change: t.Parallel; seeds, histories and properties are as they were.

--- a/internal/connection/owner/stateful_test.go
+++ b/internal/connection/owner/stateful_test.go
@@ -486,13 +486,25 @@
 	m.Check(t)
 }
 
-func TestPlannedChangesMoveNoConnection(t *testing.T) { rapid.Check(t, plannedHistory) }
+func TestPlannedChangesMoveNoConnection(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, plannedHistory)
+}
 
-func TestPlannedChangesOverLossyLinks(t *testing.T) { rapid.Check(t, lossyHistory) }
+func TestPlannedChangesOverLossyLinks(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, lossyHistory)
+}
 
-func TestKilledMembers(t *testing.T) { rapid.Check(t, killHistory) }
+func TestKilledMembers(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, killHistory)
+}
 
-func TestPartitions(t *testing.T) { rapid.Check(t, partitionHistory) }
+func TestPartitions(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, partitionHistory)
+}
 
 // TestFailuresFound runs the histories that once broke a property.
 func TestFailuresFound(t *testing.T) {
