--- a/internal/connection/owner/doc.go
+++ b/internal/connection/owner/doc.go
@@ -39,22 +39,29 @@
 //     only when X has acknowledged every exception of the slots.
 //  2. For the SYN horizon after E+1, X asks A about opening packets even when
 //     it holds the tenure: A may have forwarded the first copy to the base.
-//  3. If A is no longer a member, X decides at once with the exceptions that
+//  3. A also sends X every connection of the slots that has no exception, and
+//     then a complete Tenure. Only an owner that knows all connections of its
+//     slots can replicate exceptions to a base being prepared. A base may
+//     therefore advance only when SettledBase of every member has reached both
+//     the version that prepared it and the last one that changed owners.
+//  4. If A is no longer a member, X decides at once with the exceptions that
 //     it holds as the standby. Opening packets go to the base's first choice
 //     while that takes connections. If it stopped doing so within the SYN
-//     horizon, packets of a non-idempotent service are dropped.
-//  4. A packet takes at most MaxRelayHops relays, so no disagreement loops.
+//     horizon, packets of a non-idempotent service are dropped. So they are
+//     if A's standby was lost before A, because exceptions may be missing. X
+//     knows all connections again when each of them has had to send a packet.
+//  5. A packet takes at most MaxRelayHops relays, so no disagreement loops.
 //     RelayRecord and RelayTenure end the walk: their receiver decides.
-//  5. A member that neither is the owner nor hears it decides only as the
+//  6. A member that neither is the owner nor hears it decides only as the
 //     standby, or alone if it hears no standby either. It follows entries,
 //     exceptions and the base, opens connections of idempotent services by
 //     the plain ranking, and drops opening packets of other services.
-//  6. An entry names an upstream identity. Its address and service are
+//  7. An entry names an upstream identity. Its address and service are
 //     resolved in the current version just before sending.
-//  7. A connection is refused only by an owner that has held the slot, heard
+//  8. A connection is refused only by an owner that has held the slot, heard
 //     every member and evicted nothing for the SYN horizon, while no member
 //     reports that it has decided without the owner.
-//  8. The counts of an upstream lag by at most one report. Its connection
+//  9. The counts of an upstream lag by at most one report. Its connection
 //     limit is overshot by at most what the other owners open in that time
 //     beyond what the estimate assumes for them.
 package owner
