--- a/internal/process/app/app.go
+++ b/internal/process/app/app.go
@@ -33,9 +33,8 @@
 	Settings *settings.Settings
 	Keys     *keys.Store
 	Log      hclog.Logger
-	// AllowLink may cut links to other VMs; nil allows all. Only the demo and
-	// tests set it.
-	AllowLink func(peer string) bool
+	// AllowLink may cut links between VMs; nil allows all. Only tests set it.
+	AllowLink func(from, to string) bool
 }
 
 // App is the process of one VM.
--- a/internal/process/app/parts.go
+++ b/internal/process/app/parts.go
@@ -25,7 +25,7 @@
 )
 
 // linkFilter may cut links.
-type linkFilter func(peer string) bool
+type linkFilter func(from, to string) bool
 
 // incarnation numbers the starts of a VM.
 type incarnation uint64
--- a/internal/process/demo/demo.go
+++ b/internal/process/demo/demo.go
@@ -16,6 +16,7 @@
 
 	"heatherport/internal/process/app"
 	"heatherport/internal/process/cli"
+	"heatherport/internal/process/fleet"
 	"heatherport/internal/result"
 	"heatherport/internal/standin"
 	"heatherport/internal/version"
@@ -52,13 +53,15 @@
 	},
 }
 
+var loopback = netip.MustParseAddr("127.0.0.1")
+
 // run is one run of the demo.
 type run struct {
 	o         cli.DemoOptions
 	ctx       context.Context
 	fabric    *standin.Fabric
 	stats     *standin.Stats
-	fleet     *Fleet
+	fleet     *fleet.Fleet
 	random    *rand.Rand
 	upstreams map[string]*standin.Upstream
 	callers   sync.WaitGroup
@@ -116,7 +119,7 @@
 	if os.Getenv("HEATHERPORT_DEMO_LOG") != "" {
 		log = hclog.New(&hclog.LoggerOptions{Output: r.o.Log, Level: hclog.LevelFromString(os.Getenv("HEATHERPORT_DEMO_LOG"))})
 	}
-	r.fleet, err = NewFleet(dir, r.fabric, log)
+	r.fleet, err = fleet.New(fleet.Options{Dir: dir, Fabric: r.fabric, Log: log})
 	return err
 }
 
--- a/internal/process/demo/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -1,7 +1,6 @@
-// Package demo runs a small fleet with stand-ins in one process: eight
-// balancers in four failure domains, a fabric, callers and upstreams. It puts
-// the fleet through planned changes and a failure and reports what broke.
-package demo
+// Package fleet runs the VMs of a small fleet in one process: eight balancers
+// in four failure domains, three of them voters. The demo and tests use it.
+package fleet
 
 import (
 	"context"
@@ -24,17 +23,24 @@
 	"heatherport/internal/standin"
 )
 
-// domains are the failure domains of the fleet; each has two VMs, and the
-// first VM of each of the first three is a voter.
-var domains = []string{"ibadan", "akure", "abeokuta", "oshogbo"}
+// Domains are the failure domains of the fleet. VM i is in domain
+// i%len(Domains), and the first VM of each of the first three is a voter.
+var Domains = []string{"ibadan", "akure", "abeokuta", "oshogbo"}
 
 const (
-	vmsPerDomain = 2
-	voters       = 3
-	capacity     = 50_000
-	stopTimeout  = 15 * time.Second
+	capacity    = 50_000
+	stopTimeout = 15 * time.Second
 )
 
+// The numbers of VMs in the fleet; the voters come first.
+const (
+	Voters = 3
+	VMs    = 8
+)
+
+// operatorName is the name in the certificate of the fleet's operator.
+const operatorName = "operator"
+
 var loopback = netip.MustParseAddr("127.0.0.1")
 
 // Fleet is a set of VMs in this process.
@@ -43,6 +49,7 @@
 	authority *keys.Ephemeral
 	fabric    *standin.Fabric
 	operator  *keys.Store
+	allow     func(from, to string) bool
 	log       hclog.Logger
 	settings  []*settings.Settings
 
@@ -50,17 +57,26 @@
 	apps []*app.App // nil once stopped
 }
 
-// NewFleet prepares the VMs behind a fabric. Their data folders are below dir.
-func NewFleet(dir string, fabric *standin.Fabric, log hclog.Logger) (*Fleet, error) {
+// Options configure a Fleet.
+type Options struct {
+	Dir    string // data folders are below it
+	Fabric *standin.Fabric
+	Log    hclog.Logger
+	// AllowLink may cut links between VMs; nil allows all.
+	AllowLink func(from, to string) bool
+}
+
+// New prepares the VMs behind a fabric.
+func New(o Options) (*Fleet, error) {
 	authority, err := keys.NewEphemeral()
 	if err != nil {
 		return nil, err
 	}
-	operator, err := authority.Issue(identity.Operator, "demo")
+	operator, err := authority.Issue(identity.Operator, operatorName)
 	if err != nil {
 		return nil, err
 	}
-	f := &Fleet{dir: dir, authority: authority, fabric: fabric, operator: operator, log: log}
+	f := &Fleet{dir: o.Dir, authority: authority, fabric: o.Fabric, operator: operator, log: o.Log, allow: o.AllowLink}
 	return f, f.configure()
 }
 
@@ -68,7 +84,7 @@
 func (f *Fleet) configure() error {
 	var peers []settings.Peer
 	var initial []string
-	for i := range len(domains) * vmsPerDomain {
+	for i := range VMs {
 		s, err := f.newSettings(i)
 		if err != nil {
 			return err
@@ -94,12 +110,12 @@
 }
 
 func (f *Fleet) newSettings(i int) (*settings.Settings, error) {
-	domain := domains[i%len(domains)]
+	domain := Domains[i%len(Domains)]
 	s := &settings.Settings{}
-	s.VM.Name = fmt.Sprintf("%s-%d", domain, 1+i/len(domains))
+	s.VM.Name = fmt.Sprintf("%s-%d", domain, 1+i/len(Domains))
 	s.VM.Domain = domain
 	s.VM.StopTimeout = stopTimeout
-	if i < voters {
+	if i < Voters {
 		s.VM.DataDir = filepath.Join(f.dir, s.VM.Name)
 	}
 	s.Fabric.Return = f.fabric.Addr()
@@ -150,7 +166,7 @@
 	if err != nil {
 		return err
 	}
-	a, err := app.New(app.Options{Settings: s, Keys: store, Log: f.log.Named(s.VM.Name)})
+	a, err := app.New(app.Options{Settings: s, Keys: store, Log: f.log.Named(s.VM.Name), AllowLink: f.allow})
 	if err != nil {
 		return err
 	}
@@ -249,6 +265,11 @@
 	return -1
 }
 
+// OperatorAt returns a client with the operator's certificate for VM i alone.
+func (f *Fleet) OperatorAt(i int) *api.Client {
+	return api.NewClient([]netip.AddrPort{f.settings[i].API.Listen}, f.operator.ClientTLS(""))
+}
+
 // Operator returns a client with the operator's certificate for all live VMs.
 func (f *Fleet) Operator() *api.Client { return f.client(f.operator) }
 
--- a/internal/process/link/link.go
+++ b/internal/process/link/link.go
@@ -44,9 +44,10 @@
 	Server *tls.Config
 	Client *tls.Config
 	Log    hclog.Logger
-	// Allow, when set, may refuse messages from and to a peer. Tests use it
-	// to cut links.
-	Allow func(peer string) bool
+	// Allow, when set, may refuse to carry messages between two VMs, one of
+	// which is Self. Refused messages are lost without notice. Tests use it to
+	// cut links.
+	Allow func(from, to string) bool
 }
 
 // Counter counts the messages of one kind.
@@ -178,21 +179,26 @@
 }
 
 // Send queues a message to the VM called to. It reports false when the VM is
-// not known or cut off; true does not mean that the message arrives.
+// not known; true does not mean that the message arrives.
 func (l *Links) Send(to string, kind Kind, body []byte) bool {
-	if l.cfg.Allow != nil && !l.cfg.Allow(to) {
-		return false
-	}
 	l.mu.Lock()
 	p, ok := l.peers[to]
 	l.mu.Unlock()
 	if !ok || len(body) > maxBodySize {
 		return false
 	}
+	if !l.allowed(l.cfg.Self, to) {
+		return true // lost on the way
+	}
 	p.queue.push(outgoing{kind: kind, body: body})
 	return true
 }
 
+// allowed reports whether messages between two VMs are carried.
+func (l *Links) allowed(from, to string) bool {
+	return l.cfg.Allow == nil || l.cfg.Allow(from, to)
+}
+
 // Connected reports whether a connection to the VM called name is open.
 func (l *Links) Connected(name string) bool {
 	l.mu.Lock()
--- a/internal/process/link/peer.go
+++ b/internal/process/link/peer.go
@@ -111,7 +111,7 @@
 	addr := p.addr
 	p.mu.Unlock()
 	l := p.links
-	if !addr.IsValid() || (l.cfg.Allow != nil && !l.cfg.Allow(p.name)) {
+	if !addr.IsValid() || !l.allowed(l.cfg.Self, p.name) {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(l.ctx, handshakeTimeout)
@@ -229,7 +229,7 @@
 // deliver hands m to the control goroutine. When that falls behind, the
 // message is lost like any other.
 func (l *Links) deliver(m Message) {
-	if l.cfg.Allow != nil && !l.cfg.Allow(m.From) {
+	if !l.allowed(m.From, l.cfg.Self) {
 		return
 	}
 	select {
