Use an accepted connection while a dial or its pause is under way

Cause: the sender of a link waits in its dial, up to the handshake timeout of 3 s, or in the pause after a failed one, up to 4.5 s, and does not look at a connection that the peer has opened meanwhile. A VM that restarts while others dial its former process hears nothing from them until then.

Ruled out: the peer refusing the connection as a duplicate; the regression test has no connection before.

Before: TestAcceptedConnectionEndsDial fails, nothing arrives within 1.5 s. After: it passes, three times in a row with the race detector. One delay of about 3 s after a restart remains: with the leader's dial and the restarted VM's dial under way together, both take 3 s. Its cause is open.

--- a/internal/process/link/link.go
+++ b/internal/process/link/link.go
@@ -171,7 +171,7 @@
 func (l *Links) peerLocked(name string) *peer {
 	p, ok := l.peers[name]
 	if !ok {
-		p = &peer{name: name, links: l, queue: newQueue()}
+		p = &peer{name: name, links: l, queue: newQueue(), adopted: make(chan struct{}, 1)}
 		l.peers[name] = p
 		l.wg.Go(p.run)
 	}
--- a/internal/process/link/link_test.go
+++ b/internal/process/link/link_test.go
@@ -8,6 +8,7 @@
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"math/big"
+	"net"
 	"net/netip"
 	"sync/atomic"
 	"testing"
@@ -156,6 +157,30 @@
 	must.False(t, a.Connected("aarau-1"))
 }
 
+// TestAcceptedConnectionEndsDial has a VM dial an address that does not answer
+// while the peer connects from elsewhere, as after a restart.
+func TestAcceptedConnectionEndsDial(t *testing.T) {
+	ca := newAuthority(t)
+	a := startLinks(t, ca, "aarau-1", nil)
+	b := startLinks(t, ca, "bern-1", nil)
+	silent, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	must.NoError(t, err)
+	defer silent.Close()
+	a.SetPeers([]Peer{{Name: "bern-1", Addr: silent.LocalAddr().(*net.UDPAddr).AddrPort()}})
+	must.True(t, a.Send("bern-1", KindRaft, []byte("x")))
+	_, _, err = silent.ReadFromUDP(make([]byte, 2048))
+	must.NoError(t, err)
+	dialTimedOut := time.After(handshakeTimeout / 2)
+	b.SetPeers([]Peer{{Name: "aarau-1", Addr: a.Addr()}})
+	must.True(t, b.Send("aarau-1", KindRaft, []byte("y")))
+	select {
+	case m := <-b.Incoming():
+		must.Eq(t, "x", string(m.Body))
+	case <-dialTimedOut:
+		t.Fatal("the accepted connection is not used while a dial is under way")
+	}
+}
+
 func TestQueueReplacesAndDropsOldest(t *testing.T) {
 	q := newQueue()
 	q.push(outgoing{kind: KindHeartbeat, body: []byte{1}})
--- a/internal/process/link/peer.go
+++ b/internal/process/link/peer.go
@@ -17,11 +17,15 @@
 	name  string
 	links *Links
 	queue *queue
+	// adopted ends a pause between two dials when the peer has connected.
+	adopted chan struct{}
 
 	mu      sync.Mutex
 	addr    netip.AddrPort // zero: must not be dialled
 	conn    *quic.Conn
 	dialled bool // this side dialled conn
+	// endDial ends the attempt to dial that is under way, if any.
+	endDial context.CancelFunc
 }
 
 func (p *peer) setAddr(addr netip.AddrPort) {
@@ -55,12 +59,25 @@
 	}
 	p.conn = conn
 	p.dialled = dialled
+	p.endPause()
 	if old != nil {
 		old.CloseWithError(0, "replaced")
 	}
 	return true
 }
 
+// endPause has run use the connection at once, whether it dials or waits to
+// dial again. The caller holds mu.
+func (p *peer) endPause() {
+	if p.endDial != nil {
+		p.endDial()
+	}
+	select {
+	case p.adopted <- struct{}{}:
+	default:
+	}
+}
+
 // run sends queued messages until the links stop.
 func (p *peer) run() {
 	backoff := backoffMin
@@ -99,23 +116,44 @@
 	select {
 	case <-p.links.ctx.Done():
 		return false
+	case <-p.adopted:
+		return true
 	case <-time.After(d):
 		return true
 	}
 }
 
+// startDial returns the address to dial and a context that ends when the peer
+// connects in the meantime. It returns false when there is nothing to dial.
+func (p *peer) startDial() (context.Context, netip.AddrPort, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.links
+	if p.conn != nil || !p.addr.IsValid() || !l.allowed(l.cfg.Self, p.name) {
+		return nil, p.addr, false
+	}
+	ctx, cancel := context.WithTimeout(l.ctx, handshakeTimeout)
+	p.endDial = cancel
+	return ctx, p.addr, true
+}
+
+// finishDial releases what startDial has taken.
+func (p *peer) finishDial() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.endDial()
+	p.endDial = nil
+}
+
 // dial opens a connection and returns the one that the pair uses afterwards,
 // or nil.
 func (p *peer) dial() *quic.Conn {
-	p.mu.Lock()
-	addr := p.addr
-	p.mu.Unlock()
 	l := p.links
-	if !addr.IsValid() || !l.allowed(l.cfg.Self, p.name) {
-		return nil
+	ctx, addr, ok := p.startDial()
+	if !ok {
+		return p.current()
 	}
-	ctx, cancel := context.WithTimeout(l.ctx, handshakeTimeout)
-	defer cancel()
+	defer p.finishDial()
 	tlsConf := withALPN(l.cfg.Client)
 	tlsConf.ServerName = p.name
 	conn, err := l.transport.Dial(ctx, net.UDPAddrFromAddrPort(addr), tlsConf, quicConfig())
