Measure the control path over real code and real processes

make measure runs the benchmarks of the fleet in one process and of four processes after the engines' figures.

--- a/Makefile
+++ b/Makefile
@@ -13,3 +13,4 @@
 
 measure:
 	go run ./internal/measure/cmd
+	go test -run '^$$' -bench . -benchtime 1x -timeout 5m ./internal/process/fleet ./cmd/heatherport
--- a/cmd/heatherport/process_test.go
+++ b/cmd/heatherport/process_test.go
@@ -53,7 +53,7 @@
 }
 
 // run runs heatherport to its end and returns what it printed.
-func run(t *testing.T, args ...string) string {
+func run(t testing.TB, args ...string) string {
 	t.Helper()
 	out, err := program(t.Context(), args...).CombinedOutput()
 	must.NoError(t, err, must.Sprint(string(out)))
@@ -62,7 +62,7 @@
 
 // vm is one VM, a process of its own while it runs.
 type vm struct {
-	t                            *testing.T
+	t                            testing.TB
 	ctx                          context.Context
 	name, dir                    string
 	voter                        bool
@@ -74,7 +74,7 @@
 
 // group is a set of VMs: three voters and one VM without a data folder.
 type group struct {
-	t        *testing.T
+	t        testing.TB
 	ctx      context.Context
 	dir      string
 	vms      []*vm
@@ -86,8 +86,7 @@
 	operatorName = "amina"
 )
 
-func newGroup(t *testing.T) *group {
-	t.Parallel()
+func newGroup(t testing.TB) *group {
 	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
 	t.Cleanup(cancel)
 	g := &group{t: t, ctx: ctx, dir: t.TempDir()}
@@ -121,7 +120,7 @@
 }
 
 // freePort returns a loopback port that is free for UDP and TCP.
-func freePort(t *testing.T) netip.AddrPort {
+func freePort(t testing.TB) netip.AddrPort {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	defer l.Close()
@@ -287,6 +286,7 @@
 // TestAcknowledgedSheetsSurviveKills kills each voter and the VM without a data
 // folder by SIGKILL while sheets are submitted.
 func TestAcknowledgedSheetsSurviveKills(t *testing.T) {
+	t.Parallel()
 	g := newGroup(t)
 	g.accept(1)
 	g.waitSheet(1, g.vms...)
@@ -316,6 +316,7 @@
 // TestVotersWithoutDataFoldersComeBack removes the data folders of two voters,
 // one after the other; a third voter fails right after the second repair.
 func TestVotersWithoutDataFoldersComeBack(t *testing.T) {
+	t.Parallel()
 	g := newGroup(t)
 	g.accept(1)
 	g.waitSheet(1, g.vms...)
@@ -345,6 +346,7 @@
 
 // TestCorruptLogRefusesStart flips a byte of an accepted sheet in the log.
 func TestCorruptLogRefusesStart(t *testing.T) {
+	t.Parallel()
 	g := newGroup(t)
 	g.accept(1)
 	g.waitSheet(1, g.vms...)
@@ -366,6 +368,7 @@
 
 // TestSignals stops a voter gracefully by one SIGTERM and at once by two.
 func TestSignals(t *testing.T) {
+	t.Parallel()
 	g := newGroup(t)
 	g.accept(1)
 	g.waitSheet(1, g.vms...)
--- a/internal/process/fleet/testing_test.go
+++ b/internal/process/fleet/testing_test.go
@@ -60,11 +60,11 @@
 type testFleet struct {
 	*Fleet
 	cuts
-	t   *testing.T
+	t   testing.TB
 	ctx context.Context
 }
 
-func newTestFleet(t *testing.T) *testFleet {
+func newTestFleet(t testing.TB) *testFleet {
 	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
 	t.Cleanup(cancel)
 	fabric, err := standin.NewFabric(netip.AddrPortFrom(loopback, 0), 1)
