--- a/internal/connection/owner/choose.go
+++ b/internal/connection/owner/choose.go
@@ -28,9 +28,14 @@
 	return s.targets[i]
 }
 
+// maxWalk bounds the upstreams with room that are looked at for a new
+// connection.
+const maxWalk = placement.MaxCached
+
 // choose returns the upstream for a new connection: the first of the ranking
 // whose open connections stay within the limit times its fair share, else the
-// one with the fewest for its weight. It returns nil when all are full.
+// one with the fewest for its weight among the first maxWalk with room. It
+// returns nil when all are full.
 func (e *Engine) choose(r *request, s *service) *target {
 	others := r.view.others
 	var c chooser
@@ -46,6 +51,7 @@
 	var least *target
 	var leastOpen int64
 	var leastWeight uint64
+	room := 0
 	for i, ok := c.walker.Next(); ok; i, ok = c.walker.Next() {
 		t := s.targets[i]
 		if s.settled && r.base == 0 {
@@ -62,6 +68,9 @@
 		if least == nil || uint64(n)*leastWeight < uint64(leastOpen)*weight {
 			least, leastOpen, leastWeight = t, n, weight
 		}
+		if room++; room == maxWalk {
+			break
+		}
 	}
 	return least
 }
@@ -86,6 +95,9 @@
 	if t == nil {
 		return e.refuse(r, s, st)
 	}
+	if t = e.recordable(r, s, t); t == nil {
+		return drop(result.DropInDoubt)
+	}
 	up, ok := e.store(r, t, table.Counted)
 	if !ok {
 		return drop(result.DropTableFull)
@@ -98,6 +110,62 @@
 	return e.forward(r, up, r.packet.Seq, 0)
 }
 
+// recordable returns t, or the base's first choice if t deviates from it and
+// the standby cannot record that now: the exception would be lost with this
+// owner. It returns nil when the base's first choice has more than its part
+// already and the standby, which is only about to apply this version, can
+// record the choice when the packet comes again.
+func (e *Engine) recordable(r *request, s *service, t *target) *target {
+	if r.view.others == 0 || !r.deviates(s, t.id) || e.recorder(r, t) != nil {
+		return t
+	}
+	b := r.view.targets.get(r.first(s))
+	if b == nil || !b.active || e.full(r, b) {
+		return t
+	}
+	if e.standbyLags(r) && e.crowded(r, s, b) {
+		return nil
+	}
+	return b
+}
+
+// standbyLags reports whether the standby is there but is not known to have
+// applied this version.
+func (e *Engine) standbyLags(r *request) bool {
+	to := r.view.peers[r.view.owners.cur.Standby(r.slot)]
+	return to != nil && to.alive(r.now) && to.applied.Load() < r.view.version.Index
+}
+
+// Bounds of a base's first choice that stands in for another choice.
+const (
+	crowdedFactor = 2 // over its fair share
+	crowdedSlack  = 8 // connections
+)
+
+// crowded reports whether b has far more than its fair share of connections.
+func (e *Engine) crowded(r *request, s *service, b *target) bool {
+	var total int64
+	for _, t := range s.targets {
+		total += int64(t.counter.Estimate(r.view.others * peerShare))
+	}
+	n := int64(b.counter.Estimate(r.view.others * peerShare))
+	return n*int64(len(s.targets)) > crowdedFactor*total+crowdedSlack*int64(len(s.targets))
+}
+
+// recorder returns the standby if it can record an exception for t now.
+func (e *Engine) recorder(r *request, t *target) *route {
+	to := r.view.peers[r.view.owners.cur.Standby(r.slot)]
+	if to == nil || !to.alive(r.now) || to.applied.Load() < t.counter.since {
+		return nil
+	}
+	return to
+}
+
+// full reports whether t is at its connection limit.
+func (e *Engine) full(r *request, t *target) bool {
+	return t.limit > 0 && int64(t.counter.Estimate(r.view.others*peerShare)) >= t.limit
+}
+
 // previousUpstream returns the upstream of the connection that used the same
 // 5-tuple before, if it takes new connections: entries of other members may
 // still name it.
@@ -113,10 +181,7 @@
 	}
 	sh.Unlock()
 	t := r.view.targets.get(id)
-	if t == nil || !t.active || t.service != s {
-		return nil
-	}
-	if n := int64(t.counter.Estimate(r.view.others * peerShare)); t.limit > 0 && n >= t.limit {
+	if t == nil || !t.active || t.service != s || e.full(r, t) {
 		return nil
 	}
 	return t
@@ -173,9 +238,12 @@
 	if r.owner() != r.view.self {
 		return connection.Decision{}, false
 	}
-	to := r.view.peers[r.view.owners.cur.Standby(r.slot)]
 	t, same := r.view.resolve(id, &r.packet.Key)
-	if to == nil || !same || !to.alive(r.now) || to.applied.Load() < t.counter.since {
+	if !same {
+		return connection.Decision{}, false
+	}
+	to := e.recorder(r, t)
+	if to == nil {
 		return connection.Decision{}, false
 	}
 	return connection.Decision{
--- a/internal/connection/owner/tick.go
+++ b/internal/connection/owner/tick.go
@@ -4,8 +4,6 @@
 	"maps"
 	"slices"
 	"time"
-
-	"heatherport/internal/version"
 )
 
 const (
@@ -31,6 +29,7 @@
 		return nil
 	}
 	e.table.Expire(now)
+	e.dropGhosts(now)
 	e.events.drain(func(it item) {
 		e.spend.steady += e.replicate(w, it) * itemBytes
 	})
@@ -68,7 +67,7 @@
 
 // collect builds the messages of one tick.
 func (e *Engine) collect(now time.Duration, w *view) []Outbound {
-	beat := e.report.due(now, w.self)
+	beat := e.report.due(now, w)
 	var changes, full *Load
 	if beat {
 		changes, full = e.loads(now, w)
@@ -128,6 +127,7 @@
 		Epoch: h.epoch, Complete: complete,
 		Wait:  secondsUntil(now, e.knownAt),
 		Doubt: secondsUntil(now, e.doubtUntil),
+		Deep:  secondsUntil(now, e.deepUntil),
 	}
 }
 
@@ -140,12 +140,19 @@
 	next   time.Duration
 	seq    uint64
 	fullAt time.Duration
+	index  uint64 // version index of the last report
 }
 
-// due reports whether a heartbeat is due. Members start at different phases.
-func (r *report) due(now time.Duration, self version.MemberID) bool {
+// due reports whether a heartbeat is due. Members start at different phases. A
+// new version is reported at once: owners send nothing that names its
+// upstreams to a standby that is not known to have applied it.
+func (r *report) due(now time.Duration, w *view) bool {
 	if r.next == 0 {
-		r.next = now + time.Duration(self%5)*heartbeat/5
+		r.next = now + time.Duration(w.self%5)*heartbeat/5
+	}
+	if r.index != w.version.Index {
+		r.index = w.version.Index
+		r.next = min(r.next, now)
 	}
 	if now < r.next {
 		return false
@@ -163,6 +170,7 @@
 	head := Load{
 		Seq: e.report.seq, Applied: w.version.Index, Leaving: e.leaving,
 		Doubt: now-time.Duration(e.aloneAt.Load()) < synHorizon,
+		Deep:  secondsUntil(now, e.deepUntil),
 	}
 	if e.settled >= w.version.Index {
 		head.Synced = w.owners.epoch
--- a/internal/process/app/app.go
+++ b/internal/process/app/app.go
@@ -33,7 +33,8 @@
 	Settings *settings.Settings
 	Keys     *keys.Store
 	Log      hclog.Logger
-	// AllowLink may cut links between VMs; nil allows all. Only tests set it.
+	// AllowLink may drop the control messages that one VM sends to another; nil
+	// allows all. Only a fleet in one process sets it.
 	AllowLink func(from, to string) bool
 }
 
--- a/internal/process/app/parts.go
+++ b/internal/process/app/parts.go
@@ -24,7 +24,7 @@
 	"heatherport/internal/version/vfs"
 )
 
-// linkFilter may cut links.
+// linkFilter may drop the control messages that one VM sends to another.
 type linkFilter func(from, to string) bool
 
 // incarnation numbers the starts of a VM.
--- a/internal/process/demo/demo.go
+++ b/internal/process/demo/demo.go
@@ -1,3 +1,6 @@
+// Package demo runs a small fleet with stand-ins in one process: eight
+// balancers in four failure domains, a fabric, callers and upstreams. It puts
+// the fleet through planned changes and a failure and reports what broke.
 package demo
 
 import (
--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -1,5 +1,6 @@
 // Package fleet runs the VMs of a small fleet in one process: eight balancers
-// in four failure domains, three of them voters. The demo and tests use it.
+// in four failure domains, three of them voters, with real sockets on the
+// loopback interface. The demo, tests and measurements share it.
 package fleet
 
 import (
@@ -10,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -23,60 +25,65 @@
 	"heatherport/internal/standin"
 )
 
-// Domains are the failure domains of the fleet. VM i is in domain
-// i%len(Domains), and the first VM of each of the first three is a voter.
-var Domains = []string{"ibadan", "akure", "abeokuta", "oshogbo"}
+// domains are the failure domains of the fleet; each has two VMs, and the
+// first VM of each of the first three is a voter.
+var domains = []string{"ibadan", "akure", "abeokuta", "oshogbo"}
 
 const (
-	capacity    = 50_000
-	stopTimeout = 15 * time.Second
+	vmsPerDomain = 2
+	voters       = 3 // the first VMs
+	capacity     = 50_000
+	stopTimeout  = 15 * time.Second
 )
 
-// The numbers of VMs in the fleet; the voters come first.
-const (
-	Voters = 3
-	VMs    = 8
-)
+// fleets counts the fleets of this process.
+var fleets atomic.Uint32
 
-// operatorName is the name in the certificate of the fleet's operator.
-const operatorName = "operator"
+// newNetwork returns the first three bytes of loopback addresses that no other
+// fleet and no client uses, so that the ports of a VM stay free while it is
+// down.
+func newNetwork() [3]byte {
+	const networks = 250
+	return [3]byte{127, byte(1 + os.Getpid()%networks), byte(fleets.Add(1))}
+}
+
+// address returns the loopback address of VM i.
+func (f *Fleet) address(i int) netip.Addr {
+	return netip.AddrFrom4([4]byte{f.network[0], f.network[1], f.network[2], byte(1 + i)})
+}
 
-var loopback = netip.MustParseAddr("127.0.0.1")
+// Options configure a Fleet.
+type Options struct {
+	Dir    string          // below it are the data folders; Close removes it
+	Fabric *standin.Fabric // carries the callers' packets
+	Log    hclog.Logger
+}
 
 // Fleet is a set of VMs in this process.
 type Fleet struct {
-	dir       string
+	Options
+	// Cuts tells which links are cut.
+	Cuts      Cuts
+	network   [3]byte
 	authority *keys.Ephemeral
-	fabric    *standin.Fabric
 	operator  *keys.Store
-	allow     func(from, to string) bool
-	log       hclog.Logger
 	settings  []*settings.Settings
 
 	mu   sync.Mutex
 	apps []*app.App // nil once stopped
 }
 
-// Options configure a Fleet.
-type Options struct {
-	Dir    string // data folders are below it
-	Fabric *standin.Fabric
-	Log    hclog.Logger
-	// AllowLink may cut links between VMs; nil allows all.
-	AllowLink func(from, to string) bool
-}
-
-// New prepares the VMs behind a fabric.
+// New prepares the VMs of a new fleet.
 func New(o Options) (*Fleet, error) {
 	authority, err := keys.NewEphemeral()
 	if err != nil {
 		return nil, err
 	}
-	operator, err := authority.Issue(identity.Operator, operatorName)
+	operator, err := authority.Issue(identity.Operator, "operator")
 	if err != nil {
 		return nil, err
 	}
-	f := &Fleet{dir: o.Dir, authority: authority, fabric: o.Fabric, operator: operator, log: o.Log, allow: o.AllowLink}
+	f := &Fleet{Options: o, network: newNetwork(), authority: authority, operator: operator}
 	return f, f.configure()
 }
 
@@ -84,7 +91,7 @@
 func (f *Fleet) configure() error {
 	var peers []settings.Peer
 	var initial []string
-	for i := range VMs {
+	for i := range len(domains) * vmsPerDomain {
 		s, err := f.newSettings(i)
 		if err != nil {
 			return err
@@ -110,26 +117,27 @@
 }
 
 func (f *Fleet) newSettings(i int) (*settings.Settings, error) {
-	domain := Domains[i%len(Domains)]
+	domain := domains[i%len(domains)]
 	s := &settings.Settings{}
-	s.VM.Name = fmt.Sprintf("%s-%d", domain, 1+i/len(Domains))
+	s.VM.Name = fmt.Sprintf("%s-%d", domain, 1+i/len(domains))
 	s.VM.Domain = domain
 	s.VM.StopTimeout = stopTimeout
-	if i < Voters {
-		s.VM.DataDir = filepath.Join(f.dir, s.VM.Name)
+	if i < voters {
+		s.VM.DataDir = filepath.Join(f.Dir, s.VM.Name)
 	}
-	s.Fabric.Return = f.fabric.Addr()
+	s.Fabric.Return = f.Fabric.Addr()
 	s.Fabric.Receivers = 1
 	s.Fabric.Batch = settings.DefaultBatch
 	s.Connections.Capacity = capacity
+	addr := f.address(i)
 	s.Connections.ExceptionBudget = settings.DefaultExceptionBudget
 	for _, a := range []*netip.AddrPort{&s.Fabric.Listen, &s.Relay.Listen, &s.Link.Listen} {
-		if err := freeUDP(a); err != nil {
+		if err := freeUDP(addr, a); err != nil {
 			return nil, err
 		}
 	}
 	for _, a := range []*netip.AddrPort{&s.API.Listen, &s.Metrics.Listen} {
-		if err := freeTCP(a); err != nil {
+		if err := freeTCP(addr, a); err != nil {
 			return nil, err
 		}
 	}
@@ -139,8 +147,8 @@
 	return s, nil
 }
 
-func freeUDP(a *netip.AddrPort) error {
-	c, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.AddrPortFrom(loopback, 0)))
+func freeUDP(addr netip.Addr, a *netip.AddrPort) error {
+	c, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.AddrPortFrom(addr, 0)))
 	if err != nil {
 		return result.Wrapf(err, result.Internal, "free UDP port")
 	}
@@ -149,8 +157,8 @@
 	return nil
 }
 
-func freeTCP(a *netip.AddrPort) error {
-	l, err := net.Listen("tcp", netip.AddrPortFrom(loopback, 0).String())
+func freeTCP(addr netip.Addr, a *netip.AddrPort) error {
+	l, err := net.Listen("tcp", netip.AddrPortFrom(addr, 0).String())
 	if err != nil {
 		return result.Wrapf(err, result.Internal, "free TCP port")
 	}
@@ -166,7 +174,7 @@
 	if err != nil {
 		return err
 	}
-	a, err := app.New(app.Options{Settings: s, Keys: store, Log: f.log.Named(s.VM.Name), AllowLink: f.allow})
+	a, err := app.New(app.Options{Settings: s, Keys: store, Log: f.Log.Named(s.VM.Name), AllowLink: f.Cuts.allow})
 	if err != nil {
 		return err
 	}
@@ -188,13 +196,13 @@
 }
 
 // Attach lets the fabric send to VM i.
-func (f *Fleet) Attach(i int) { f.fabric.Add(f.settings[i].Fabric.Listen) }
+func (f *Fleet) Attach(i int) { f.Fabric.Add(f.settings[i].Fabric.Listen) }
 
 // Stop stops VM i gracefully. The fabric takes it out when it is no longer
 // ready, a moment after the stop began.
 func (f *Fleet) Stop(ctx context.Context, i int) error {
 	a := f.take(i)
-	time.AfterFunc(fabricDelay, func() { f.fabric.Remove(f.settings[i].Fabric.Listen) })
+	time.AfterFunc(fabricDelay, func() { f.Fabric.Remove(f.settings[i].Fabric.Listen) })
 	return a.Stop(ctx)
 }
 
@@ -205,16 +213,16 @@
 func (f *Fleet) Kill(i int) {
 	a := f.take(i)
 	a.Kill()
-	time.AfterFunc(fabricDelay, func() { f.fabric.Remove(f.settings[i].Fabric.Listen) })
+	time.AfterFunc(fabricDelay, func() { f.Fabric.Remove(f.settings[i].Fabric.Listen) })
 }
 
 // Close kills all VMs that still run.
 func (f *Fleet) Close() {
 	for _, i := range f.Live() {
-		f.fabric.Remove(f.settings[i].Fabric.Listen)
+		f.Fabric.Remove(f.settings[i].Fabric.Listen)
 		f.take(i).Kill()
 	}
-	_ = os.RemoveAll(f.dir)
+	_ = os.RemoveAll(f.Dir)
 }
 
 func (f *Fleet) set(i int, a *app.App) {
@@ -239,6 +247,12 @@
 	return f.apps[i]
 }
 
+// Size returns the number of VMs, running or not.
+func (f *Fleet) Size() int { return len(f.settings) }
+
+// Settings returns the settings of VM i.
+func (f *Fleet) Settings(i int) *settings.Settings { return f.settings[i] }
+
 // Name returns the name of VM i.
 func (f *Fleet) Name(i int) string { return f.settings[i].VM.Name }
 
@@ -265,17 +279,16 @@
 	return -1
 }
 
-// OperatorAt returns a client with the operator's certificate for VM i alone.
-func (f *Fleet) OperatorAt(i int) *api.Client {
-	return api.NewClient([]netip.AddrPort{f.settings[i].API.Listen}, f.operator.ClientTLS(""))
-}
-
 // Operator returns a client with the operator's certificate for all live VMs.
-func (f *Fleet) Operator() *api.Client { return f.client(f.operator) }
+func (f *Fleet) Operator() *api.Client { return f.client(f.operator, f.Live()) }
 
-func (f *Fleet) client(store *keys.Store) *api.Client {
+// OperatorAt returns a client with the operator's certificate that calls VM i
+// only.
+func (f *Fleet) OperatorAt(i int) *api.Client { return f.client(f.operator, []int{i}) }
+
+func (f *Fleet) client(store *keys.Store, vms []int) *api.Client {
 	var addrs []netip.AddrPort
-	for _, i := range f.Live() {
+	for _, i := range vms {
 		addrs = append(addrs, f.settings[i].API.Listen)
 	}
 	return api.NewClient(addrs, store.ClientTLS(""))
@@ -290,7 +303,7 @@
 	}
 	return func(ctx context.Context, a standin.Announcement) error {
 		load := float64(a.Load) / 255
-		_, err := f.client(store).Announce(ctx, api.Announcement{
+		_, err := f.client(store, f.Live()).Announce(ctx, api.Announcement{
 			Name:        a.Name,
 			Service:     a.Service,
 			Address:     a.Addr,
--- a/internal/process/link/link.go
+++ b/internal/process/link/link.go
@@ -44,12 +44,15 @@
 	Server *tls.Config
 	Client *tls.Config
 	Log    hclog.Logger
-	// Allow, when set, may refuse to carry messages between two VMs, one of
-	// which is Self. Refused messages are lost without notice. Tests use it to
-	// cut links.
+	// Allow, when set, may drop the messages that one VM sends to another.
+	// Both sides ask it, so that each direction of a link can be cut.
 	Allow func(from, to string) bool
 }
 
+func (c *Config) allows(from, to string) bool {
+	return c.Allow == nil || c.Allow(from, to)
+}
+
 // Counter counts the messages of one kind.
 type Counter struct {
 	Messages, Bytes uint64
@@ -179,26 +182,21 @@
 }
 
 // Send queues a message to the VM called to. It reports false when the VM is
-// not known; true does not mean that the message arrives.
+// not known or cut off; true does not mean that the message arrives.
 func (l *Links) Send(to string, kind Kind, body []byte) bool {
+	if !l.cfg.allows(l.cfg.Self, to) {
+		return false
+	}
 	l.mu.Lock()
 	p, ok := l.peers[to]
 	l.mu.Unlock()
 	if !ok || len(body) > maxBodySize {
 		return false
 	}
-	if !l.allowed(l.cfg.Self, to) {
-		return true // lost on the way
-	}
 	p.queue.push(outgoing{kind: kind, body: body})
 	return true
 }
 
-// allowed reports whether messages between two VMs are carried.
-func (l *Links) allowed(from, to string) bool {
-	return l.cfg.Allow == nil || l.cfg.Allow(from, to)
-}
-
 // Connected reports whether a connection to the VM called name is open.
 func (l *Links) Connected(name string) bool {
 	l.mu.Lock()
@@ -212,6 +210,21 @@
 	return l.sent[k].load(), l.received[k].load()
 }
 
+// Traffic returns the bytes of UDP payload that the open connections have sent
+// and received, with handshakes, acknowledgements and retransmissions.
+func (l *Links) Traffic() (sent, received uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, p := range l.peers {
+		if conn := p.current(); conn != nil {
+			stats := conn.ConnectionStats()
+			sent += stats.BytesSent
+			received += stats.BytesReceived
+		}
+	}
+	return sent, received
+}
+
 // Dropped returns how many messages full queues have dropped.
 func (l *Links) Dropped() uint64 {
 	l.mu.Lock()
--- a/internal/process/link/peer.go
+++ b/internal/process/link/peer.go
@@ -129,7 +129,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l := p.links
-	if p.conn != nil || !p.addr.IsValid() || !l.allowed(l.cfg.Self, p.name) {
+	if p.conn != nil || !p.addr.IsValid() || !l.cfg.allows(l.cfg.Self, p.name) {
 		return nil, p.addr, false
 	}
 	ctx, cancel := context.WithTimeout(l.ctx, handshakeTimeout)
@@ -267,7 +267,7 @@
 // deliver hands m to the control goroutine. When that falls behind, the
 // message is lost like any other.
 func (l *Links) deliver(m Message) {
-	if !l.allowed(m.From, l.cfg.Self) {
+	if !l.cfg.allows(m.From, l.cfg.Self) {
 		return
 	}
 	select {
--- a/internal/version/roster/base.go
+++ b/internal/version/roster/base.go
@@ -16,6 +16,10 @@
 	// BaseMaxWait is how long slow start and further changes may put a
 	// change of the base off.
 	BaseMaxWait = 30 * time.Second
+	// NarrowBaseQuiet takes the place of BaseQuiet, and slow start is not
+	// waited for, while the base ranks less than half of the upstreams that
+	// the current ranking has: nearly all connections would be exceptions.
+	NarrowBaseQuiet = 500 * time.Millisecond
 )
 
 // serviceView is what the leader knows of a service.
@@ -26,13 +30,21 @@
 	divergedAt   time.Duration
 	preparedAt   stamp
 
-	// Counted anew in each tick.
+	// Counted anew with each version, and while ejections are pending.
 	open    int // upstreams that may receive new connections if healthy
 	ejected int // of these, the unhealthy ones
 	ramping int // of these, the healthy ones in slow start
 }
 
+// changingService is a service whose base differs from its current ranking or
+// is being changed.
+type changingService struct {
+	*version.Service
+	view *serviceView
+}
+
 func (r *Roster) syncServices() {
+	r.changing = r.changing[:0]
 	for i := range r.version.Services {
 		s := &r.version.Services[i]
 		view := r.services[s.ID]
@@ -41,6 +53,9 @@
 			r.services[s.ID] = view
 		}
 		view.sync(r.now, s)
+		if view.diverged || s.NextBase != nil {
+			r.changing = append(r.changing, changingService{s, view})
+		}
 	}
 	if len(r.services) == len(r.version.Services) {
 		return
@@ -75,21 +90,19 @@
 // changeBases prepares the base of services whose current ranking has come to
 // rest, and advances it once all members have settled.
 func (r *Roster) changeBases() {
-	for i := range r.version.Services {
-		s := &r.version.Services[i]
+	for _, s := range r.changing {
 		if s.NextBase != nil {
 			r.advanceBase(s)
 			continue
 		}
-		if view := r.services[s.ID]; view.diverged {
-			r.prepareBase(s, view)
-		}
+		r.prepareBase(s)
 	}
 }
 
-func (r *Roster) prepareBase(s *version.Service, view *serviceView) {
-	quiet := r.now-view.currentSince >= BaseQuiet && view.ramping == 0
-	overdue := r.now-view.divergedAt >= BaseMaxWait
+func (r *Roster) prepareBase(s changingService) {
+	rest := r.now - s.view.currentSince
+	quiet := rest >= BaseQuiet && s.view.ramping == 0 || rest >= NarrowBaseQuiet && narrowBase(s.Service)
+	overdue := r.now-s.view.divergedAt >= BaseMaxWait
 	if len(s.Current) == 0 || !quiet && !overdue {
 		return
 	}
@@ -97,8 +110,20 @@
 	r.propose(key, state.Command{PrepareBase: &state.PrepareBase{Service: s.ID}})
 }
 
-func (r *Roster) advanceBase(s *version.Service) {
-	since := r.services[s.ID].preparedAt.see(r.now, s.PreparedAt)
+// narrowBase reports whether the base ranks less than half of the upstreams of
+// the current ranking.
+func narrowBase(s *version.Service) bool {
+	shared := 0
+	for i := range s.Current {
+		if slices.ContainsFunc(s.Base, func(w version.Weighted) bool { return w.Upstream == s.Current[i].Upstream }) {
+			shared++
+		}
+	}
+	return 2*shared < len(s.Current)
+}
+
+func (r *Roster) advanceBase(s changingService) {
+	since := s.view.preparedAt.see(r.now, s.PreparedAt)
 	cause, ok := r.settled(s.PreparedAt, since)
 	if !ok {
 		return
