Walk the members and upstreams of a version in its order

Cause: each tick of the engine sorted all members, and each report all upstreams, although the version holds both in order.

Change: the tick walks the version.

--- a/internal/connection/owner/tick.go
+++ b/internal/connection/owner/tick.go
@@ -1,8 +1,6 @@
 package owner
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"heatherport/internal/version"
@@ -75,8 +73,12 @@
 		changes, full = e.loads(now, w)
 	}
 	var out []Outbound
-	for _, id := range slices.Sorted(maps.Keys(w.peers)) {
-		p := w.peers[id].peer
+	for i := range w.version.Members {
+		to := w.peers[w.version.Members[i].ID]
+		if to == nil {
+			continue
+		}
+		p := to.peer
 		var m Message
 		if beat {
 			m.Load = changes
@@ -172,7 +174,7 @@
 	}
 	a, b := head, head
 	b.Full = true
-	a.Counts, b.Counts = e.counts()
+	a.Counts, b.Counts = e.counts(w)
 	if now >= e.report.fullAt {
 		e.report.fullAt = now + fullEvery
 		return &b, &b
@@ -181,10 +183,14 @@
 }
 
 // counts encodes the counts that changed since the last report and all counts.
-func (e *Engine) counts() (changes, full []byte) {
+func (e *Engine) counts(w *view) (changes, full []byte) {
 	var some, all countWriter
-	for _, id := range slices.Sorted(maps.Keys(e.counters)) {
+	for i := range w.version.Upstream {
+		id := w.version.Upstream[i].ID
 		c := e.counters[id]
+		if c == nil {
+			continue
+		}
 		n := c.Own()
 		c.Mark()
 		if n != c.sent {
