Advance a base only when owners know all connections of their slots

Change: heartbeats carry SettledBase; the roster waits for it at the version that prepared the base and at the last change of owners, and for no longer than the service's idle timeout beyond the usual wait. TestBaseWaitsForOwnersThatKnowAllConnections covers both waits.

--- a/internal/process/control/heartbeat.go
+++ b/internal/process/control/heartbeat.go
@@ -98,6 +98,7 @@
 		Applied:      c.machine.Index(),
 		Digest:       c.machine.Digest(),
 		Settled:      c.cfg.Engine.Settled(),
+		SettledBase:  c.cfg.Engine.SettledBase(),
 		Observations: c.observations,
 	}
 	if c.self == 0 {
--- a/internal/version/roster/base.go
+++ b/internal/version/roster/base.go
@@ -124,9 +124,14 @@
 
 func (r *Roster) advanceBase(s changingService) {
 	since := s.view.preparedAt.see(r.now, s.PreparedAt)
-	cause, ok := r.settled(s.PreparedAt, since)
-	if !ok {
-		return
+	cause := state.CauseSettled
+	if r.settledBaseIndex < max(s.PreparedAt, r.ownersIndex) {
+		// Connections without a packet for the idle timeout have ended, so
+		// that nothing is left which an owner might not know.
+		if r.now-since < s.IdleTimeout+SettleWait {
+			return
+		}
+		cause = state.CauseWaitExceeded
 	}
 	c := state.AdvanceBase{Service: s.ID, Prepared: s.PreparedAt, Cause: cause}
 	key := pendingKey{kind: proposeAdvanceBase, subject: uint32(s.ID), arg: s.PreparedAt}
--- a/internal/version/roster/member.go
+++ b/internal/version/roster/member.go
@@ -12,11 +12,12 @@
 // memberView is what the leader knows of a member.
 type memberView struct {
 	version.Member
-	owner      bool
-	leaseUntil time.Duration
-	applied    uint64
-	settled    uint64
-	seenAt     uint64 // index of the version that first showed the member
+	owner       bool
+	leaseUntil  time.Duration
+	applied     uint64
+	settled     uint64
+	settledBase uint64
+	seenAt      uint64 // index of the version that first showed the member
 }
 
 // Heartbeat renews the lease of the sender and takes over its report. Renewals
@@ -37,6 +38,7 @@
 	m.leaseUntil = max(m.leaseUntil, now+MemberLease)
 	m.applied = max(m.applied, hb.Applied)
 	m.settled = max(m.settled, hb.Settled)
+	m.settledBase = max(m.settledBase, hb.SettledBase)
 	for i := range hb.Observations {
 		r.observe(now, hb.Member, &hb.Observations[i])
 	}
@@ -144,12 +146,14 @@
 	return r.leased(m) && m.applied >= m.seenAt
 }
 
-// countSettled finds the index that all members with a lease have settled.
+// countSettled finds the indexes that all members with a lease have settled.
 func (r *Roster) countSettled() {
 	r.settledIndex = math.MaxUint64
+	r.settledBaseIndex = math.MaxUint64
 	for _, m := range r.memberList {
 		if r.leased(m) {
 			r.settledIndex = min(r.settledIndex, m.settled)
+			r.settledBaseIndex = min(r.settledBaseIndex, m.settledBase)
 		}
 	}
 }
--- a/internal/version/roster/message.go
+++ b/internal/version/roster/message.go
@@ -20,6 +20,7 @@
 	Digest       uint64           `cbor:"6,keyasint"` // of the version at Applied; zero if not known
 	Observations []Observation    `cbor:"7,keyasint,omitempty"`
 	Renewals     []Renewal        `cbor:"8,keyasint,omitempty"`
+	SettledBase  uint64           `cbor:"9,keyasint"` // as Settled, and all connections of its slots are known
 }
 
 // Observation is what one member saw of one upstream. It reports streaks and
--- a/internal/version/roster/roster.go
+++ b/internal/version/roster/roster.go
@@ -56,6 +56,11 @@
 	ownersAt     stamp // when the owners being prepared were first seen
 	// settledIndex is the index that all members with a lease have settled.
 	settledIndex uint64
+	// settledBaseIndex is the same for a base; it counts once it has reached
+	// ownersIndex, the version that first showed the epoch of the owners.
+	settledBaseIndex uint64
+	epoch            uint64
+	ownersIndex      uint64
 
 	pending map[pendingKey]time.Duration
 	tokens  float64
@@ -196,6 +201,10 @@
 		return false
 	}
 	r.version = v
+	if r.epoch != v.Owners.Epoch {
+		r.epoch = v.Owners.Epoch
+		r.ownersIndex = v.Index
+	}
 	r.syncMembers()
 	r.syncServices()
 	r.syncUpstreams()
--- a/internal/version/roster/roster_test.go
+++ b/internal/version/roster/roster_test.go
@@ -43,6 +43,7 @@
 	blind    bool                                    // heartbeats hold no observations
 	load     uint8
 	unsettle bool          // heartbeats report nothing as settled
+	partial  bool          // heartbeats report no base as settled
 	delay    time.Duration // until a command takes effect
 	queue    []queued
 	each     func() // called before each tick of run
@@ -114,12 +115,16 @@
 
 func (l *leader) heartbeat(id version.MemberID) result.Code {
 	v := l.machine.Version()
-	hb := &roster.Heartbeat{Member: id, Applied: v.Index, Settled: v.Index, Digest: v.Digest}
+	hb := &roster.Heartbeat{Member: id, Applied: v.Index, Settled: v.Index, SettledBase: v.Index, Digest: v.Digest}
 	if b := v.MemberByID(id); b != nil {
 		hb.Name = b.Name
 	}
 	if l.unsettle {
 		hb.Settled = 0
+		hb.SettledBase = 0
+	}
+	if l.partial {
+		hb.SettledBase = 0
 	}
 	for i := range v.Upstream {
 		u := &v.Upstream[i]
@@ -445,6 +450,21 @@
 	must.Len(t, 6, l.machine.Version().Services[0].Base)
 }
 
+// TestBaseWaitsForOwnersThatKnowAllConnections: settled exceptions alone do not
+// let a base advance, however long the usual wait; the idle timeout does.
+func TestBaseWaitsForOwnersThatKnowAllConnections(t *testing.T) {
+	l := newLeader(t, 3, 6)
+	l.run(time.Minute)
+	l.partial = true
+	l.apply(state.Command{RemoveUpstream: &state.RemoveUpstream{ID: l.upstream(5).ID}})
+	l.run(2 * roster.SettleWait)
+	s := &l.machine.Version().Services[0]
+	must.Len(t, 6, s.Base)
+	must.Len(t, 5, s.NextBase)
+	l.run(s.IdleTimeout)
+	must.Len(t, 5, l.machine.Version().Services[0].Base)
+}
+
 func TestJoinerOwnsNothingBeforeItCatchesUp(t *testing.T) {
 	l := newLeader(t, 3, 1)
 	l.run(5 * time.Second)
