--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,10 @@
 	go test -fuzz FuzzDecodePacket -fuzztime 60s -fuzzminimizetime 10x -parallel 2 ./internal/request/wire
 	go test -fuzz FuzzDecodeRelay -fuzztime 60s -fuzzminimizetime 10x -parallel 2 ./internal/request/relay
 
-
 slopes:
 	go run ./internal/measure/slopes/cmd
+
+# The figures that miss their bounds; see KNOWN-RED.txt.
+known-red:
+	go run ./internal/measure/cmd forward
+	go run ./internal/measure/slopes/cmd relay
