Answer at once when no leader has been known for long; count opened connections

Cause: a call on a cut-off VM was held for 5 s before it was refused; the metric connections_opened_total was always 0. Change: without a leader for longer than a call may take, the call ends at once with 301 and Retry-After; the engine counts the connections it opens. Measured: the tests of the engine and of control pass.

--- a/internal/connection/owner/choose.go
+++ b/internal/connection/owner/choose.go
@@ -102,6 +102,7 @@
 	if !ok {
 		return drop(result.DropTableFull)
 	}
+	e.opened.Add(1)
 	if up == t.id && r.deviates(s, up) {
 		if d, ok := e.viaStandby(r, up); ok {
 			return d
--- a/internal/connection/owner/engine.go
+++ b/internal/connection/owner/engine.go
@@ -52,8 +52,9 @@
 	events  events
 	limit   *load.Limit
 	lease   atomic.Bool
-	aloneAt atomic.Int64 // last decision without the owner
-	evictAt atomic.Int64 // last eviction from the table
+	aloneAt atomic.Int64  // last decision without the owner
+	evictAt atomic.Int64  // last eviction from the table
+	opened  atomic.Uint64 // connections for which this member chose the upstream
 	stats   stats
 
 	// The rest belongs to the control goroutine.
--- a/internal/connection/owner/engine_test.go
+++ b/internal/connection/owner/engine_test.go
@@ -73,6 +73,11 @@
 		must.Eq(t, connection.Forward, first.Action)
 		must.Eq(t, first.Upstream, again.Upstream)
 	}
+	var opened uint64
+	for _, n := range r.Nodes {
+		opened += n.Engine.Stats().Opened
+	}
+	must.Eq(t, 50, opened)
 }
 
 func TestReusedPortAfterFinOpensNewConnection(t *testing.T) {
--- a/internal/connection/owner/miss.go
+++ b/internal/connection/owner/miss.go
@@ -194,6 +194,7 @@
 	if !ok {
 		return drop(result.DropTableFull)
 	}
+	e.opened.Add(1)
 	return e.forward(r, up, r.packet.Seq, 0)
 }
 
--- a/internal/connection/owner/stats.go
+++ b/internal/connection/owner/stats.go
@@ -40,6 +40,7 @@
 // Stats are counters and sizes of an engine.
 type Stats struct {
 	Forwarded, Relayed, Dropped, Refused uint64
+	Opened                               uint64 // connections for which this member chose the upstream
 	Codes                                map[result.Code]uint64
 	Table                                table.Usage
 	Held                                 int     // received exceptions
@@ -53,7 +54,7 @@
 func (e *Engine) Stats() Stats {
 	s := Stats{
 		Codes: make(map[result.Code]uint64), Table: e.table.Usage(), Held: e.held.len(),
-		Limit: e.limit.Factor(), ExceptionBytes: e.spend.sent, Settled: e.settled,
+		Opened: e.opened.Load(), Limit: e.limit.Factor(), ExceptionBytes: e.spend.sent, Settled: e.settled,
 	}
 	for i := range e.stats.stripes {
 		st := &e.stats.stripes[i]
--- a/internal/process/control/calls.go
+++ b/internal/process/control/calls.go
@@ -134,6 +134,7 @@
 	}
 	to := c.leaderName()
 	if to == "" || to == c.cfg.Name {
+		c.giveUp(o)
 		return
 	}
 	if c.cfg.Links.Send(to, link.KindForward, encode(o.call)) {
@@ -141,6 +142,14 @@
 	}
 }
 
+// giveUp ends a call at once when no leader has been known for so long that
+// waiting for one is no use; the client is told when to come back.
+func (c *Controller) giveUp(o *openCall) {
+	if c.now()-c.leaderSeen > callTimeout {
+		c.calls.finish(o, o.expired())
+	}
+}
+
 // answered ends a call with the answer r, unless r says that nothing was done
 // and that another attempt may succeed.
 func (c *Controller) answered(o *openCall, r reply) {
--- a/internal/process/control/controller.go
+++ b/internal/process/control/controller.go
@@ -116,6 +116,7 @@
 	known        knownLeader
 	target       int // position in the list of VMs to ask for the leader
 	lastReply    time.Duration
+	leaderSeen   time.Duration // when a leader was last known
 	leaseUntil   time.Duration
 	heartbeatDue time.Duration
 	heartbeats   sentTimes
@@ -320,6 +321,9 @@
 func (c *Controller) tick() {
 	now := c.now()
 	c.tickRaft(now)
+	if c.leader != nil || c.leaderName() != "" {
+		c.leaderSeen = now
+	}
 	if now-c.engineTicked >= engineInterval {
 		c.engineTicked = now
 		c.tickEngine(now)
@@ -403,6 +407,7 @@
 	stats := c.cfg.Engine.Stats()
 	view.Open = uint64(stats.Table.Entries)
 	view.Exceptions = uint64(stats.Held)
+	view.Opened = stats.Opened
 	if v := c.published.Load(); v != nil {
 		view.SheetNumber = v.Sheet.Number
 		view.LiveVMs = len(v.Members)
