Report retransmitted opening packets as a sign of failing upstreams

Cause: the roster weighs retransmissions beside failed probes, but no VM reported any. Change: engines count opening packets that come again; the round of probes adds what came since the round before.

--- a/internal/connection/owner/decide.go
+++ b/internal/connection/owner/decide.go
@@ -201,8 +201,19 @@
 	return p != nil && p.alive(r.now)
 }
 
+// countRepeat counts an opening packet that the caller has sent again, which
+// is a sign that the upstream does not answer.
+func (e *Engine) countRepeat(r *request, id version.UpstreamID) {
+	if t := r.view.targets.get(id); t != nil {
+		t.counter.repeats.Add(1)
+	}
+}
+
 // follow forwards a packet to the upstream of its entry.
 func (e *Engine) follow(r *request, m match, d *connection.Decision) {
+	if r.packet.Marks&connection.MarkOpen != 0 && r.via == nil {
+		e.countRepeat(r, m.upstream)
+	}
 	if e.needsRecord(r, m) {
 		if via, ok := e.viaStandby(r, m.upstream); ok {
 			*d = via
--- a/internal/connection/owner/engine_test.go
+++ b/internal/connection/owner/engine_test.go
@@ -74,10 +74,16 @@
 		must.Eq(t, first.Upstream, again.Upstream)
 	}
 	var opened uint64
+	var repeated uint32
 	for _, n := range r.Nodes {
 		opened += n.Engine.Stats().Opened
+		for _, id := range r.Leader.Upstreams(r.service, version.Active) {
+			repeated += n.Engine.Retransmissions(id)
+		}
 	}
 	must.Eq(t, 50, opened)
+	must.Positive(t, repeated)
+	must.LessEq(t, 50, repeated)
 }
 
 func TestReusedPortAfterFinOpensNewConnection(t *testing.T) {
--- a/internal/connection/owner/stats.go
+++ b/internal/connection/owner/stats.go
@@ -183,6 +183,16 @@
 	return uint64(max(t.counter.Estimate(e.view.Load().others*peerShare), 0))
 }
 
+// Retransmissions returns how many opening packets for connections at an
+// upstream were retransmissions, since the start. The count wraps around.
+func (e *Engine) Retransmissions(id version.UpstreamID) uint32 {
+	t := e.target(id)
+	if t == nil {
+		return 0
+	}
+	return t.counter.repeats.Load()
+}
+
 func (e *Engine) target(id version.UpstreamID) *target {
 	w := e.view.Load()
 	if w == nil {
--- a/internal/connection/owner/view.go
+++ b/internal/connection/owner/view.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"heatherport/internal/connection/flow"
@@ -50,6 +51,7 @@
 	leftAt  time.Duration // when it left the current ranking
 	current bool          // in the current ranking
 	sent    int32         // count in the last report
+	repeats atomic.Uint32 // opening packets of connections that were open already
 }
 
 // view is everything that traffic goroutines read. It is immutable but for the
--- a/internal/process/control/controller.go
+++ b/internal/process/control/controller.go
@@ -127,6 +127,8 @@
 	rosterTicked time.Duration
 	observations []roster.Observation
 	drainsSeen   map[drainKey]time.Time // when each open drain was first seen
+	// retransmissions are the engine's counts at the last round of probes.
+	retransmissions map[version.UpstreamID]uint32
 }
 
 // View is a summary of the control state for metrics and health.
--- a/internal/process/control/probe.go
+++ b/internal/process/control/probe.go
@@ -111,7 +111,7 @@
 		seen = append(seen, o)
 	}
 	p.streaks = streaks
-	_ = p.c.post(p.ctx, func() { p.c.observations = seen })
+	_ = p.c.post(p.ctx, func() { p.c.observe(seen) })
 }
 
 // probe connects once and reports whether that succeeded.
@@ -140,3 +140,18 @@
 	}
 	return o
 }
+
+// observe takes the streaks of a round for the next heartbeats, and adds the
+// retransmissions of opening packets since the round before.
+func (c *Controller) observe(seen []roster.Observation) {
+	counts := make(map[version.UpstreamID]uint32, len(seen))
+	for i := range seen {
+		o := &seen[i]
+		counts[o.Upstream] = c.cfg.Engine.Retransmissions(o.Upstream)
+		if before, ok := c.retransmissions[o.Upstream]; ok {
+			o.Retransmissions = counts[o.Upstream] - before
+		}
+	}
+	c.retransmissions = counts
+	c.observations = seen
+}
