Prove that probes take a failing upstream out

Cause: probes ran in no test over real processes. Change: stand-in upstreams announce a probe endpoint; closing it must take the upstream out everywhere, on the word of several VMs, without breaking the connections that it has. The serial tests over processes run side by side.

--- a/cmd/heatherport/kill_test.go
+++ b/cmd/heatherport/kill_test.go
@@ -58,6 +58,7 @@
 // sheet numbers. What was acknowledged must stay in force or be replaced by a
 // higher number, and no number may have two contents.
 func TestKilledDuringSubmissions(t *testing.T) {
+	t.Parallel()
 	const (
 		operators = 2
 		readers   = 2
--- a/cmd/heatherport/traffic_test.go
+++ b/cmd/heatherport/traffic_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/netip"
 	"path/filepath"
 	"sync"
@@ -28,6 +29,7 @@
 	*cluster
 	fabric  *standin.Fabric
 	stats   *standin.Stats
+	probes  []net.Listener // of the upstreams, by position
 	callers sync.WaitGroup
 	hangUp  context.CancelFunc
 }
@@ -73,10 +75,14 @@
 	var out []*standin.Upstream
 	for i := range permitUpstreams {
 		name := fmt.Sprintf("permit-%d", i)
+		probe, err := net.Listen("tcp", "127.0.0.1:0")
+		must.NoError(tr.t, err)
+		tr.t.Cleanup(func() { probe.Close() })
+		tr.probes = append(tr.probes, probe)
 		u, err := standin.NewUpstream(context.Background(), tr.stats, standin.UpstreamConfig{
 			Name: name, Service: "permit", ServiceAddr: permitAddr, Protocol: version.TCP,
 			Listen: netip.MustParseAddrPort("127.0.0.1:0"), Return: tr.fabric.Addr(),
-			Incarnation: 1, Slots: 3, Waiting: 1000, Announce: tr.announcer(name),
+			Incarnation: 1, Slots: 3, Waiting: 1000, Announce: tr.announcer(name, probe.Addr()),
 		})
 		must.NoError(tr.t, err)
 		tr.t.Cleanup(func() { u.Close() })
@@ -89,7 +95,7 @@
 	return out
 }
 
-func (tr *traffic) announcer(name string) func(context.Context, standin.Announcement) error {
+func (tr *traffic) announcer(name string, probe net.Addr) func(context.Context, standin.Announcement) error {
 	tr.command("keys", "issue", "--dir", tr.dir, "--upstream", name)
 	store, err := keys.Open(keys.Files{
 		CA:          filepath.Join(tr.dir, keys.CAFile),
@@ -105,6 +111,7 @@
 	return func(ctx context.Context, a standin.Announcement) error {
 		_, err := client.Announce(ctx, api.Announcement{
 			Name: a.Name, Service: a.Service, Address: a.Addr, Incarnation: a.Incarnation, Slots: a.Slots,
+			Probe: probe.(*net.TCPAddr).AddrPort(),
 		})
 		return err
 	}
@@ -132,6 +139,7 @@
 // drains an upstream, one VM dies by SIGKILL and one stops by SIGTERM.
 func TestTrafficOverProcesses(t *testing.T) {
 	const step = 60 // connections between two changes
+	t.Parallel()
 	tr := newTraffic(t)
 	tr.submitSheet(1, -1)
 	upstreams := tr.startUpstreams()
@@ -171,3 +179,47 @@
 	must.Zero(t, r.DuplicateRuns)
 	must.Zero(t, r.WhileDraining)
 }
+
+// TestProbesEjectFailingUpstream closes what an upstream's probes connect to.
+// The upstream must get no new connections and keep those it has.
+func TestProbesEjectFailingUpstream(t *testing.T) {
+	const failing = 1
+	t.Parallel()
+	tr := newTraffic(t)
+	tr.submitSheet(1, -1)
+	upstreams := tr.startUpstreams()
+	tr.startCallers()
+	tr.progress(60)
+
+	must.NoError(t, tr.probes[failing].Close())
+	name := fmt.Sprintf("permit-%d", failing)
+	tr.waitFor("ejection", func() bool {
+		x, err := tr.client.ExplainUpstream(context.Background(), api.UpstreamQuery{Name: name})
+		return err == nil && !x.Healthy && !x.Eligible && len(x.Observations) > 1
+	})
+	tr.waitFor("ejection everywhere", func() bool { return tr.ejectedEverywhere(name) })
+	upstreams[failing].Drain() // counts connections that reach it from now on
+	tr.progress(120)
+
+	tr.hangUp()
+	tr.callers.Wait()
+	r := tr.stats.Report()
+	must.MapEmpty(t, r.Broken)
+	must.Zero(t, r.WhileDraining)
+}
+
+// ejectedEverywhere reports whether each VM has the upstream as not healthy.
+func (tr *traffic) ejectedEverywhere(name string) bool {
+	for _, v := range tr.vms {
+		s, err := tr.operator(v).Status(context.Background())
+		if err != nil {
+			return false
+		}
+		for _, u := range s.Upstreams {
+			if u.Name == name && u.Healthy {
+				return false
+			}
+		}
+	}
+	return true
+}
