Describe a ranked upstream in one place

Cause: the current and the base ranking of explain built the same record twice; the test of traffic over processes left out refused requests that ran. Change: one function builds the record; the test checks RefusedButRun too.

--- a/cmd/heatherport/traffic_test.go
+++ b/cmd/heatherport/traffic_test.go
@@ -177,6 +177,7 @@
 	must.Zero(t, r.Moved)
 	must.Zero(t, r.DuplicateFirst)
 	must.Zero(t, r.DuplicateRuns)
+	must.Zero(t, r.RefusedButRun)
 	must.Zero(t, r.WhileDraining)
 }
 
--- a/internal/process/control/explain.go
+++ b/internal/process/control/explain.go
@@ -95,16 +95,7 @@
 func (c *Controller) rank(v *version.Version, ranking []owner.Candidate) []api.Ranked {
 	out := make([]api.Ranked, 0, len(ranking))
 	for _, r := range ranking {
-		ranked := api.Ranked{
-			Upstream: upstreamName(v, r.Upstream),
-			Weight:   r.Weight,
-			Open:     uint64(max(r.Estimate, 0)),
-		}
-		ranked.Eligible, ranked.Reason = eligibility(v.UpstreamByID(r.Upstream))
-		if u := v.UpstreamByID(r.Upstream); u != nil {
-			ranked.Limit = uint64(u.ConnLimit)
-		}
-		out = append(out, ranked)
+		out = append(out, ranked(v, r.Upstream, r.Weight, uint64(max(r.Estimate, 0))))
 	}
 	return out
 }
@@ -114,20 +105,22 @@
 	var walk placement.Walker
 	walk.Start(r, bucket)
 	for i, ok := walk.Next(); ok; i, ok = walk.Next() {
-		ranked := api.Ranked{
-			Upstream: upstreamName(v, r[i].Upstream),
-			Weight:   r[i].Weight,
-			Open:     c.cfg.Engine.Open(r[i].Upstream),
-		}
-		if u := v.UpstreamByID(r[i].Upstream); u != nil {
-			ranked.Limit = uint64(u.ConnLimit)
-		}
-		ranked.Eligible, ranked.Reason = eligibility(v.UpstreamByID(r[i].Upstream))
-		out = append(out, ranked)
+		out = append(out, ranked(v, r[i].Upstream, r[i].Weight, c.cfg.Engine.Open(r[i].Upstream)))
 	}
 	return out
 }
 
+// ranked describes one upstream of a ranking with its open connections.
+func ranked(v *version.Version, id version.UpstreamID, weight uint32, open uint64) api.Ranked {
+	u := v.UpstreamByID(id)
+	out := api.Ranked{Upstream: upstreamName(v, id), Weight: weight, Open: open}
+	if u != nil {
+		out.Limit = uint64(u.ConnLimit)
+	}
+	out.Eligible, out.Reason = eligibility(u)
+	return out
+}
+
 // eligibility tells whether u receives new connections, and why not.
 func eligibility(u *version.Upstream) (bool, string) {
 	switch {
