--- a/cmd/heatherport/main.go
+++ b/cmd/heatherport/main.go
@@ -8,18 +8,23 @@
 	"os"
 
 	"heatherport/internal/process/app"
+	"heatherport/internal/process/balancer"
 	"heatherport/internal/process/cli"
+	"heatherport/internal/process/controller"
+	"heatherport/internal/process/daemon"
 	"heatherport/internal/process/demo"
 	"heatherport/internal/process/keys"
 	"heatherport/internal/process/logging"
 	"heatherport/internal/process/settings"
 	"heatherport/internal/request/api"
 	"heatherport/internal/version/sheet"
+	"heatherport/platform"
 )
 
 func main() {
 	os.Exit(cli.Main(os.Args[1:], cli.Options{
 		Runner:     runner{},
+		Programs:   programs{},
 		CheckSheet: checkSheet,
 		Stdout:     os.Stdout,
 		Stderr:     os.Stderr,
@@ -40,7 +45,7 @@
 	if err != nil {
 		return err
 	}
-	return app.Run(ctx, app.Options{Settings: s, Keys: store, Log: logging.New(s, os.Stderr)})
+	return app.Run(ctx, app.Options{Settings: s, Keys: store, Log: logging.New(s.VM, s.Log, os.Stderr)})
 }
 
 // Bootstrap implements cli.Runner.
@@ -49,6 +54,28 @@
 // Demo implements cli.Runner.
 func (runner) Demo(ctx context.Context, o cli.DemoOptions) error { return demo.Run(ctx, o) }
 
+// programs implements cli.Programs for the platform.
+type programs struct{}
+
+// Balancer implements cli.Programs.
+func (programs) Balancer(ctx context.Context, file string) error {
+	return daemon.Run(ctx, file, settings.Balancer, func(p daemon.Parts) daemon.Service {
+		b := balancer.New(balancer.Config{
+			Settings: p.Settings, Log: p.Log,
+			Codec: platform.Codec{ReturnPort: p.Settings.Packets.Port()},
+		})
+		return daemon.Service{Part: b, Listen: p.Settings.Ready, Handler: platform.ReadyHandler(b.Ready)}
+	})
+}
+
+// Controller implements cli.Programs.
+func (programs) Controller(ctx context.Context, file string) error {
+	return daemon.Run(ctx, file, settings.Controller, func(p daemon.Parts) daemon.Service {
+		c := controller.New(controller.Config{Settings: p.Settings, Log: p.Log, Read: platform.ReadConfiguration})
+		return daemon.Service{Part: c, Listen: p.Settings.API, Handler: platform.ControlHandler(c)}
+	})
+}
+
 func checkSheet(csv []byte) (cli.SheetSummary, error) {
 	s, err := sheet.Parse(bytes.NewReader(csv))
 	if err != nil {
--- /dev/null
+++ b/internal/connection/affinity/affinity.go
@@ -0,0 +1,339 @@
+// Package affinity forwards connections whose packets carry a cookie. The
+// opening packet is placed; the choice travels in the cookie, which both ends
+// of the connection repeat, so that any balancer forwards a later packet by
+// its cookie alone.
+//
+// # Opening copies
+//
+// A caller repeats an opening packet that was not answered. The copy may go to
+// another upstream, and then both may answer. The connection opens at the one
+// whose answer the caller acknowledged first, and the caller's first packet
+// after opening carries the cookie of that answer; a later answer of the other
+// upstream may change the cookie of the packets that follow. The engine
+// therefore pins a connection to the first cookie that it sees after opening.
+//
+// # Loss of the table
+//
+// The table of connections serves counts, copies and pins. A packet without an
+// entry is forwarded by its cookie.
+package affinity
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"heatherport/internal/result"
+	"heatherport/internal/version/directory"
+)
+
+// Packet is what the engine needs to know of a packet from a caller.
+type Packet struct {
+	Caller       netip.AddrPort
+	Service      netip.AddrPort
+	Opening      bool
+	Ending       bool // the caller's side has sent all
+	Reset        bool
+	Cookie       uint32
+	Sequence     uint32
+	Acknowledged uint32
+	Copies       uint32 // copies of an opening packet that came before
+	Length       int    // bytes of data
+}
+
+// Verdict says what to do with a packet. A nil Upstream means that it is not
+// forwarded; Refuse asks for a reset to the caller.
+type Verdict struct {
+	Upstream *Upstream
+	Refuse   bool
+	Code     result.Code // cause when it is not forwarded
+}
+
+// Config holds the parameters of an Engine.
+type Config struct {
+	Domain   string // own failure domain
+	Capacity int    // connections in the table
+	Rand     *rand.Rand
+}
+
+const (
+	// idleCount is the time without a packet after which a connection no
+	// longer counts as load: requests take under a second, and a connection
+	// that another balancer took over sends nothing here.
+	idleCount = 2 * time.Second
+	// forgetAfter is the time without a packet after which an entry goes. It
+	// covers the longest gap between retransmissions.
+	forgetAfter = 4 * time.Second
+	// suspicionTime is how long an upstream that left an opening packet
+	// unanswered gets no new connections while others are there. Measured: 2
+	// to 4 s are alike.
+	suspicionTime = 2 * time.Second
+	// maxTried bounds the upstreams that the copies of one opening packet
+	// reach; a caller sends two copies.
+	maxTried = 3
+)
+
+type key struct{ caller, service netip.AddrPort }
+
+// entry is a connection of the table.
+type entry struct {
+	service  string
+	sequence uint32 // of the opening packet
+	tried    []uint32
+	cookie   uint32 // of the upstream that holds the connection
+	pinned   bool   // a packet after opening carried the cookie
+	counted  bool
+	touched  time.Duration
+}
+
+// Engine places and forwards. It is not safe for concurrent use.
+type Engine struct {
+	cfg       Config
+	table     map[key]*entry
+	upstreams map[uint32]*gauge
+}
+
+// gauge is what the engine observes of an upstream.
+type gauge struct {
+	open      int // connections counted here
+	suspected time.Duration
+	isSuspect bool
+}
+
+// New returns an engine with an empty table.
+func New(cfg Config) *Engine {
+	return &Engine{cfg: cfg, table: make(map[key]*entry), upstreams: make(map[uint32]*gauge)}
+}
+
+// Len returns the number of connections in the table.
+func (e *Engine) Len() int { return len(e.table) }
+
+// Decide says where a packet goes at time now.
+func (e *Engine) Decide(now time.Duration, v *View, p *Packet) Verdict {
+	if p.Opening {
+		return e.open(now, v, p)
+	}
+	return e.follow(now, v, p)
+}
+
+// open places an opening packet.
+func (e *Engine) open(now time.Duration, v *View, p *Packet) Verdict {
+	k := key{p.Caller, p.Service}
+	c := e.table[k]
+	if c != nil && c.sequence == p.Sequence {
+		return e.copyOf(now, v, p, c)
+	}
+	if c != nil {
+		e.forget(k, c) // the caller uses its port again
+	}
+	route := v.route(p.Service)
+	if route == nil {
+		return refusal(result.RefusedNoRoute, v.Current && p.Copies == 0)
+	}
+	service := route.Service(e.cfg.Rand.Uint64())
+	u := e.choose(now, v, service, nil)
+	if u == nil {
+		return refusal(result.RefusedNoUpstream, v.Current && p.Copies == 0)
+	}
+	c = &entry{service: service, sequence: p.Sequence}
+	if len(e.table) < e.cfg.Capacity {
+		e.table[k] = c
+	}
+	e.assign(now, c, u)
+	return Verdict{Upstream: u}
+}
+
+// refusal drops a packet, or refuses the connection when it is certain that
+// none of its packets was forwarded.
+func refusal(code result.Code, certain bool) Verdict {
+	return Verdict{Code: code, Refuse: certain}
+}
+
+// copyOf handles a repeated opening packet.
+func (e *Engine) copyOf(now time.Duration, v *View, p *Packet, c *entry) Verdict {
+	c.touched = now
+	u := v.Upstream(c.cookie)
+	if c.pinned {
+		return forwardTo(u)
+	}
+	if p.Copies > 0 {
+		e.suspect(now, c.cookie)
+	}
+	if len(c.tried) < maxTried {
+		if other := e.choose(now, v, c.service, c.tried); other != nil && !e.isSuspect(now, other.Cookie) {
+			u = other
+		}
+	}
+	if u == nil {
+		return Verdict{Code: result.DropUpstreamGone}
+	}
+	e.assign(now, c, u)
+	return Verdict{Upstream: u}
+}
+
+func forwardTo(u *Upstream) Verdict {
+	if u == nil || u.State == directory.Gone {
+		return Verdict{Code: result.DropUpstreamGone}
+	}
+	return Verdict{Upstream: u}
+}
+
+// follow forwards a packet of a connection that was opened before.
+func (e *Engine) follow(now time.Duration, v *View, p *Packet) Verdict {
+	k := key{p.Caller, p.Service}
+	c := e.table[k]
+	if c == nil {
+		if p.Cookie == 0 {
+			return Verdict{Code: result.DropNoCookie}
+		}
+		c = &entry{cookie: p.Cookie, pinned: true}
+		if len(e.table) < e.cfg.Capacity {
+			e.table[k] = c
+		}
+	}
+	if !c.pinned {
+		e.pin(c, v, p.Cookie)
+	}
+	c.touched = now
+	switch {
+	case p.Ending, p.Reset:
+		e.uncount(c)
+	case p.Length > 0 || c.counted:
+		e.count(c)
+	}
+	u := v.Upstream(c.cookie)
+	if u == nil {
+		return Verdict{Code: result.DropUnknownTag}
+	}
+	return forwardTo(u)
+}
+
+// pin ties a connection to the upstream whose answer opened it.
+func (e *Engine) pin(c *entry, v *View, cookie uint32) {
+	if cookie != 0 && cookie != c.cookie && v.Upstream(cookie) != nil {
+		e.uncount(c)
+		c.cookie = cookie
+		e.count(c)
+	}
+	c.pinned = true
+	e.gauge(c.cookie).isSuspect = false
+}
+
+func (e *Engine) assign(now time.Duration, c *entry, u *Upstream) {
+	if c.cookie != u.Cookie {
+		e.uncount(c)
+		c.cookie = u.Cookie
+		c.tried = append(c.tried, u.Cookie)
+	}
+	e.count(c)
+	c.touched = now
+}
+
+func (e *Engine) gauge(cookie uint32) *gauge {
+	g := e.upstreams[cookie]
+	if g == nil {
+		g = &gauge{}
+		e.upstreams[cookie] = g
+	}
+	return g
+}
+
+func (e *Engine) count(c *entry) {
+	if !c.counted {
+		c.counted = true
+		e.gauge(c.cookie).open++
+	}
+}
+
+func (e *Engine) uncount(c *entry) {
+	if c.counted {
+		c.counted = false
+		e.gauge(c.cookie).open--
+	}
+}
+
+func (e *Engine) forget(k key, c *entry) {
+	e.uncount(c)
+	delete(e.table, k)
+}
+
+func (e *Engine) suspect(now time.Duration, cookie uint32) {
+	g := e.gauge(cookie)
+	g.isSuspect = true
+	g.suspected = now
+}
+
+func (e *Engine) isSuspect(now time.Duration, cookie uint32) bool {
+	g := e.upstreams[cookie]
+	return g != nil && g.isSuspect && now-g.suspected < suspicionTime
+}
+
+// Tick lets idle connections go.
+func (e *Engine) Tick(now time.Duration) {
+	for k, c := range e.table {
+		switch idle := now - c.touched; {
+		case idle > forgetAfter:
+			e.forget(k, c)
+		case idle > idleCount:
+			e.uncount(c)
+		}
+	}
+	for cookie, g := range e.upstreams {
+		if g.open == 0 && !e.isSuspect(now, cookie) {
+			delete(e.upstreams, cookie)
+		}
+	}
+}
+
+// choose returns the eligible upstream of a service with the least load, or
+// nil. Upstreams under suspicion or without announcements are taken only when
+// there is no other.
+func (e *Engine) choose(now time.Duration, v *View, service string, except []uint32) *Upstream {
+	var best *Upstream
+	bestRank := rank{}
+	for _, u := range v.byService[service] {
+		if slices.Contains(except, u.Cookie) {
+			continue
+		}
+		r := e.rank(now, u)
+		if best == nil || r.less(bestRank) {
+			best, bestRank = u, r
+		}
+	}
+	return best
+}
+
+// rank orders upstreams for a choice; the lowest is taken.
+type rank struct {
+	doubt   int     // reasons to believe that it does not answer
+	load    float64 // open connections a slot
+	distant bool    // in another failure domain
+	tie     uint32
+}
+
+func (r rank) less(o rank) bool {
+	switch {
+	case r.doubt != o.doubt:
+		return r.doubt < o.doubt
+	case r.load != o.load:
+		return r.load < o.load
+	case r.distant != o.distant:
+		return o.distant
+	}
+	return r.tie < o.tie
+}
+
+func (e *Engine) rank(now time.Duration, u *Upstream) rank {
+	r := rank{distant: u.Domain != e.cfg.Domain, tie: e.cfg.Rand.Uint32()}
+	if e.isSuspect(now, u.Cookie) {
+		r.doubt++
+	}
+	if u.Lapsed {
+		r.doubt++
+	}
+	if g := e.upstreams[u.Cookie]; g != nil {
+		r.load = float64(g.open) / float64(max(u.Slots, 1))
+	}
+	return r
+}
--- /dev/null
+++ b/internal/process/balancer/balancer.go
@@ -0,0 +1,196 @@
+// Package balancer is the program that forwards the packets of connections
+// with cookies. It holds no durable state: controllers feed it routes and
+// upstreams, and it goes on with what it has while it is cut off from them.
+package balancer
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"heatherport/internal/connection/affinity"
+	"heatherport/internal/process/controller"
+	"heatherport/internal/process/settings"
+	"heatherport/internal/version/directory"
+	"heatherport/internal/version/routing"
+)
+
+const (
+	// controlInterval is the clock of the control goroutine.
+	controlInterval = 100 * time.Millisecond
+	// confirmTime is how long a starting balancer waits for a state that a
+	// leader confirmed before it serves with another one.
+	confirmTime = 600 * time.Millisecond
+	// refuseAfter is the time after the start within which a missing route or
+	// upstream is put down to announcements that are still on their way.
+	refuseAfter = 4 * time.Second
+	// tableCapacity bounds the memory of the connection table to some 20 MB.
+	tableCapacity = 60_000
+	eventQueue    = 1024
+)
+
+// Config configures a Balancer.
+type Config struct {
+	Settings *settings.Program
+	Log      hclog.Logger
+	Codec    Codec
+}
+
+// Balancer is the program.
+type Balancer struct {
+	log       hclog.Logger
+	name      string
+	domain    string
+	link      netip.AddrPort
+	lifetime  time.Duration
+	grace     time.Duration
+	started   time.Time
+	forwarder *forwarder
+	events    chan func()
+	ctx       context.Context
+	cancel    context.CancelFunc
+	view      atomic.Pointer[affinity.View]
+	ready     atomic.Bool
+	stopping  atomic.Bool
+
+	// The rest belongs to the control goroutine.
+	sources   []*source
+	feeds     []*feed
+	directory *directory.Directory
+	table     *routing.Table
+	peers     []controller.Peer
+	fedSince  time.Duration // when routes first came
+	reviewed  time.Duration
+	changed   bool
+}
+
+// New returns a balancer that is not started.
+func New(cfg Config) *Balancer {
+	s := cfg.Settings
+	b := &Balancer{
+		log: cfg.Log, name: s.VM.Name, domain: s.VM.Domain, link: s.Link,
+		lifetime: s.Lifetime, grace: s.VM.StopTimeout,
+		started:   time.Now(),
+		events:    make(chan func(), eventQueue),
+		directory: directory.New(directory.Config{Forget: s.Lifetime}),
+	}
+	b.view.Store(affinity.NewView(nil, false, nil))
+	for _, seed := range s.Seeds {
+		b.learn(s.LinkOf(seed.Addr()), "")
+	}
+	b.forwarder = &forwarder{
+		codec: cfg.Codec, listen: s.Packets, log: cfg.Log, view: &b.view, started: b.started,
+		engine: affinity.New(affinity.Config{
+			Domain:   s.VM.Domain,
+			Capacity: tableCapacity,
+			Rand:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		}),
+	}
+	return b
+}
+
+// Start opens the socket for packets and starts the control goroutine.
+func (b *Balancer) Start(context.Context) error {
+	b.ctx, b.cancel = context.WithCancel(context.Background())
+	if err := b.forwarder.start(); err != nil {
+		return err
+	}
+	go b.run()
+	return nil
+}
+
+const (
+	// drainMin is the time in which routers notice that this balancer is not
+	// ready: two probes half a second apart, and a delayed one.
+	drainMin = 1600 * time.Millisecond
+	// drainQuiet is the time without a packet after which nothing is in flight.
+	drainQuiet = time.Second
+	// stopMargin is left of the grace for the end of the process.
+	stopMargin = 800 * time.Millisecond
+)
+
+// Stop says that the balancer is not ready and forwards on until the routers
+// have let go of it.
+func (b *Balancer) Stop(ctx context.Context) error {
+	b.stopping.Store(true)
+	begun := time.Now()
+	for time.Since(begun) < b.grace-stopMargin {
+		if time.Since(begun) > drainMin && time.Since(b.forwarder.lastPacket()) > drainQuiet {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			b.cancel()
+			return b.forwarder.stop()
+		case <-time.After(controlInterval):
+		}
+	}
+	b.cancel()
+	return b.forwarder.stop()
+}
+
+// Ready reports whether routers may send packets here.
+func (b *Balancer) Ready() bool { return b.ready.Load() && !b.stopping.Load() }
+
+func (b *Balancer) now() time.Duration { return time.Since(b.started) }
+
+func (b *Balancer) post(event func()) {
+	select {
+	case b.events <- event:
+	case <-b.ctx.Done():
+	}
+}
+
+func (b *Balancer) run() {
+	ticker := time.NewTicker(controlInterval)
+	defer ticker.Stop()
+	b.fillFeeds()
+	for {
+		select {
+		case <-b.ctx.Done():
+			return
+		case <-ticker.C:
+			b.tick()
+		case event := <-b.events:
+			event()
+		}
+		b.fillFeeds()
+		if b.changed {
+			b.publish()
+		}
+	}
+}
+
+func (b *Balancer) tick() {
+	b.directory.Tick(b.now())
+	b.reviewFeeds()
+	b.forwarder.tick()
+	if !b.ready.Load() {
+		b.changed = true
+	}
+}
+
+// publish gives the traffic goroutine a new view.
+func (b *Balancer) publish() {
+	b.changed = false
+	now := b.now()
+	records := b.directory.Since(0)
+	for i := range records {
+		records[i].Lapsed = b.isLapsed(records[i].ID)
+	}
+	confirmed := b.isConfirmed()
+	b.view.Store(affinity.NewView(b.table, confirmed && now > refuseAfter, records))
+	if b.table == nil {
+		return
+	}
+	if b.fedSince == 0 {
+		b.fedSince = now
+	}
+	if ready := confirmed || now-b.fedSince > confirmTime; ready && !b.ready.Swap(true) {
+		b.log.Info("ready", "number", b.table.Number, "upstreams", len(records), "confirmed", confirmed)
+	}
+}
--- /dev/null
+++ b/internal/process/balancer/forwarder.go
@@ -0,0 +1,116 @@
+package balancer
+
+import (
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"heatherport/internal/connection/affinity"
+	"heatherport/internal/result"
+)
+
+// Codec is the form of packets on the wire.
+type Codec interface {
+	// Decode reads a packet; its error carries the code of the fault.
+	Decode(datagram []byte) (affinity.Packet, error)
+	// SetCookie writes a cookie into a packet that Decode took.
+	SetCookie(datagram []byte, cookie uint32)
+	// Headroom is the number of bytes that Envelope writes before a packet.
+	Headroom() int
+	// Envelope writes what goes before a packet to an upstream.
+	Envelope(head []byte, upstream *affinity.Upstream)
+	// Refusal appends a reset that answers p.
+	Refusal(buf []byte, p *affinity.Packet) []byte
+	// ReturnAddr is where packets to a caller are sent.
+	ReturnAddr(caller netip.Addr) netip.AddrPort
+}
+
+// maxDatagram is the largest datagram that is read; larger ones are cut and
+// then refused by the codec.
+const maxDatagram = 2048
+
+// forwarder reads packets and sends them on.
+type forwarder struct {
+	codec   Codec
+	listen  netip.AddrPort
+	log     hclog.Logger
+	view    *atomic.Pointer[affinity.View]
+	started time.Time
+
+	conn   *net.UDPConn
+	last   atomic.Int64 // time of the last packet since started
+	mu     sync.Mutex   // of engine
+	engine *affinity.Engine
+}
+
+func (f *forwarder) start() error {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(f.listen))
+	if err != nil {
+		return result.Wrapf(err, result.BadSettings, "listen on %s", f.listen)
+	}
+	f.conn = conn
+	go f.run()
+	return nil
+}
+
+func (f *forwarder) stop() error { return f.conn.Close() }
+
+func (f *forwarder) lastPacket() time.Time {
+	return f.started.Add(time.Duration(f.last.Load()))
+}
+
+func (f *forwarder) tick() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.engine.Tick(time.Since(f.started))
+}
+
+func (f *forwarder) run() {
+	head := f.codec.Headroom()
+	buf := make([]byte, head+maxDatagram)
+	reply := make([]byte, 0, maxDatagram)
+	for {
+		n, _, err := f.conn.ReadFromUDPAddrPort(buf[head:])
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			f.log.Warn("packet not read", "error", err)
+			continue
+		}
+		f.handle(buf[:head+n], head, reply)
+	}
+}
+
+// handle forwards, refuses or drops the packet that begins at buf[head].
+func (f *forwarder) handle(buf []byte, head int, reply []byte) {
+	now := time.Since(f.started)
+	f.last.Store(int64(now))
+	packet := buf[head:]
+	p, err := f.codec.Decode(packet)
+	if err != nil {
+		return
+	}
+	f.mu.Lock()
+	verdict := f.engine.Decide(now, f.view.Load(), &p)
+	f.mu.Unlock()
+	switch {
+	case verdict.Upstream != nil:
+		f.codec.SetCookie(packet, verdict.Upstream.Cookie)
+		f.codec.Envelope(buf[:head], verdict.Upstream)
+		f.send(buf, verdict.Upstream.Address)
+	case verdict.Refuse:
+		f.send(f.codec.Refusal(reply, &p), f.codec.ReturnAddr(p.Caller.Addr()))
+	}
+}
+
+func (f *forwarder) send(datagram []byte, to netip.AddrPort) {
+	if _, err := f.conn.WriteToUDPAddrPort(datagram, to); err != nil {
+		f.log.Debug("packet not sent", "to", to, "error", err)
+	}
+}
--- a/internal/process/cli/cli.go
+++ b/internal/process/cli/cli.go
@@ -28,6 +28,13 @@
 	Demo(ctx context.Context, o DemoOptions) error
 }
 
+// Programs starts the programs of a fleet without a list of members. Both serve
+// until ctx ends, and then stop gracefully.
+type Programs interface {
+	Balancer(ctx context.Context, file string) error
+	Controller(ctx context.Context, file string) error
+}
+
 // DemoOptions are the options of the demo.
 type DemoOptions struct {
 	Seed   uint64
@@ -47,6 +54,7 @@
 // Options are what the command line needs from the program.
 type Options struct {
 	Runner     Runner
+	Programs   Programs
 	CheckSheet func(csv []byte) (SheetSummary, error)
 	Stdout     io.Writer
 	Stderr     io.Writer
--- /dev/null
+++ b/internal/process/controller/controller.go
@@ -0,0 +1,415 @@
+// Package controller is the program that holds the operators' configuration in
+// a replicated log and what upstreams announce as soft state, and that feeds
+// both to balancers.
+//
+// Three parts run beside each other: the replicated log, which may wait for
+// its disk; the control goroutine, which owns the directory of upstreams and
+// the feeds; and the links to other programs.
+package controller
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"heatherport/internal/process/settings"
+	"heatherport/internal/process/stream"
+	"heatherport/internal/result"
+	"heatherport/internal/version/directory"
+	"heatherport/internal/version/raft"
+	"heatherport/internal/version/register"
+	"heatherport/internal/version/routing"
+)
+
+const (
+	// callTimeout ends a call whose outcome is not known; callers move on to
+	// another controller after a second.
+	callTimeout = 850 * time.Millisecond
+	// callRetry is the time between two attempts to reach a leader.
+	callRetry = 50 * time.Millisecond
+	// controlInterval is the clock of the control goroutine.
+	controlInterval = 100 * time.Millisecond
+	// renewInterval is the time between two messages about upstreams that are
+	// still there.
+	renewInterval = 500 * time.Millisecond
+	// lapseBeats is the number of heartbeats without an announcement after
+	// which an upstream counts as lapsed.
+	lapseBeats = 3
+	// helloInterval is the time between two introductions, which also carry
+	// what was learned of other controllers.
+	helloInterval = time.Second
+	// contactAge is the time within which a controller must have been heard of
+	// for an upstream to be sent to it.
+	contactAge = 1500 * time.Millisecond
+)
+
+// Config configures a Controller.
+type Config struct {
+	Settings *settings.Program
+	Log      hclog.Logger
+	// Read turns a document into the table of routes that it describes.
+	Read func(document []byte) (*routing.Table, error)
+}
+
+// Controller is the program.
+type Controller struct {
+	cfg       Config
+	log       hclog.Logger
+	self      Member
+	started   time.Time
+	consensus *consensus
+	contacts  *contacts
+	links     *links
+	events    chan func()
+	cancel    context.CancelFunc
+	listener  net.Listener
+
+	// The rest belongs to the control goroutine.
+	directory   *directory.Directory
+	table       *routing.Table
+	subscribers map[*stream.Conn]*subscriber
+	renewed     []uint32 // tags announced here since the last renewal message
+	number      uint64   // of the last Records message
+	awaited     map[uint64][]chan struct{}
+	unheld      map[string]uint64 // upstreams whose end no other controller holds yet, and the Records that tell it
+	shared      uint64 // revision up to which peers have records
+	lastRenewal time.Duration
+	lastHello   time.Duration
+}
+
+// New returns a controller that is not started.
+func New(cfg Config) *Controller {
+	s := cfg.Settings
+	c := &Controller{
+		cfg:      cfg,
+		log:      cfg.Log,
+		self:     Member{Domain: s.VM.Domain, Link: s.Link, API: s.API},
+		started:  time.Now(),
+		contacts: newContacts(),
+		events:   make(chan func(), eventQueue),
+		directory: directory.New(directory.Config{
+			Lapse:  lapseBeats * s.Heartbeat,
+			Forget: s.Lifetime,
+		}),
+		subscribers: make(map[*stream.Conn]*subscriber),
+		awaited:     make(map[uint64][]chan struct{}),
+		unheld:      make(map[string]uint64),
+	}
+	var founders []netip.AddrPort
+	if s.FirstStart {
+		founders = c.seedLinks()
+	}
+	if !slices.Contains(founders, s.Link) {
+		founders = nil
+	}
+	c.consensus = newConsensus(consensusConfig{
+		DataDir: s.VM.DataDir, Self: c.self, Founders: founders, LossesBorne: s.LossesBorne,
+		Log: cfg.Log.Named("log"), Send: c.sendLog, InForce: c.inForce, Known: c.contacts.candidates,
+	})
+	return c
+}
+
+func (c *Controller) seedLinks() []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, seed := range c.cfg.Settings.Seeds {
+		out = append(out, c.cfg.Settings.LinkOf(seed.Addr()))
+	}
+	return out
+}
+
+// Start listens for links and starts all parts.
+func (c *Controller) Start(context.Context) error {
+	l, err := net.Listen("tcp", c.self.Link.String())
+	if err != nil {
+		return result.Wrapf(err, result.BadSettings, "listen on %s", c.self.Link)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	c.listener = l
+	c.cancel = cancel
+	c.links = newLinks(ctx, c.self.Link, c.linkEvents)
+	go c.consensus.run(ctx)
+	go c.run(ctx)
+	go stream.Serve(l, stream.Events{Handle: c.accept, Close: c.dropSubscriber})
+	c.links.keep(c.seedLinks()...)
+	return nil
+}
+
+// stopDelay is the time for a hand-over of leadership, which takes two round
+// trips and a sync.
+const stopDelay = 300 * time.Millisecond
+
+// Stop hands leadership over and stops all parts.
+func (c *Controller) Stop(ctx context.Context) error {
+	if c.consensus.Standing().Leads {
+		c.consensus.handOver()
+		select {
+		case <-ctx.Done():
+		case <-time.After(stopDelay):
+		}
+	}
+	c.cancel()
+	return c.listener.Close()
+}
+
+func (c *Controller) now() time.Duration { return time.Since(c.started) }
+
+// post hands an event to the control goroutine.
+func (c *Controller) post(event func()) bool {
+	select {
+	case c.events <- event:
+		return true
+	default:
+		return false
+	}
+}
+
+func (c *Controller) run(ctx context.Context) {
+	ticker := time.NewTicker(controlInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			c.tick()
+		case event := <-c.events:
+			event()
+		}
+		c.share()
+		c.feedAll()
+	}
+}
+
+func (c *Controller) tick() {
+	now := c.now()
+	c.directory.Tick(now)
+	if now-c.lastRenewal >= renewInterval {
+		c.lastRenewal = now
+		c.sendRenewals()
+	}
+	if now-c.lastHello >= helloInterval {
+		c.lastHello = now
+		c.broadcast(KindHello, c.hello())
+	}
+}
+
+// member describes this controller; it has no ID before its disk works.
+func (c *Controller) member() Member {
+	m := c.self
+	m.ID = c.consensus.Standing().ID
+	return m
+}
+
+func (c *Controller) hello() Hello {
+	return Hello{Self: c.member(), Known: c.links.known()}
+}
+
+func (c *Controller) sendRenewals() {
+	if len(c.renewed) == 0 {
+		return
+	}
+	c.broadcast(KindRenewals, Renewals{Tags: c.renewed})
+	c.renewed = nil
+}
+
+func (c *Controller) broadcast(kind stream.Kind, message any) int {
+	frame, err := stream.Encode(kind, message)
+	if err != nil {
+		c.log.Error("message not encoded", "kind", kind, "error", err)
+		return 0
+	}
+	return c.links.broadcast(frame)
+}
+
+// share sends what changed in the directory to the other controllers.
+func (c *Controller) share() {
+	records := c.directory.Since(c.shared)
+	c.shared = c.directory.Rev()
+	if len(records) == 0 {
+		return
+	}
+	c.number++
+	c.broadcast(KindRecords, Records{Number: c.number, Records: records})
+}
+
+// sendLog sends a message of the replicated log.
+func (c *Controller) sendLog(m raft.Message) {
+	frame, err := stream.Encode(KindRaft, m)
+	if err != nil {
+		c.log.Error("log message not encoded", "error", err)
+		return
+	}
+	address := linkOf(m.To)
+	if !c.links.send(address, frame) {
+		c.links.keep(address)
+	}
+}
+
+// inForce takes a document that the log put in force.
+func (c *Controller) inForce(d register.Document) {
+	table, err := c.cfg.Read(d.Body)
+	if err != nil {
+		c.log.Error("document in force not understood", "number", d.Number, "error", err)
+		return
+	}
+	c.log.Info("configuration in force", "number", d.Number, "routes", table.Len())
+	c.events <- func() {
+		if c.table == nil || c.table.Number < table.Number {
+			c.table = table
+		}
+	}
+}
+
+// linkEvents are those of the connection that this controller keeps to another
+// controller.
+func (c *Controller) linkEvents(address netip.AddrPort) stream.Events {
+	return stream.Events{
+		Open: func(conn *stream.Conn) {
+			c.log.Info("link open", "peer", address)
+			c.links.opened(address, conn)
+			c.post(func() { c.introduce(conn) })
+		},
+		Handle: func(conn *stream.Conn, kind stream.Kind, body []byte) {
+			c.receiveAnswer(address, kind, body)
+		},
+		Close: func(conn *stream.Conn, cause error) {
+			if conn == nil {
+				c.log.Debug("link not open", "peer", address, "error", cause)
+				return
+			}
+			c.log.Warn("link lost", "peer", address, "error", cause)
+			c.links.closed(address, conn)
+		},
+	}
+}
+
+// introduce sends who this controller is and all that it knows.
+func (c *Controller) introduce(conn *stream.Conn) {
+	c.number++
+	messages := []struct {
+		kind stream.Kind
+		body any
+	}{
+		{KindHello, c.hello()},
+		{KindRecords, Records{Number: c.number, Records: c.directory.Since(0)}},
+	}
+	for _, m := range messages {
+		frame, err := stream.Encode(m.kind, m.body)
+		if err != nil {
+			c.log.Error("message not encoded", "kind", m.kind, "error", err)
+			return
+		}
+		conn.Send(frame)
+	}
+}
+
+func (c *Controller) receiveAnswer(from netip.AddrPort, kind stream.Kind, body []byte) {
+	switch kind {
+	case KindRecordsAck:
+		var ack RecordsAck
+		if c.decode(body, &ack) {
+			c.post(func() { c.recordsHeld(ack.Number) })
+		}
+	case KindSubmitted:
+		var s Submitted
+		if c.decode(body, &s) {
+			c.links.answered(from, s.Call, s.Accepted)
+		}
+	}
+}
+
+func (c *Controller) decode(body []byte, into any) bool {
+	if err := stream.Decode(body, into); err != nil {
+		c.log.Warn("message refused", "error", err)
+		return false
+	}
+	return true
+}
+
+// accept takes the messages of connections that others keep to this
+// controller.
+func (c *Controller) accept(conn *stream.Conn, kind stream.Kind, body []byte) {
+	switch kind {
+	case KindRaft:
+		var m raft.Message
+		if c.decode(body, &m) {
+			c.contacts.heard(m.From)
+			c.consensus.receive(m)
+		}
+	case KindHello:
+		var h Hello
+		if c.decode(body, &h) {
+			c.met(h)
+		}
+	case KindRecords:
+		var r Records
+		if c.decode(body, &r) {
+			c.post(func() { c.merge(conn, r) })
+		}
+	case KindRenewals:
+		var r Renewals
+		if c.decode(body, &r) {
+			c.post(func() { c.directory.Renew(c.now(), r.Tags) })
+		}
+	case KindSubmit:
+		var s Submit
+		if c.decode(body, &s) {
+			c.consensus.propose(s.Data, func(accepted bool) {
+				c.reply(conn, KindSubmitted, Submitted{Call: s.Call, Accepted: accepted})
+			})
+		}
+	case KindSubscribe:
+		var s Subscribe
+		if c.decode(body, &s) {
+			c.post(func() { c.subscribe(conn, s) })
+		}
+	}
+}
+
+func (c *Controller) reply(conn *stream.Conn, kind stream.Kind, message any) {
+	frame, err := stream.Encode(kind, message)
+	if err != nil {
+		c.log.Error("message not encoded", "kind", kind, "error", err)
+		return
+	}
+	conn.Send(frame)
+}
+
+func (c *Controller) met(h Hello) {
+	if h.Self.ID != "" {
+		c.contacts.met(h.Self)
+	}
+	c.links.keep(h.Known...)
+	c.links.keep(h.Self.Link)
+}
+
+func (c *Controller) merge(conn *stream.Conn, r Records) {
+	for _, record := range r.Records {
+		c.directory.Merge(c.now(), record)
+	}
+	// What came from a peer reaches the others from that peer.
+	c.shared = max(c.shared, c.directory.Rev())
+	c.reply(conn, KindRecordsAck, RecordsAck{Number: r.Number})
+}
+
+// recordsHeld wakes calls that wait until another controller holds a change.
+func (c *Controller) recordsHeld(number uint64) {
+	for n, waiting := range c.awaited {
+		if n > number {
+			continue
+		}
+		for _, done := range waiting {
+			close(done)
+		}
+		delete(c.awaited, n)
+	}
+	for id, n := range c.unheld {
+		if n <= number {
+			delete(c.unheld, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/daemon/daemon.go
@@ -0,0 +1,113 @@
+// Package daemon runs a balancer or a controller as a process: settings, log,
+// listeners and signals. Parts start in the order in which they depend on each
+// other and stop in the reverse order.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"heatherport/internal/process/logging"
+	"heatherport/internal/process/settings"
+	"heatherport/internal/result"
+)
+
+const (
+	startTimeout = 30 * time.Second
+	// HTTP clients that stall are cut off; calls are answered within a second.
+	headerTimeout = 3 * time.Second
+	bodyTimeout   = 10 * time.Second
+	idleTimeout   = 30 * time.Second
+)
+
+// Parts are what a program is made of.
+type Parts struct {
+	Settings *settings.Program
+	Log      hclog.Logger
+}
+
+// Part is the core of a program.
+type Part interface {
+	Start(ctx context.Context) error
+	Stop(ctx context.Context) error
+}
+
+// Service is a program with its HTTP interface.
+type Service struct {
+	Part    Part
+	Listen  netip.AddrPort
+	Handler http.Handler
+}
+
+// Run starts the program whose settings stand in file, waits until ctx ends
+// and stops it gracefully.
+func Run(ctx context.Context, file, name string, build func(Parts) Service) error {
+	s, err := settings.LoadProgram(file, name)
+	if err != nil {
+		return err
+	}
+	out := logging.NewAsync(os.Stdout)
+	defer out.Close()
+	log := logging.New(s.VM, s.Log, out)
+	app := fx.New(
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.StartTimeout(startTimeout),
+		fx.StopTimeout(s.VM.StopTimeout),
+		fx.Supply(Parts{Settings: s, Log: log}),
+		fx.Provide(build),
+		fx.Invoke(serve),
+	)
+	if err := app.Err(); err != nil {
+		return err
+	}
+	if err := app.Start(ctx); err != nil {
+		log.Error("not started", "error", err)
+		return err
+	}
+	log.Info("started", "program", name, "domain", s.VM.Domain, "link", s.Link, "seeds", s.Seeds)
+	<-ctx.Done()
+	log.Info("stopping", "program", name)
+	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.VM.StopTimeout)
+	defer cancel()
+	err = app.Stop(stop)
+	log.Info("stopped", "program", name, "error", err)
+	return err
+}
+
+// serve runs the core of the program and its HTTP interface. The interface
+// answers until the core has stopped, so that routers see a balancer that is
+// not ready rather than one that does not answer.
+func serve(lc fx.Lifecycle, p Parts, s Service) {
+	srv := &http.Server{
+		Handler:           s.Handler,
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       bodyTimeout,
+		IdleTimeout:       idleTimeout,
+		ErrorLog:          p.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+	}
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			l, err := net.Listen("tcp", s.Listen.String())
+			if err != nil {
+				return result.Wrapf(err, result.BadSettings, "listen on %s", s.Listen)
+			}
+			go func() {
+				if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+					p.Log.Error("HTTP server ended", "address", s.Listen, "error", err)
+				}
+			}()
+			return nil
+		},
+		OnStop: func(context.Context) error { return srv.Close() },
+	})
+	lc.Append(fx.Hook{OnStart: s.Part.Start, OnStop: s.Part.Stop})
+}
--- a/internal/process/logging/logging.go
+++ b/internal/process/logging/logging.go
@@ -10,11 +10,11 @@
 )
 
 // New returns a logger for the VM that writes to w.
-func New(s *settings.Settings, w io.Writer) hclog.Logger {
+func New(vm settings.VM, l settings.Log, w io.Writer) hclog.Logger {
 	return hclog.New(&hclog.LoggerOptions{
-		Name:       s.VM.Name,
-		Level:      hclog.LevelFromString(s.Log.Level),
+		Name:       vm.Name,
+		Level:      hclog.LevelFromString(l.Level),
 		Output:     w,
-		JSONFormat: s.Log.Format == settings.FormatJSON,
+		JSONFormat: l.Format == settings.FormatJSON,
 	})
 }
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -39,6 +39,7 @@
 	BadAnnouncement  Code = 105
 	BadMessage       Code = 106
 	UnsupportedProto Code = 107
+	BadRoutes        Code = 108
 
 	SheetConflict       Code = 201
 	SheetStale          Code = 202
@@ -93,6 +94,9 @@
 	RefusedNoUpstream   Code = 717
 	DropTableFull       Code = 718
 	DropOversize        Code = 719
+	DropUnknownTag      Code = 720
+	DropNoCookie        Code = 721
+	RefusedNoRoute      Code = 722
 
 	Internal      Code = 901
 	PromiseBroken Code = 902
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -33,6 +33,7 @@
 	{BadAnnouncement, "bad_announcement", "the announcement is not valid", "correct the fields listed"},
 	{BadMessage, "bad_message", "a message from a peer could not be decoded", "check that versions match"},
 	{UnsupportedProto, "unsupported_protocol", "the protocol is neither TCP nor UDP", "correct the input"},
+	{BadRoutes, "bad_routes", "the configuration of routes is not valid; nothing changed", "correct the route named"},
 
 	{SheetConflict, "sheet_conflict", "another sheet with this version number is in force", "compare digests, raise the number"},
 	{SheetStale, "sheet_stale", "a newer sheet is in force", "export a newer sheet"},
@@ -87,6 +88,9 @@
 	{RefusedNoUpstream, "refused_no_upstream", "no upstream is eligible", "check upstream health"},
 	{DropTableFull, "drop_table_full", "connection table full", "raise table size"},
 	{DropOversize, "drop_oversize", "packet too large to encapsulate", "lower the MTU"},
+	{DropUnknownTag, "drop_unknown_tag", "the cookie names an upstream that this VM does not know", "none; the caller retransmits"},
+	{DropNoCookie, "drop_no_cookie", "packet of an open connection without a cookie", "none"},
+	{RefusedNoRoute, "refused_no_route", "no route at this address", "check the routes"},
 
 	{PromiseBroken, "promise_broken", "the demo saw a promise broken", "report it"},
 	{Internal, "internal", "a defect in heatherport", "report it"},
--- /dev/null
+++ b/internal/version/routing/routing.go
@@ -0,0 +1,168 @@
+// Package routing holds the operators' routes: which services the connections
+// to an address may go to. A Table is immutable; Diff and Apply carry the
+// difference between two tables to balancers.
+package routing
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"heatherport/internal/result"
+)
+
+// Target is a service that takes a share of a route's new connections.
+type Target struct {
+	Service string `cbor:"1,keyasint"`
+	Weight  uint32 `cbor:"2,keyasint"`
+}
+
+// Route says where new connections to an address go.
+type Route struct {
+	Name    string         `cbor:"1,keyasint"`
+	Address netip.AddrPort `cbor:"2,keyasint"`
+	Targets []Target       `cbor:"3,keyasint"`
+	// Repeatable says that the requests of the route may run twice.
+	Repeatable bool          `cbor:"4,keyasint,omitempty"`
+	Timeout    time.Duration `cbor:"5,keyasint"`
+	Aim        time.Duration `cbor:"6,keyasint"` // latency objective of a request
+	Priority   uint8         `cbor:"7,keyasint"` // 0 is the highest
+}
+
+// Allows reports whether the route sends connections to service.
+func (r *Route) Allows(service string) bool {
+	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service })
+}
+
+// Service picks a target by its weight; point selects among all weights.
+func (r *Route) Service(point uint64) string {
+	sum := uint64(0)
+	for _, t := range r.Targets {
+		sum += uint64(t.Weight)
+	}
+	if sum == 0 {
+		return ""
+	}
+	point %= sum
+	for _, t := range r.Targets {
+		if point < uint64(t.Weight) {
+			return t.Service
+		}
+		point -= uint64(t.Weight)
+	}
+	return ""
+}
+
+func (r *Route) equal(o *Route) bool {
+	return r.Name == o.Name && r.Address == o.Address && slices.Equal(r.Targets, o.Targets) &&
+		r.Repeatable == o.Repeatable && r.Timeout == o.Timeout && r.Aim == o.Aim && r.Priority == o.Priority
+}
+
+// Table is one version of the routes.
+type Table struct {
+	Number      uint64
+	IdleTimeout time.Duration // after which an idle connection may be forgotten
+	Services    []string      // sorted
+	routes      map[netip.AddrPort]*Route
+}
+
+// New returns a table after checking that it is consistent.
+func New(number uint64, idle time.Duration, services []string, routes []Route) (*Table, error) {
+	t := &Table{Number: number, IdleTimeout: idle, Services: slices.Clone(services), routes: make(map[netip.AddrPort]*Route, len(routes))}
+	slices.Sort(t.Services)
+	if len(slices.Compact(slices.Clone(t.Services))) != len(t.Services) {
+		return nil, result.Errorf(result.BadRoutes, "a service is listed twice")
+	}
+	for i := range routes {
+		if err := t.add(&routes[i]); err != nil {
+			return nil, err
+		}
+	}
+	return t, nil
+}
+
+func (t *Table) add(r *Route) error {
+	if _, ok := t.routes[r.Address]; ok {
+		return result.Errorf(result.BadRoutes, "route %s: %s has a route already", r.Name, r.Address)
+	}
+	if r.Timeout <= 0 {
+		return result.Errorf(result.BadRoutes, "route %s: timeout of %s", r.Name, r.Timeout)
+	}
+	sum := uint64(0)
+	for _, target := range r.Targets {
+		if !t.HasService(target.Service) {
+			return result.Errorf(result.BadRoutes, "route %s: unknown service %q", r.Name, target.Service)
+		}
+		sum += uint64(target.Weight)
+	}
+	if sum == 0 {
+		return result.Errorf(result.BadRoutes, "route %s: no target with a weight", r.Name)
+	}
+	t.routes[r.Address] = r
+	return nil
+}
+
+// HasService reports whether the table lists a service.
+func (t *Table) HasService(name string) bool {
+	_, ok := slices.BinarySearch(t.Services, name)
+	return ok
+}
+
+// Route returns the route of an address, or nil.
+func (t *Table) Route(address netip.AddrPort) *Route { return t.routes[address] }
+
+// Len returns the number of routes.
+func (t *Table) Len() int { return len(t.routes) }
+
+// Delta turns one table into another. From is zero when it holds all routes.
+type Delta struct {
+	From        uint64           `cbor:"1,keyasint,omitempty"`
+	Number      uint64           `cbor:"2,keyasint"`
+	IdleTimeout time.Duration    `cbor:"3,keyasint"`
+	Services    []string         `cbor:"4,keyasint"`
+	Set         []Route          `cbor:"5,keyasint,omitempty"`
+	Drop        []netip.AddrPort `cbor:"6,keyasint,omitempty"`
+}
+
+// Diff returns what leads from old, which may be nil, to t.
+func (t *Table) Diff(old *Table) Delta {
+	d := Delta{Number: t.Number, IdleTimeout: t.IdleTimeout, Services: t.Services}
+	if old != nil {
+		d.From = old.Number
+	}
+	for address, r := range t.routes {
+		if old == nil || old.routes[address] == nil || !old.routes[address].equal(r) {
+			d.Set = append(d.Set, *r)
+		}
+	}
+	if old == nil {
+		return d
+	}
+	for address := range old.routes {
+		if t.routes[address] == nil {
+			d.Drop = append(d.Drop, address)
+		}
+	}
+	return d
+}
+
+// Apply returns the table that d leads to from t, which may be nil. It fails
+// with VersionStale when d starts from another table.
+func (t *Table) Apply(d Delta) (*Table, error) {
+	next := &Table{Number: d.Number, IdleTimeout: d.IdleTimeout, Services: d.Services, routes: make(map[netip.AddrPort]*Route, len(d.Set))}
+	if d.From != 0 {
+		if t == nil || t.Number != d.From {
+			return nil, result.Errorf(result.VersionStale, "a change from version %d does not fit", d.From)
+		}
+		for address, r := range t.routes {
+			next.routes[address] = r
+		}
+	}
+	for _, address := range d.Drop {
+		delete(next.routes, address)
+	}
+	for i := range d.Set {
+		next.routes[d.Set[i].Address] = &d.Set[i]
+	}
+	return next, nil
+}
