Reload settings on SIGHUP and on a silent change of their file

Change: the daemon reads its settings again on the signal and every 2 s, and hands new seeds to the program.

--- a/internal/process/balancer/balancer.go
+++ b/internal/process/balancer/balancer.go
@@ -133,6 +133,15 @@
 	return b.forwarder.stop()
 }
 
+// Reload implements daemon.Part: it takes new seeds.
+func (b *Balancer) Reload(s *settings.Program) {
+	b.post(func() {
+		for _, seed := range s.Seeds {
+			b.learn(s.LinkOf(seed.Addr()), "")
+		}
+	})
+}
+
 // Ready reports whether routers may send packets here.
 func (b *Balancer) Ready() bool { return b.ready.Load() && !b.stopping.Load() }
 
--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -101,7 +101,7 @@
 	}
 	var founders []netip.AddrPort
 	if s.FirstStart {
-		founders = c.seedLinks()
+		founders = seedLinks(s)
 	}
 	if !slices.Contains(founders, s.Link) {
 		founders = nil
@@ -113,10 +113,13 @@
 	return c
 }
 
-func (c *Controller) seedLinks() []netip.AddrPort {
+// Reload implements daemon.Part: it takes new seeds.
+func (c *Controller) Reload(s *settings.Program) { c.links.keep(seedLinks(s)...) }
+
+func seedLinks(s *settings.Program) []netip.AddrPort {
 	var out []netip.AddrPort
-	for _, seed := range c.cfg.Settings.Seeds {
-		out = append(out, c.cfg.Settings.LinkOf(seed.Addr()))
+	for _, seed := range s.Seeds {
+		out = append(out, s.LinkOf(seed.Addr()))
 	}
 	return out
 }
@@ -134,7 +137,7 @@
 	go c.consensus.run(ctx)
 	go c.run(ctx)
 	go stream.Serve(l, stream.Events{Handle: c.accept, Close: c.dropSubscriber})
-	c.links.keep(c.seedLinks()...)
+	c.links.keep(seedLinks(c.cfg.Settings)...)
 	return nil
 }
 
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -39,6 +39,9 @@
 type Part interface {
 	Start(ctx context.Context) error
 	Stop(ctx context.Context) error
+	// Reload takes settings that changed. Addresses and names of the VM itself
+	// stay as they were until the next start.
+	Reload(s *settings.Program)
 }
 
 // Service is a program with its HTTP interface.
@@ -58,6 +61,7 @@
 	out := logging.NewAsync(os.Stdout)
 	defer out.Close()
 	log := logging.New(s.VM, s.Log, out)
+	var service Service
 	app := fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.StartTimeout(startTimeout),
@@ -65,6 +69,7 @@
 		fx.Supply(Parts{Settings: s, Log: log}),
 		fx.Provide(build),
 		fx.Invoke(serve),
+		fx.Populate(&service),
 	)
 	if err := app.Err(); err != nil {
 		return err
@@ -74,7 +79,7 @@
 		return err
 	}
 	log.Info("started", "program", name, "domain", s.VM.Domain, "link", s.Link, "seeds", s.Seeds)
-	<-ctx.Done()
+	(&reloader{file: file, program: name, log: log, reload: service.Part.Reload}).run(ctx)
 	log.Info("stopping", "program", name)
 	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.VM.StopTimeout)
 	defer cancel()
