Remember upstreams on disk and connect beside a silent controller

Controllers came back knowing no upstream, so the first to announce themselves were overloaded (488 resets over the cap, 418 answers 503), and a dial to a VM without power held a balancer up for 0.8 s (frontend-akure-1: started 45.17, fed 46.08). Change: controllers keep the directory in a file of their data folder; a balancer tries another controller beside an attempt of more than 100 ms; dials end after 300 ms; a starting balancer waits 200 ms for a leader, not 600. Ruled out: the election, which ended at 46.10, after most were fed.

--- a/internal/process/balancer/balancer.go
+++ b/internal/process/balancer/balancer.go
@@ -24,7 +24,7 @@
 	controlInterval = 100 * time.Millisecond
 	// confirmTime is how long a starting balancer waits for a state that a
 	// leader confirmed before it serves with another one.
-	confirmTime = 600 * time.Millisecond
+	confirmTime = 200 * time.Millisecond
 	// refuseAfter is the time after the start within which a missing route or
 	// upstream is put down to announcements that are still on their way.
 	refuseAfter = 4 * time.Second
--- a/internal/process/balancer/feeds.go
+++ b/internal/process/balancer/feeds.go
@@ -17,6 +17,9 @@
 	// feedCount is the number of controllers that feed a balancer at a time. A
 	// second one keeps changes coming while the loss of the first is found.
 	feedCount = 2
+	// hedgeTime is how long an attempt to connect may take before another
+	// controller is tried beside it: many round trips.
+	hedgeTime = 100 * time.Millisecond
 	// avoidTime is how long a controller that failed is passed over while
 	// others are known.
 	avoidTime = 2 * time.Second
@@ -42,20 +45,44 @@
 	cancel      context.CancelFunc
 	conn        *stream.Conn
 	confirmed   bool
-	unconfirmed time.Duration   // since when
+	unconfirmed time.Duration // since when
 	opened      time.Duration
 	table       *routing.Table  // base of the next delta
 	lapsed      map[string]bool // by upstream, as this controller sees it
 }
 
-// fillFeeds opens feeds up to their number.
+// fillFeeds opens feeds up to their number. An attempt that takes long does
+// not hold up the next one: a VM without power does not answer at all.
 func (b *Balancer) fillFeeds() {
-	for len(b.feeds) < feedCount {
+	open, pending := 0, 0
+	for _, f := range b.feeds {
+		switch {
+		case f.conn != nil:
+			open++
+		case b.now()-f.opened < hedgeTime:
+			pending++
+		}
+	}
+	for open+pending < feedCount {
 		s := b.pickSource()
 		if s == nil {
 			return
 		}
 		b.openFeed(s)
+		pending++
+	}
+}
+
+// trimFeeds closes one feed too many, the one that opened last.
+func (b *Balancer) trimFeeds() {
+	var open []*feed
+	for _, f := range b.feeds {
+		if f.conn != nil {
+			open = append(open, f)
+		}
+	}
+	if len(open) > feedCount {
+		open[len(open)-1].cancel()
 	}
 }
 
@@ -94,7 +121,10 @@
 	b.feeds = append(b.feeds, f)
 	go stream.Connect(ctx, s.address, stream.Events{
 		Open: func(conn *stream.Conn) {
-			b.post(func() { f.conn = conn })
+			b.post(func() {
+				f.conn = conn
+				b.trimFeeds()
+			})
 			b.subscribe(conn)
 		},
 		Handle: func(_ *stream.Conn, kind stream.Kind, body []byte) {
--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -64,6 +64,7 @@
 	consensus *consensus
 	contacts  *contacts
 	links     *links
+	memory    *memory
 	events    chan func()
 	cancel    context.CancelFunc
 	listener  net.Listener
@@ -76,7 +77,7 @@
 	number      uint64   // of the last Records message
 	awaited     map[uint64][]chan struct{}
 	unheld      map[string]uint64 // upstreams whose end no other controller holds yet, and the Records that tell it
-	shared      uint64 // revision up to which peers have records
+	shared      uint64            // revision up to which peers have records
 	lastRenewal time.Duration
 	lastHello   time.Duration
 }
@@ -90,6 +91,7 @@
 		self:     Member{Domain: s.VM.Domain, Link: s.Link, API: s.API},
 		started:  time.Now(),
 		contacts: newContacts(),
+		memory:   newMemory(s.VM.DataDir, cfg.Log.Named("memory")),
 		events:   make(chan func(), eventQueue),
 		directory: directory.New(directory.Config{
 			Lapse:  lapseBeats * s.Heartbeat,
@@ -134,6 +136,10 @@
 	c.listener = l
 	c.cancel = cancel
 	c.links = newLinks(ctx, c.self.Link, c.linkEvents)
+	for _, r := range c.memory.load() {
+		c.directory.Merge(c.now(), r)
+	}
+	go c.memory.run(ctx.Done())
 	go c.consensus.run(ctx)
 	go c.run(ctx)
 	go stream.Serve(l, stream.Events{Handle: c.accept, Close: c.dropSubscriber})
@@ -190,6 +196,7 @@
 func (c *Controller) tick() {
 	now := c.now()
 	c.directory.Tick(now)
+	c.memory.save(now, c.directory)
 	if now-c.lastRenewal >= renewInterval {
 		c.lastRenewal = now
 		c.sendRenewals()
--- /dev/null
+++ b/internal/process/controller/file.go
@@ -0,0 +1,46 @@
+package controller
+
+import (
+	"heatherport/internal/result"
+	"heatherport/internal/version/vfs"
+)
+
+func readFile(folder vfs.FS, name string) ([]byte, error) {
+	f, err := folder.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	size, err := f.Size()
+	if err != nil {
+		return nil, result.Wrapf(err, result.StorageFailed, "read %s", name)
+	}
+	data := make([]byte, size)
+	if _, err := f.ReadAt(data, 0); err != nil {
+		return nil, result.Wrapf(err, result.StorageFailed, "read %s", name)
+	}
+	return data, nil
+}
+
+// replaceFile durably replaces a file.
+func replaceFile(folder vfs.FS, name string, data []byte) error {
+	draft := name + ".tmp"
+	f, err := folder.Create(draft)
+	if err != nil {
+		return result.Wrapf(err, result.StorageFailed, "create %s", draft)
+	}
+	defer f.Close()
+	if _, err := f.WriteAt(data, 0); err != nil {
+		return result.Wrapf(err, result.StorageFailed, "write %s", draft)
+	}
+	if err := f.Sync(); err != nil {
+		return result.Wrapf(err, result.StorageFailed, "sync %s", draft)
+	}
+	if err := folder.Rename(draft, name); err != nil {
+		return result.Wrapf(err, result.StorageFailed, "rename %s", draft)
+	}
+	if err := folder.SyncDir(); err != nil {
+		return result.Wrapf(err, result.StorageFailed, "sync the data folder")
+	}
+	return nil
+}
--- a/internal/process/controller/identity.go
+++ b/internal/process/controller/identity.go
@@ -70,19 +70,10 @@
 }
 
 func readIdentity(folder vfs.FS) (id identity, err error) {
-	f, err := folder.Open(identityFile)
+	data, err := readFile(folder, identityFile)
 	if err != nil {
 		return id, err
 	}
-	defer f.Close()
-	size, err := f.Size()
-	if err != nil {
-		return id, result.Wrapf(err, result.StorageFailed, "read %s", identityFile)
-	}
-	data := make([]byte, size)
-	if _, err := f.ReadAt(data, 0); err != nil {
-		return id, result.Wrapf(err, result.StorageFailed, "read %s", identityFile)
-	}
 	if err := cbor.Unmarshal(data, &id); err != nil {
 		return id, result.Wrapf(err, result.StorageCorrupt, "decode %s", identityFile)
 	}
@@ -96,25 +87,7 @@
 	if err != nil {
 		return result.Wrapf(err, result.Internal, "encode %s", identityFile)
 	}
-	const draft = identityFile + ".tmp"
-	f, err := folder.Create(draft)
-	if err != nil {
-		return result.Wrapf(err, result.StorageFailed, "create %s", draft)
-	}
-	defer f.Close()
-	if _, err := f.WriteAt(data, 0); err != nil {
-		return result.Wrapf(err, result.StorageFailed, "write %s", draft)
-	}
-	if err := f.Sync(); err != nil {
-		return result.Wrapf(err, result.StorageFailed, "sync %s", draft)
-	}
-	if err := folder.Rename(draft, identityFile); err != nil {
-		return result.Wrapf(err, result.StorageFailed, "rename %s", draft)
-	}
-	if err := folder.SyncDir(); err != nil {
-		return result.Wrapf(err, result.StorageFailed, "sync the data folder")
-	}
-	return nil
+	return replaceFile(folder, identityFile, data)
 }
 
 // bootstrap returns the first configuration of the log, or nil for a folder
--- a/internal/process/controller/message.go
+++ b/internal/process/controller/message.go
@@ -89,4 +89,3 @@
 	Controllers []Member           `cbor:"4,keyasint,omitempty"`
 	Peers       []Peer             `cbor:"6,keyasint,omitempty"` // balancers; nil when unchanged
 }
-
--- a/internal/process/stream/stream.go
+++ b/internal/process/stream/stream.go
@@ -37,8 +37,9 @@
 	// silenceLimit ends a connection from which nothing came: three pings, and
 	// room for a delayed one.
 	silenceLimit = 1500 * time.Millisecond
-	// dialTimeout is several round trips between failure domains.
-	dialTimeout = 800 * time.Millisecond
+	// dialTimeout is many round trips between failure domains, and less than
+	// the time after which a lost opening packet is sent again.
+	dialTimeout = 300 * time.Millisecond
 	bufferSize  = 16 << 10
 )
 
@@ -199,7 +200,7 @@
 // Delays between two attempts to connect.
 const (
 	firstRetry = 100 * time.Millisecond
-	lastRetry  = 800 * time.Millisecond
+	lastRetry  = 400 * time.Millisecond
 )
 
 // Connect runs one connection to address and returns why it ended.
