--- a/internal/connection/affinity/affinity.go
+++ b/internal/connection/affinity/affinity.go
@@ -52,8 +52,9 @@
 
 // Config holds the parameters of an Engine.
 type Config struct {
-	Domain   string // own failure domain
-	Capacity int    // connections in the table
+	Domain   string        // own failure domain
+	Capacity int           // connections in the table
+	Lifetime time.Duration // longest life of a connection
 	Rand     *rand.Rand
 }
 
@@ -63,7 +64,8 @@
 	// that another balancer took over sends nothing here.
 	idleCount = 2 * time.Second
 	// forgetAfter is the time without a packet after which an entry goes. It
-	// covers the longest gap between retransmissions.
+	// covers the longest gap between retransmissions. A connection that may
+	// have opened at one of several upstreams is kept for its whole life.
 	forgetAfter = 4 * time.Second
 	// suspicionTime is how long an upstream that left an opening packet
 	// unanswered gets no new connections while others are there. Measured: 2
@@ -155,7 +157,7 @@
 	c.touched = now
 	u := v.Upstream(c.cookie)
 	if c.pinned {
-		return forwardTo(u)
+		return forwardTo(v, p, u)
 	}
 	if p.Copies > 0 {
 		e.suspect(now, c.cookie)
@@ -165,16 +167,23 @@
 			u = other
 		}
 	}
-	if u == nil {
+	if u == nil || u.State == directory.Gone {
 		return Verdict{Code: result.DropUpstreamGone}
 	}
 	e.assign(now, c, u)
 	return Verdict{Upstream: u}
 }
 
-func forwardTo(u *Upstream) Verdict {
-	if u == nil || u.State == directory.Gone {
-		return Verdict{Code: result.DropUpstreamGone}
+// forwardTo forwards a packet of a connection to its upstream. The connections
+// of an incarnation that has ended are reset, so that callers need not wait.
+func forwardTo(v *View, p *Packet, u *Upstream) Verdict {
+	switch {
+	case u == nil:
+		return Verdict{Code: result.DropUnknownTag}
+	case !v.allows(p.Service, u.Service):
+		return Verdict{Code: result.DropServiceMismatch}
+	case u.Ended:
+		return Verdict{Code: result.DropUpstreamGone, Refuse: !p.Reset}
 	}
 	return Verdict{Upstream: u}
 }
@@ -202,11 +211,7 @@
 	case p.Length > 0 || c.counted:
 		e.count(c)
 	}
-	u := v.Upstream(c.cookie)
-	if u == nil {
-		return Verdict{Code: result.DropUnknownTag}
-	}
-	return forwardTo(u)
+	return forwardTo(v, p, v.Upstream(c.cookie))
 }
 
 // pin ties a connection to the upstream whose answer opened it.
@@ -273,7 +278,7 @@
 func (e *Engine) Tick(now time.Duration) {
 	for k, c := range e.table {
 		switch idle := now - c.touched; {
-		case idle > forgetAfter:
+		case idle > e.cfg.Lifetime, idle > forgetAfter && len(c.tried) < 2:
 			e.forget(k, c)
 		case idle > idleCount:
 			e.uncount(c)
--- /dev/null
+++ b/internal/connection/affinity/stateful_test.go
@@ -0,0 +1,219 @@
+package affinity
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"heatherport/internal/version/directory"
+)
+
+// caller is one end of a connection, as the platform's callers behave.
+type caller struct {
+	address  netip.AddrPort
+	service  netip.AddrPort
+	want     string // name of the service
+	copies   uint32
+	cookie   uint32 // the last one received
+	opened   uint32 // cookie of the upstream whose answer was acknowledged
+	inFlight []uint32
+	reached  []uint32 // upstreams that opening packets went to
+	balancer int // that the routers send this connection to
+	ended    bool
+}
+
+// world runs several engines over one set of upstreams.
+type world struct {
+	*fixture
+	now     time.Duration
+	engines []*Engine
+	seed    uint64
+	callers []*caller
+	silent  map[uint32]bool // upstreams that answer nothing
+}
+
+func (w *world) decide(c *caller, p *Packet) Verdict {
+	w.now += time.Millisecond
+	return w.engines[c.balancer].Decide(w.now, w.view(), p)
+}
+
+func (w *world) find(cookie uint32) *Upstream {
+	for i := range w.upstreams {
+		if w.upstreams[i].Cookie == cookie {
+			return &w.upstreams[i]
+		}
+	}
+	return nil
+}
+
+func (w *world) drawCaller(t *rapid.T, ok func(*caller) bool) *caller {
+	var fit []*caller
+	for _, c := range w.callers {
+		if ok(c) {
+			fit = append(fit, c)
+		}
+	}
+	if len(fit) == 0 {
+		return nil
+	}
+	return rapid.SampledFrom(fit).Draw(t, "caller")
+}
+
+// open sends a first opening packet.
+func (w *world) open(t *rapid.T) {
+	n := len(w.callers)
+	c := &caller{
+		address:  netip.AddrPortFrom(callerAddr.Addr(), uint16(1000+n)),
+		service:  permitsAddr,
+		want:     "permits",
+		balancer: rapid.IntRange(0, len(w.engines)-1).Draw(t, "balancer"),
+	}
+	if rapid.Bool().Draw(t, "sheets") {
+		c.service, c.want = sheetsAddr, "sheets"
+	}
+	w.callers = append(w.callers, c)
+	w.sendOpening(t, c)
+}
+
+func (w *world) sendOpening(t *rapid.T, c *caller) {
+	v := w.decide(c, &Packet{Caller: c.address, Service: c.service, Opening: true, Sequence: uint32(c.address.Port()), Copies: c.copies})
+	if v.Upstream == nil {
+		return
+	}
+	must.Eq(t, c.want, v.Upstream.Service)
+	// Where no other upstream is left, a copy follows the first packet to one
+	// that has begun to leave since, which still accepts it.
+	if state := w.find(v.Upstream.Cookie).State; state != directory.Serving {
+		must.Eq(t, directory.Leaving, state)
+		must.SliceContains(t, c.reached, v.Upstream.Cookie)
+	}
+	c.reached = append(c.reached, v.Upstream.Cookie)
+	if !w.silent[v.Upstream.Cookie] {
+		c.inFlight = append(c.inFlight, v.Upstream.Cookie)
+	}
+}
+
+// copyOpening repeats the opening packet of a caller without an answer.
+func (w *world) copyOpening(t *rapid.T) {
+	c := w.drawCaller(t, func(c *caller) bool { return c.opened == 0 && c.copies < 2 })
+	if c == nil {
+		return
+	}
+	c.copies++
+	w.sendOpening(t, c)
+}
+
+// answer hands an answer to a caller, in any order.
+func (w *world) answer(t *rapid.T) {
+	c := w.drawCaller(t, func(c *caller) bool { return len(c.inFlight) > 0 && !c.ended })
+	if c == nil {
+		return
+	}
+	i := rapid.IntRange(0, len(c.inFlight)-1).Draw(t, "answer")
+	c.cookie = c.inFlight[i]
+	c.inFlight = append(c.inFlight[:i], c.inFlight[i+1:]...)
+	if c.opened == 0 {
+		c.opened = c.cookie
+		w.send(t, c, &Packet{Caller: c.address, Service: c.service, Cookie: c.cookie, Length: 10})
+	}
+}
+
+// say sends a packet of an open connection.
+func (w *world) say(t *rapid.T) {
+	c := w.drawCaller(t, func(c *caller) bool { return c.opened != 0 && !c.ended })
+	if c == nil {
+		return
+	}
+	p := &Packet{Caller: c.address, Service: c.service, Cookie: c.cookie, Length: rapid.IntRange(0, 5).Draw(t, "length")}
+	p.Ending = rapid.IntRange(0, 4).Draw(t, "ending") == 0
+	w.send(t, c, p)
+	c.ended = p.Ending
+}
+
+func (w *world) send(t *rapid.T, c *caller, p *Packet) {
+	u := w.find(c.opened)
+	v := w.decide(c, p)
+	if u.Ended {
+		must.Nil(t, v.Upstream)
+		return
+	}
+	must.NotNil(t, v.Upstream)
+	must.Eq(t, c.opened, v.Upstream.Cookie, must.Sprint("connection moved"))
+	must.Eq(t, c.want, v.Upstream.Service)
+	must.False(t, v.Refuse)
+	// The upstream repeats its cookie in what it sends next.
+	c.cookie = c.opened
+}
+
+// move lets the routers send a connection to another balancer. While a second
+// answer may still be on its way, its cookie would mislead a balancer that did
+// not see the connection open; docs/PLATFORM.md lists this case.
+func (w *world) move(t *rapid.T) {
+	c := w.drawCaller(t, func(c *caller) bool { return c.opened != 0 && len(c.inFlight) == 0 && c.cookie == c.opened })
+	if c != nil {
+		c.balancer = rapid.IntRange(0, len(w.engines)-1).Draw(t, "balancer")
+	}
+}
+
+// restart empties the table of a balancer that no connection depends on.
+func (w *world) restart(t *rapid.T) {
+	i := rapid.IntRange(0, len(w.engines)-1).Draw(t, "balancer")
+	for _, c := range w.callers {
+		if c.balancer == i && !c.ended && (c.opened == 0 || len(c.inFlight) > 0 || c.cookie != c.opened) {
+			return
+		}
+	}
+	w.seed++
+	w.engines[i] = newEngine(w.seed)
+}
+
+// change changes an upstream.
+func (w *world) change(t *rapid.T) {
+	u := &w.upstreams[rapid.IntRange(0, len(w.upstreams)-1).Draw(t, "upstream")]
+	switch rapid.SampledFrom([]string{"leave", "go", "end", "silent", "speak", "join", "reuse"}).Draw(t, "change") {
+	case "leave":
+		u.State = max(u.State, directory.Leaving)
+	case "go":
+		u.State = directory.Gone
+	case "end":
+		u.Ended = u.State == directory.Gone
+	case "silent":
+		w.silent[u.Cookie] = true
+	case "speak":
+		delete(w.silent, u.Cookie)
+	case "join":
+		w.add(u.Service)
+	case "reuse":
+		if u.State != directory.Gone {
+			return
+		}
+		address := u.Address
+		other := map[string]string{"permits": "sheets", "sheets": "permits"}[u.Service]
+		w.add(other).Address = address
+	}
+}
+
+func (w *world) tick(t *rapid.T) {
+	w.now += time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond
+	for _, e := range w.engines {
+		e.Tick(w.now)
+	}
+}
+
+// TestConnectionsNeverMove checks that each packet after opening reaches the
+// upstream whose answer the caller acknowledged, whichever balancer gets it.
+func TestConnectionsNeverMove(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{fixture: newFixture(3, 3), silent: make(map[uint32]bool), seed: 10}
+		for i := range uint64(3) {
+			w.engines = append(w.engines, newEngine(i))
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"open": w.open, "copy": w.copyOpening, "answer": w.answer, "say": w.say,
+			"move": w.move, "restart": w.restart, "change": w.change, "tick": w.tick,
+		})
+	})
+}
--- a/internal/connection/affinity/view.go
+++ b/internal/connection/affinity/view.go
@@ -11,6 +11,9 @@
 type Upstream struct {
 	directory.Record
 	Cookie uint32 // tag of the incarnation
+	// Ended says that the incarnation ended long enough ago that nothing which
+	// it sent is still on its way. Its connections are dead.
+	Ended bool
 }
 
 // isEligible reports whether the upstream takes new connections.
@@ -19,6 +22,9 @@
 // View is an immutable state of routes and upstreams.
 type View struct {
 	Routes *routing.Table
+	// Former tells which services routes allowed lately; nil while that is not
+	// known for the longest life of a connection.
+	Former *routing.Former
 	// Current reports that the state was confirmed lately; a route that is
 	// missing then does not exist.
 	Current   bool
@@ -26,20 +32,22 @@
 	byService map[string][]*Upstream
 }
 
-// NewView indexes records. Of two incarnations with the same tag the one that
-// started first keeps it; the other takes no connections until the first is
-// forgotten.
-func NewView(routes *routing.Table, current bool, records []directory.Record) *View {
-	v := &View{Routes: routes, Current: current, byCookie: make(map[uint32]*Upstream, len(records)), byService: make(map[string][]*Upstream)}
-	for i := range records {
-		u := &Upstream{Record: records[i], Cookie: records[i].Tag()}
+// Index sets the upstreams of a new view. Of two incarnations with the same
+// tag the one that started first keeps it; the other takes no connections
+// until the first is forgotten.
+func (v *View) Index(upstreams []Upstream) *View {
+	v.byCookie = make(map[uint32]*Upstream, len(upstreams))
+	v.byService = make(map[string][]*Upstream)
+	for i := range upstreams {
+		u := &upstreams[i]
 		if holder := v.byCookie[u.Cookie]; holder != nil && holder.Born <= u.Born {
 			continue
 		}
 		v.byCookie[u.Cookie] = u
 	}
-	for _, u := range v.byCookie {
-		if u.isEligible() {
+	for i := range upstreams {
+		u := &upstreams[i]
+		if v.byCookie[u.Cookie] == u && u.isEligible() {
 			v.byService[u.Service] = append(v.byService[u.Service], u)
 		}
 	}
@@ -56,3 +64,13 @@
 	}
 	return v.Routes.Route(address)
 }
+
+// allows reports whether a connection to address may be at service. A route
+// that was dropped leaves its connections where they are.
+func (v *View) allows(address netip.AddrPort, service string) bool {
+	r := v.route(address)
+	if r == nil || r.Allows(service) || v.Former == nil {
+		return true
+	}
+	return v.Former.Allowed(address, service)
+}
--- a/internal/process/balancer/balancer.go
+++ b/internal/process/balancer/balancer.go
@@ -31,6 +31,12 @@
 	// tableCapacity bounds the memory of the connection table to some 20 MB.
 	tableCapacity = 60_000
 	eventQueue    = 1024
+	// endedTime is the time after the end of an upstream in which packets that
+	// it sent may still arrive at callers.
+	endedTime = time.Second
+	// publishInterval renews the view without a change, since some of it
+	// depends on time.
+	publishInterval = 500 * time.Millisecond
 )
 
 // Config configures a Balancer.
@@ -62,9 +68,11 @@
 	feeds     []*feed
 	directory *directory.Directory
 	table     *routing.Table
+	former    *routing.Former
 	peers     []controller.Peer
 	fedSince  time.Duration // when routes first came
 	reviewed  time.Duration
+	published time.Duration
 	changed   bool
 }
 
@@ -78,7 +86,7 @@
 		events:    make(chan func(), eventQueue),
 		directory: directory.New(directory.Config{Forget: s.Lifetime}),
 	}
-	b.view.Store(affinity.NewView(nil, false, nil))
+	b.view.Store((&affinity.View{}).Index(nil))
 	for _, seed := range s.Seeds {
 		b.learn(s.LinkOf(seed.Addr()), "")
 	}
@@ -87,6 +95,7 @@
 		engine: affinity.New(affinity.Config{
 			Domain:   s.VM.Domain,
 			Capacity: tableCapacity,
+			Lifetime: s.Lifetime,
 			Rand:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		}),
 	}
@@ -178,7 +187,7 @@
 	b.directory.Tick(b.now())
 	b.reviewFeeds()
 	b.forwarder.tick()
-	if !b.ready.Load() {
+	if now := b.now(); !b.ready.Load() || now-b.published > publishInterval {
 		b.changed = true
 	}
 }
@@ -187,12 +196,14 @@
 func (b *Balancer) publish() {
 	b.changed = false
 	now := b.now()
-	records := b.directory.Since(0)
-	for i := range records {
-		records[i].Lapsed = b.isLapsed(records[i].ID)
-	}
+	b.published = now
 	confirmed := b.isConfirmed()
-	b.view.Store(affinity.NewView(b.table, confirmed && now > refuseAfter, records))
+	view := &affinity.View{Routes: b.table, Current: confirmed && now > refuseAfter}
+	if now > b.lifetime {
+		view.Former = b.former
+	}
+	upstreams := b.upstreams(now)
+	b.view.Store(view.Index(upstreams))
 	if b.table == nil {
 		return
 	}
@@ -200,6 +211,21 @@
 		b.fedSince = now
 	}
 	if ready := confirmed || now-b.fedSince > confirmTime; ready && !b.ready.Swap(true) {
-		b.log.Info("ready", "number", b.table.Number, "upstreams", len(records), "confirmed", confirmed)
+		b.log.Info("ready", "number", b.table.Number, "upstreams", len(upstreams), "confirmed", confirmed)
+	}
+}
+
+// upstreams returns all upstreams as the feeds tell them.
+func (b *Balancer) upstreams(now time.Duration) []affinity.Upstream {
+	entries := b.directory.Entries()
+	out := make([]affinity.Upstream, len(entries))
+	for i, e := range entries {
+		out[i] = affinity.Upstream{
+			Record: e.Record,
+			Cookie: e.Tag(),
+			Ended:  e.State == directory.Gone && now-e.Ended > endedTime,
+		}
+		out[i].Lapsed = b.isLapsed(e.ID)
 	}
+	return out
 }
--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/netip"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -53,6 +54,8 @@
 	Log      hclog.Logger
 	// Read turns a document into the table of routes that it describes.
 	Read func(document []byte) (*routing.Table, error)
+	// Listener takes links; nil listens at the link address of the settings.
+	Listener net.Listener
 }
 
 // Controller is the program.
@@ -68,6 +71,7 @@
 	events    chan func()
 	cancel    context.CancelFunc
 	listener  net.Listener
+	disk      sync.WaitGroup // goroutines that use the data folder
 
 	// The rest belongs to the control goroutine.
 	directory   *directory.Directory
@@ -128,9 +132,12 @@
 
 // Start listens for links and starts all parts.
 func (c *Controller) Start(context.Context) error {
-	l, err := net.Listen("tcp", c.self.Link.String())
-	if err != nil {
-		return result.Wrapf(err, result.BadSettings, "listen on %s", c.self.Link)
+	l := c.cfg.Listener
+	if l == nil {
+		var err error
+		if l, err = net.Listen("tcp", c.self.Link.String()); err != nil {
+			return result.Wrapf(err, result.BadSettings, "listen on %s", c.self.Link)
+		}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	c.listener = l
@@ -139,10 +146,10 @@
 	for _, r := range c.memory.load() {
 		c.directory.Merge(c.now(), r)
 	}
-	go c.memory.run(ctx.Done())
-	go c.consensus.run(ctx)
+	c.disk.Go(func() { c.memory.run(ctx.Done()) })
+	c.disk.Go(func() { c.consensus.run(ctx) })
 	go c.run(ctx)
-	go stream.Serve(l, stream.Events{Handle: c.accept, Close: c.dropSubscriber})
+	go stream.Serve(ctx, l, stream.Events{Handle: c.accept, Close: c.dropSubscriber})
 	c.links.keep(seedLinks(c.cfg.Settings)...)
 	return nil
 }
@@ -160,8 +167,24 @@
 		case <-time.After(stopDelay):
 		}
 	}
+	return c.halt(ctx)
+}
+
+// halt stops all parts. A stalled disk holds it up until ctx ends.
+func (c *Controller) halt(ctx context.Context) error {
 	c.cancel()
-	return c.listener.Close()
+	err := c.listener.Close()
+	done := make(chan struct{})
+	go func() {
+		c.disk.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+		c.log.Warn("the disk did not come to rest", "error", ctx.Err())
+	}
+	return err
 }
 
 func (c *Controller) now() time.Duration { return time.Since(c.started) }
--- /dev/null
+++ b/internal/process/controller/group_test.go
@@ -0,0 +1,399 @@
+package controller
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/shoenig/test/must"
+
+	"heatherport/internal/process/settings"
+	"heatherport/internal/process/stream"
+	"heatherport/internal/result"
+	"heatherport/internal/version/directory"
+	"heatherport/internal/version/register"
+	"heatherport/internal/version/routing"
+)
+
+// waitTimeout bounds every wait of these tests.
+const waitTimeout = 30 * time.Second
+
+// readNumber is the format of the documents of these tests: eight bytes.
+func readNumber(document []byte) (*routing.Table, error) {
+	if len(document) != 8 {
+		return nil, result.Errorf(result.BadRoutes, "%d bytes", len(document))
+	}
+	return routing.New(binary.BigEndian.Uint64(document), 0, []string{"permits"}, nil)
+}
+
+func document(number uint64) register.Document {
+	return register.Document{Number: number, Body: binary.BigEndian.AppendUint64(nil, number)}
+}
+
+// vm is a controller of a fleet, with the listener that it keeps over restarts.
+type vm struct {
+	*Controller
+	address  netip.AddrPort
+	listener net.Listener
+	dir      string
+}
+
+// fleet runs controllers in this process over real links and disks.
+type fleet struct {
+	t    *testing.T
+	vms  []*vm
+	port uint16
+}
+
+// newFleet founds a group of three; more controllers join by grow.
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{t: t}
+	for range 3 {
+		f.reserve()
+	}
+	for _, v := range f.vms {
+		f.start(v, true)
+	}
+	t.Cleanup(func() {
+		for _, v := range f.vms {
+			f.stop(v)
+		}
+	})
+	return f
+}
+
+// reserve adds a VM at an address of its own. All listen at one port, which
+// the first takes and the others share at other addresses.
+func (f *fleet) reserve() *vm {
+	n := len(f.vms) + 1
+	ip := netip.AddrFrom4([4]byte{127, 88, byte(os.Getpid() % 250), byte(n)})
+	l, err := net.Listen("tcp", netip.AddrPortFrom(ip, f.port).String())
+	must.NoError(f.t, err)
+	address := netip.MustParseAddrPort(l.Addr().String())
+	f.port = address.Port()
+	v := &vm{address: address, listener: l, dir: filepath.Join(f.t.TempDir(), fmt.Sprint("vm", n))}
+	f.vms = append(f.vms, v)
+	return v
+}
+
+func (f *fleet) start(v *vm, founding bool) {
+	if v.listener == nil {
+		l, err := net.Listen("tcp", v.address.String())
+		must.NoError(f.t, err)
+		v.listener = l
+	}
+	s := &settings.Program{
+		VM:         settings.VM{Name: v.dir, Domain: v.address.Addr().String(), DataDir: v.dir},
+		Link:       v.address,
+		API:        v.address,
+		FirstStart: founding, LossesBorne: 1, Heartbeat: 300 * time.Millisecond, Lifetime: time.Minute,
+	}
+	for _, seed := range f.vms[:3] {
+		s.Seeds = append(s.Seeds, seed.address)
+	}
+	v.Controller = New(Config{Settings: s, Log: hclog.NewNullLogger(), Read: readNumber, Listener: v.listener})
+	must.NoError(f.t, v.Start(context.Background()))
+}
+
+// stop ends a controller at once, without handing over.
+func (f *fleet) stop(v *vm) {
+	if v.Controller == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
+	defer cancel()
+	must.NoError(f.t, v.halt(ctx))
+	v.listener = nil
+	v.Controller = nil
+}
+
+func (f *fleet) eventually(what string, ok func() bool) {
+	f.t.Helper()
+	deadline := time.Now().Add(waitTimeout)
+	for !ok() {
+		if time.Now().After(deadline) {
+			f.t.Fatalf("not in time: %s", what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// submit sends a document to a VM until it is acknowledged.
+func (f *fleet) submit(v *vm, number uint64) {
+	f.t.Helper()
+	f.eventually(fmt.Sprint("document ", number), func() bool {
+		return v.Submit(context.Background(), document(number)) == nil
+	})
+}
+
+// expect reads at a VM until it answers, and checks the answer.
+func (f *fleet) expect(v *vm, number uint64) {
+	f.t.Helper()
+	f.eventually(fmt.Sprint("read of ", number), func() bool {
+		d, err := v.Latest(context.Background())
+		if err != nil {
+			return false
+		}
+		must.Eq(f.t, number, d.Number)
+		must.Eq(f.t, document(number).Body, d.Body)
+		return true
+	})
+}
+
+func (f *fleet) leader() *vm {
+	var found *vm
+	f.eventually("a leader", func() bool {
+		for _, v := range f.vms {
+			if v.Controller != nil && v.consensus.Standing().Leads {
+				found = v
+				return true
+			}
+		}
+		return false
+	})
+	return found
+}
+
+func TestAcknowledgedDocumentIsReadEverywhere(t *testing.T) {
+	f := newFleet(t)
+	for i := range uint64(9) {
+		f.submit(f.vms[i%3], i+1)
+		f.expect(f.vms[(i+1)%3], i+1)
+	}
+	// Lower and equal numbers are acknowledged and change nothing.
+	other := document(9)
+	other.Body = document(5).Body
+	must.NoError(t, f.vms[0].Submit(context.Background(), other))
+	must.NoError(t, f.vms[1].Submit(context.Background(), document(3)))
+	f.expect(f.vms[2], 9)
+}
+
+func TestKilledLeaderLosesNothing(t *testing.T) {
+	f := newFleet(t)
+	f.submit(f.vms[0], 1)
+	for number := uint64(2); number < 5; number++ {
+		l := f.leader()
+		f.submit(l, number)
+		f.stop(l)
+		for _, v := range f.vms {
+			if v.Controller != nil {
+				f.expect(v, number)
+			}
+		}
+		f.start(l, false)
+		f.expect(l, number)
+	}
+}
+
+func TestMinorityAnswersNoRead(t *testing.T) {
+	f := newFleet(t)
+	f.submit(f.vms[0], 1)
+	f.stop(f.vms[1])
+	f.stop(f.vms[2])
+	// The remaining one may still be believed to lead for an election timeout,
+	// but cannot confirm that it does.
+	_, err := f.vms[0].Latest(context.Background())
+	must.Eq(t, result.NoLeader, result.CodeOf(err))
+	must.Eq(t, result.OutcomeUnknown, result.CodeOf(f.vms[0].Submit(context.Background(), document(2))))
+	f.start(f.vms[1], false)
+	f.submit(f.vms[0], 3)
+	f.expect(f.vms[1], 3)
+}
+
+func TestAllRestartAtOnce(t *testing.T) {
+	f := newFleet(t)
+	f.submit(f.vms[0], 7)
+	for _, v := range f.vms {
+		f.stop(v)
+	}
+	for _, v := range f.vms {
+		f.start(v, false)
+	}
+	f.expect(f.vms[1], 7)
+}
+
+// TestLostDisksAreReplacedInTurn loses every disk, one after the other.
+func TestLostDisksAreReplacedInTurn(t *testing.T) {
+	f := newFleet(t)
+	f.submit(f.vms[0], 1)
+	for i, v := range f.vms {
+		f.stop(v)
+		must.NoError(t, os.RemoveAll(v.dir))
+		f.start(v, false)
+		f.expect(v, uint64(i+1))
+		f.eventually("the new disk votes", func() bool { return f.isVoter(v) })
+		f.submit(v, uint64(i+2))
+	}
+	f.expect(f.vms[0], 4)
+}
+
+// isVoter asks the leader's log whether the present disk of a VM votes and its
+// former ones do not.
+func (f *fleet) isVoter(v *vm) bool {
+	l := f.leader()
+	answer := make(chan bool, 1)
+	l.consensus.post(func() {
+		if l.consensus.replica == nil {
+			answer <- false
+			return
+		}
+		c := l.consensus.replica.Status().Config
+		answer <- len(c.Voters) == 3 && c.IsVoter(v.consensus.Standing().ID)
+	})
+	select {
+	case ok := <-answer:
+		return ok
+	case <-time.After(waitTimeout):
+		return false
+	}
+}
+
+func TestControllerAtAnotherAddressTakesAnEmptyPlace(t *testing.T) {
+	f := newFleet(t)
+	f.submit(f.vms[0], 1)
+	joined := f.reserve()
+	f.start(joined, false)
+	f.expect(joined, 1)
+	f.stop(f.vms[1])
+	f.eventually("the new controller votes", func() bool { return f.isVoter(joined) })
+	f.submit(joined, 2)
+	f.expect(f.vms[0], 2)
+}
+
+func announcement(state directory.State, seq uint64) directory.Record {
+	return directory.Record{
+		ID: "i-1", Handle: 1, Service: "permits", Address: netip.MustParseAddrPort("192.0.2.9:80"),
+		Domain: "127.88.0.1", Slots: 2, State: state, Born: 10, Seq: seq,
+	}
+}
+
+// stateAt returns what a VM holds of the upstream of announcement.
+func (f *fleet) stateAt(v *vm) directory.State {
+	answer := make(chan directory.State, 1)
+	v.post(func() {
+		e := v.directory.Get("i-1")
+		if e == nil {
+			answer <- 0
+			return
+		}
+		answer <- e.State
+	})
+	select {
+	case s := <-answer:
+		return s
+	case <-time.After(waitTimeout):
+		f.t.Fatal("the control goroutine does not answer")
+		return 0
+	}
+}
+
+func (f *fleet) announce(v *vm, state directory.State, seq uint64) {
+	f.eventually("the announcement", func() bool {
+		_, err := v.Announce(context.Background(), announcement(state, seq))
+		return err == nil
+	})
+}
+
+func TestAnnouncementsReachAllControllers(t *testing.T) {
+	f := newFleet(t)
+	f.announce(f.vms[0], directory.Serving, 1)
+	for _, v := range f.vms {
+		f.eventually("serving", func() bool { return f.stateAt(v) == directory.Serving })
+	}
+	f.announce(f.vms[1], directory.Leaving, 2)
+	for _, v := range f.vms {
+		f.eventually("leaving", func() bool { return f.stateAt(v) == directory.Leaving })
+	}
+	must.NoError(t, f.vms[2].Withdraw(context.Background(), "i-1"))
+	for _, v := range f.vms {
+		f.eventually("gone", func() bool { return f.stateAt(v) == directory.Gone })
+	}
+}
+
+// TestLeavingIsAcknowledgedOnlyWhenAnotherHoldsIt cuts a controller off by
+// stopping the others.
+func TestLeavingIsAcknowledgedOnlyWhenAnotherHoldsIt(t *testing.T) {
+	f := newFleet(t)
+	f.announce(f.vms[0], directory.Serving, 1)
+	f.stop(f.vms[1])
+	f.stop(f.vms[2])
+	for seq := uint64(2); seq < 4; seq++ {
+		_, err := f.vms[0].Announce(context.Background(), announcement(directory.Leaving, seq))
+		must.Eq(t, result.OutcomeUnknown, result.CodeOf(err))
+	}
+	f.start(f.vms[1], false)
+	f.announce(f.vms[0], directory.Leaving, 4)
+	f.eventually("the other holds it", func() bool { return f.stateAt(f.vms[1]) == directory.Leaving })
+}
+
+func TestUpstreamsAreRememberedOverARestartOfAll(t *testing.T) {
+	f := newFleet(t)
+	f.announce(f.vms[0], directory.Serving, 1)
+	f.eventually("it is saved", func() bool {
+		records, err := f.vms[0].memory.read()
+		return err == nil && len(records) == 1
+	})
+	for _, v := range f.vms {
+		f.stop(v)
+	}
+	f.start(f.vms[0], false)
+	must.Eq(t, directory.Serving, f.stateAt(f.vms[0]))
+}
+
+// TestFeedCarriesChanges subscribes as a balancer does.
+func TestFeedCarriesChanges(t *testing.T) {
+	f := newFleet(t)
+	f.submit(f.vms[0], 1)
+	feeds := make(chan Feed, 100)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go stream.Dial(ctx, f.vms[2].address, stream.Events{
+		Open: func(c *stream.Conn) {
+			frame, err := stream.Encode(KindSubscribe, Subscribe{Name: "balancer-1", Domain: "a"})
+			if err == nil {
+				c.Send(frame)
+			}
+		},
+		Handle: func(_ *stream.Conn, kind stream.Kind, body []byte) {
+			var m Feed
+			if kind == KindFeed && stream.Decode(body, &m) == nil {
+				feeds <- m
+			}
+		},
+	})
+	var table *routing.Table
+	records := make(map[string]directory.State)
+	seen := func(what string, ok func() bool) {
+		t.Helper()
+		for !ok() {
+			select {
+			case m := <-feeds:
+				if m.Routes != nil {
+					next, err := table.Apply(*m.Routes)
+					must.NoError(t, err)
+					table = next
+				}
+				for _, r := range m.Upstreams {
+					records[r.ID] = r.State
+				}
+			case <-time.After(waitTimeout):
+				t.Fatalf("not in time: %s", what)
+			}
+		}
+	}
+	number := func(n uint64) func() bool { return func() bool { return table != nil && table.Number == n } }
+	seen("first routes", number(1))
+	f.submit(f.vms[1], 5)
+	seen("new routes", number(5))
+	f.announce(f.vms[0], directory.Serving, 1)
+	seen("upstream", func() bool { return records["i-1"] == directory.Serving })
+	f.announce(f.vms[0], directory.Leaving, 2)
+	seen("leaving upstream", func() bool { return records["i-1"] == directory.Leaving })
+}
--- a/internal/process/controller/links.go
+++ b/internal/process/controller/links.go
@@ -91,8 +91,8 @@
 // open.
 func (l *links) send(address netip.AddrPort, frame []byte) bool {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	k := l.byAddr[address]
-	l.mu.Unlock()
 	return k != nil && k.conn != nil && k.conn.Send(frame)
 }
 
--- /dev/null
+++ b/internal/process/controller/plan_test.go
@@ -0,0 +1,198 @@
+package controller
+
+import (
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"heatherport/internal/version/raft"
+)
+
+func linkAt(vm int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{192, 0, 2, byte(vm)}), 7720)
+}
+
+// group describes controllers for a plan; each VM is in its own failure domain
+// unless a test says otherwise.
+type group struct {
+	plan
+}
+
+func newGroup(lossesBorne, voters, learners int) *group {
+	g := &group{plan{lossesBorne: lossesBorne, last: 100, progress: make(map[string]raft.ProgressStatus), known: make(map[string]candidate)}}
+	for vm := range voters + learners {
+		id := g.meet(vm, founder, 0)
+		if vm < voters {
+			g.config.Voters = append(g.config.Voters, id)
+		} else {
+			g.config.Learners = append(g.config.Learners, id)
+		}
+		g.progress[id] = raft.ProgressStatus{ID: id, MatchIndex: 100}
+	}
+	g.self = memberID(linkAt(0), founder)
+	return g
+}
+
+func (g *group) meet(vm int, disk string, silent time.Duration) string {
+	id := memberID(linkAt(vm), disk)
+	g.known[id] = candidate{Member: Member{ID: id, Domain: string(rune('a' + vm)), Link: linkAt(vm)}, silent: silent}
+	return id
+}
+
+func (g *group) silence(vm int) {
+	id := memberID(linkAt(vm), founder)
+	c := g.known[id]
+	c.silent = time.Hour
+	g.known[id] = c
+	g.progress[id] = raft.ProgressStatus{ID: id, MatchIndex: 100, SilentTicks: 1 << 20}
+}
+
+func TestHealthyGroupStaysAsItIs(t *testing.T) {
+	_, ok := newGroup(1, 3, 1).nextChange()
+	must.False(t, ok)
+}
+
+func TestNewControllerBecomesALearner(t *testing.T) {
+	g := newGroup(1, 3, 0)
+	id := g.meet(7, "disk", 0)
+	change, ok := g.nextChange()
+	must.True(t, ok)
+	must.Eq(t, raft.ConfigChange{Kind: raft.AddLearner, ID: id}, change)
+}
+
+func TestMissingVotersArePromoted(t *testing.T) {
+	change, ok := newGroup(2, 3, 2).nextChange()
+	must.True(t, ok)
+	must.Eq(t, raft.PromoteLearner, change.Kind)
+}
+
+func TestLearnerBehindIsNotPromoted(t *testing.T) {
+	g := newGroup(2, 3, 1)
+	id := g.config.Learners[0]
+	g.progress[id] = raft.ProgressStatus{ID: id, MatchIndex: 100 - learnerLag - 1}
+	_, ok := g.nextChange()
+	must.False(t, ok)
+}
+
+func TestSilentVoterIsReplacedBeforeItIsRemoved(t *testing.T) {
+	g := newGroup(1, 3, 1)
+	g.silence(1)
+	change, ok := g.nextChange()
+	must.True(t, ok)
+	must.Eq(t, raft.ConfigChange{Kind: raft.PromoteLearner, ID: memberID(linkAt(3), founder)}, change)
+	g.apply(change)
+	change, ok = g.nextChange()
+	must.True(t, ok)
+	must.Eq(t, raft.ConfigChange{Kind: raft.RemoveMember, ID: memberID(linkAt(1), founder)}, change)
+	g.apply(change)
+	_, ok = g.nextChange()
+	must.False(t, ok)
+}
+
+func TestSilentVoterStaysWithoutASuccessor(t *testing.T) {
+	g := newGroup(1, 3, 0)
+	g.silence(1)
+	_, ok := g.nextChange()
+	must.False(t, ok)
+}
+
+func TestVoterWithAnEmptyDiskIsReplacedByItself(t *testing.T) {
+	g := newGroup(1, 3, 0)
+	g.silence(1)
+	id := g.meet(1, "new disk", 0)
+	for _, want := range []raft.ConfigChange{
+		{Kind: raft.AddLearner, ID: id},
+		{Kind: raft.PromoteLearner, ID: id},
+		{Kind: raft.RemoveMember, ID: memberID(linkAt(1), founder)},
+	} {
+		change, ok := g.nextChange()
+		must.True(t, ok)
+		must.Eq(t, want, change)
+		g.apply(change)
+		g.progress[id] = raft.ProgressStatus{ID: id, MatchIndex: 100}
+	}
+	_, ok := g.nextChange()
+	must.False(t, ok)
+}
+
+func TestCrowdedDomainGivesAVoterToAnother(t *testing.T) {
+	g := newGroup(1, 3, 1)
+	for _, vm := range []int{1, 2} {
+		id := memberID(linkAt(vm), founder)
+		c := g.known[id]
+		c.Domain = "crowded"
+		g.known[id] = c
+	}
+	change, ok := g.nextChange()
+	must.True(t, ok)
+	must.Eq(t, raft.ConfigChange{Kind: raft.PromoteLearner, ID: memberID(linkAt(3), founder)}, change)
+	g.apply(change)
+	change, ok = g.nextChange()
+	must.True(t, ok)
+	must.Eq(t, raft.RemoveMember, change.Kind)
+	must.Eq(t, "crowded", g.known[change.ID].Domain)
+}
+
+// apply carries out a change as the log does.
+func (g *group) apply(c raft.ConfigChange) {
+	drop := func(ids []string) []string {
+		return slices.DeleteFunc(slices.Clone(ids), func(id string) bool { return id == c.ID })
+	}
+	switch c.Kind {
+	case raft.AddLearner:
+		g.config.Learners = append(g.config.Learners, c.ID)
+	case raft.PromoteLearner:
+		g.config.Learners = drop(g.config.Learners)
+		g.config.Voters = append(g.config.Voters, c.ID)
+	case raft.RemoveMember:
+		g.config.Learners = drop(g.config.Learners)
+		g.config.Voters = drop(g.config.Voters)
+	}
+}
+
+// TestPlanConverges checks that changes end, that no step has fewer voters than
+// before unless there are more than needed, and that the end bears the losses
+// as far as there are controllers.
+func TestPlanConverges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		losses := rapid.IntRange(0, 2).Draw(t, "losses")
+		g := newGroup(losses, 3, rapid.IntRange(0, 5).Draw(t, "learners"))
+		vms := len(g.known)
+		live := vms
+		for vm := 1; vm < vms; vm++ {
+			switch rapid.IntRange(0, 3).Draw(t, "fate") {
+			case 0:
+				g.silence(vm)
+				live--
+			case 1:
+				g.silence(vm)
+				g.meet(vm, "new disk", 0)
+			}
+		}
+		for range 50 {
+			change, ok := g.nextChange()
+			if !ok {
+				break
+			}
+			if change.Kind == raft.RemoveMember && g.config.IsVoter(change.ID) {
+				must.Greater(t, voterTarget(losses), len(g.config.Voters))
+				must.NotEq(t, g.self, change.ID)
+			}
+			g.apply(change)
+			g.progress[change.ID] = raft.ProgressStatus{ID: change.ID, MatchIndex: 100}
+		}
+		_, ok := g.nextChange()
+		must.False(t, ok, must.Sprint("changes without end"))
+		good := 0
+		for _, id := range g.config.Voters {
+			if !g.isLost(id) {
+				good++
+			}
+		}
+		must.GreaterEq(t, min(voterTarget(losses), live), good)
+	})
+}
--- a/internal/process/stream/stream.go
+++ b/internal/process/stream/stream.go
@@ -175,8 +175,11 @@
 	Close  func(c *Conn, cause error)
 }
 
-func (e Events) run(conn net.Conn) {
+// runUntil runs a connection until it ends, at the latest with ctx.
+func (e Events) runUntil(ctx context.Context, conn net.Conn) {
 	c := newConn(conn)
+	stop := context.AfterFunc(ctx, c.Close)
+	defer stop()
 	if e.Open != nil {
 		e.Open(c)
 	}
@@ -186,14 +189,15 @@
 	}
 }
 
-// Serve accepts connections until the listener is closed.
-func Serve(l net.Listener, events Events) {
+// Serve accepts connections until the listener is closed. The connections end
+// with ctx.
+func Serve(ctx context.Context, l net.Listener, events Events) {
 	for {
 		conn, err := l.Accept()
 		if err != nil {
 			return // the listener is closed
 		}
-		go events.run(conn)
+		go events.runUntil(ctx, conn)
 	}
 }
 
@@ -213,9 +217,7 @@
 		}
 		return err
 	}
-	stop := context.AfterFunc(ctx, func() { conn.Close() })
-	defer stop()
-	events.run(conn)
+	events.runUntil(ctx, conn)
 	return nil
 }
 
--- /dev/null
+++ b/internal/process/stream/stream_test.go
@@ -0,0 +1,174 @@
+package stream
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"heatherport/internal/result"
+)
+
+// waitTimeout bounds every wait of these tests.
+const waitTimeout = 20 * time.Second
+
+type note struct {
+	N int `cbor:"1,keyasint"`
+}
+
+func listen(t *testing.T) (net.Listener, netip.AddrPort) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	return l, netip.MustParseAddrPort(l.Addr().String())
+}
+
+func receive[T any](t *testing.T, c <-chan T) T {
+	t.Helper()
+	select {
+	case v := <-c:
+		return v
+	case <-time.After(waitTimeout):
+		t.Fatal("nothing came")
+		panic("unreachable")
+	}
+}
+
+func TestMessagesArriveInOrder(t *testing.T) {
+	l, address := listen(t)
+	got := make(chan int, 100)
+	go Serve(t.Context(), l, Events{Handle: func(c *Conn, kind Kind, body []byte) {
+		var n note
+		if kind == 7 && Decode(body, &n) == nil {
+			got <- n.N
+		}
+	}})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go Dial(ctx, address, Events{
+		Open: func(c *Conn) {
+			for i := range 50 {
+				frame, err := Encode(7, note{i})
+				if err == nil {
+					c.Send(frame)
+				}
+			}
+		},
+		Handle: func(*Conn, Kind, []byte) {},
+	})
+	for i := range 50 {
+		must.Eq(t, i, receive(t, got))
+	}
+}
+
+func TestBrokenConnectionIsReplaced(t *testing.T) {
+	l, address := listen(t)
+	opened := make(chan *Conn, 10)
+	go Serve(t.Context(), l, Events{Open: func(c *Conn) { opened <- c }, Handle: func(*Conn, Kind, []byte) {}})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	closed := make(chan error, 10)
+	go Dial(ctx, address, Events{
+		Handle: func(*Conn, Kind, []byte) {},
+		Close:  func(_ *Conn, cause error) { closed <- cause },
+	})
+	receive(t, opened).Close()
+	must.Error(t, receive(t, closed))
+	receive(t, opened)
+}
+
+func TestConnectionsEndWithTheServer(t *testing.T) {
+	l, address := listen(t)
+	serving, stop := context.WithCancel(context.Background())
+	opened := make(chan *Conn, 10)
+	go Serve(serving, l, Events{Open: func(c *Conn) { opened <- c }, Handle: func(*Conn, Kind, []byte) {}})
+	closed := make(chan error, 10)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go Dial(ctx, address, Events{Handle: func(*Conn, Kind, []byte) {}, Close: func(_ *Conn, cause error) { closed <- cause }})
+	receive(t, opened)
+	stop()
+	must.Error(t, receive(t, closed))
+}
+
+// TestSilentConnectionEnds connects to a peer that accepts and says nothing,
+// as one does whose packets are lost without a reset.
+func TestSilentConnectionEnds(t *testing.T) {
+	l, address := listen(t)
+	go func() {
+		for {
+			if _, err := l.Accept(); err != nil {
+				return
+			}
+		}
+	}()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	closed := make(chan error, 10)
+	go Dial(ctx, address, Events{
+		Handle: func(*Conn, Kind, []byte) {},
+		Close: func(c *Conn, cause error) {
+			if c != nil {
+				closed <- cause
+			}
+		},
+	})
+	var timeout net.Error
+	must.True(t, errors.As(receive(t, closed), &timeout))
+	must.True(t, timeout.Timeout())
+}
+
+func TestIdleConnectionStaysOpen(t *testing.T) {
+	l, address := listen(t)
+	go Serve(t.Context(), l, Events{Handle: func(*Conn, Kind, []byte) {}})
+	ctx, cancel := context.WithTimeout(context.Background(), 2*silenceLimit)
+	defer cancel()
+	closed := make(chan struct{}, 10)
+	_ = Connect(ctx, address, Events{
+		Handle: func(*Conn, Kind, []byte) {},
+		Close: func(*Conn, error) {
+			if ctx.Err() == nil {
+				closed <- struct{}{}
+			}
+		},
+	})
+	must.Eq(t, 0, len(closed))
+}
+
+func TestOversizedMessageEndsTheConnection(t *testing.T) {
+	l, address := listen(t)
+	closed := make(chan error, 1)
+	go Serve(t.Context(), l, Events{Handle: func(*Conn, Kind, []byte) {}, Close: func(_ *Conn, cause error) { closed <- cause }})
+	conn, err := net.Dial("tcp", address.String())
+	must.NoError(t, err)
+	defer conn.Close()
+	header := make([]byte, headerSize)
+	binary.BigEndian.PutUint32(header, maxBody+1)
+	_, err = conn.Write(header)
+	must.NoError(t, err)
+	must.Eq(t, result.BadMessage, result.CodeOf(receive(t, closed)))
+}
+
+func TestFullQueueEndsTheConnection(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	c := newConn(near) // no goroutine empties its queue
+	for range queueLength {
+		must.True(t, c.Send([]byte{0}))
+	}
+	must.False(t, c.Send([]byte{0}))
+	must.False(t, c.Send([]byte{0}))
+	_, err := far.Read(make([]byte, 1))
+	must.ErrorIs(t, err, io.EOF)
+}
+
+func TestDecodeRefusesOtherBytes(t *testing.T) {
+	var n note
+	must.Eq(t, result.BadMessage, result.CodeOf(Decode([]byte{0xff}, &n)))
+}
--- a/internal/version/directory/directory.go
+++ b/internal/version/directory/directory.go
@@ -7,7 +7,9 @@
 // An incarnation is an identifier and the time of its start. Of two records of
 // one identifier the later start wins; within an incarnation a withdrawn
 // record wins over all others, leaving wins over serving, and then the higher
-// sequence number. An incarnation ends when a later one starts at its address.
+// sequence number. An incarnation ends when a later one starts at its address;
+// the latest of an address stays known after its end, so that a late record of
+// an earlier one does not bring that back.
 package directory
 
 import (
@@ -88,7 +90,7 @@
 	Record
 	Heard time.Duration // when it was last confirmed
 	Rev   uint64        // revision of the directory that changed it
-	ended time.Duration // when it became Gone
+	Ended time.Duration // when it became Gone
 }
 
 // Config bounds the memory of a Directory.
@@ -106,7 +108,7 @@
 	cfg       Config
 	rev       uint64
 	entries   map[string]*Entry
-	byAddress map[netip.AddrPort]*Entry
+	byAddress map[netip.AddrPort]*Entry // the one that started last, ended or not
 }
 
 // New returns an empty directory.
@@ -145,7 +147,7 @@
 	if holder := d.byAddress[r.Address]; holder != nil && holder.ID != r.ID {
 		if holder.Born > r.Born {
 			r.State = Gone
-		} else if r.State != Gone {
+		} else {
 			d.end(now, holder)
 		}
 	}
@@ -161,15 +163,23 @@
 func (d *Directory) put(now time.Duration, old *Entry, r Record) {
 	d.rev++
 	e := &Entry{Record: r, Heard: now, Rev: d.rev}
-	if old != nil && d.byAddress[old.Address] == old {
-		delete(d.byAddress, old.Address)
+	if r.State == Gone {
+		e.Ended = now
+	}
+	if old != nil {
+		d.release(old)
 	}
 	d.entries[r.ID] = e
-	if r.State == Gone {
-		e.ended = now
-		return
+	if holder := d.byAddress[r.Address]; holder == nil || holder.Born <= r.Born {
+		d.byAddress[r.Address] = e
+	}
+}
+
+// release forgets that an entry is the latest at its address.
+func (d *Directory) release(e *Entry) {
+	if d.byAddress[e.Address] == e {
+		delete(d.byAddress, e.Address)
 	}
-	d.byAddress[r.Address] = e
 }
 
 func (d *Directory) end(now time.Duration, e *Entry) {
@@ -179,10 +189,7 @@
 	d.rev++
 	e.State = Gone
 	e.Rev = d.rev
-	e.ended = now
-	if d.byAddress[e.Address] == e {
-		delete(d.byAddress, e.Address)
-	}
+	e.Ended = now
 }
 
 // Withdraw ends the present incarnation of an identifier.
@@ -216,8 +223,9 @@
 	for id, e := range d.entries {
 		switch {
 		case e.State == Gone:
-			if now-e.ended > d.cfg.Forget {
+			if now-e.Ended > d.cfg.Forget {
 				delete(d.entries, id)
+				d.release(e)
 			}
 		case d.cfg.Lapse == 0:
 		case now-e.Heard > d.cfg.Forget:
@@ -240,6 +248,15 @@
 	return true
 }
 
+// Entries returns all entries. They must not be changed.
+func (d *Directory) Entries() []*Entry {
+	out := make([]*Entry, 0, len(d.entries))
+	for _, e := range d.entries {
+		out = append(out, e)
+	}
+	return out
+}
+
 // Since returns the records that changed after revision rev.
 func (d *Directory) Since(rev uint64) []Record {
 	if rev == d.rev {
--- /dev/null
+++ b/internal/version/directory/directory_test.go
@@ -0,0 +1,152 @@
+package directory
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"heatherport/internal/result"
+)
+
+const (
+	testLapse  = 3 * time.Second
+	testForget = time.Minute
+)
+
+func newTestDirectory() *Directory { return New(Config{Lapse: testLapse, Forget: testForget}) }
+
+func at(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{192, 0, 2, byte(n)}), 8080)
+}
+
+func serving(id string, address int, born int64, seq uint64) Record {
+	return Record{ID: id, Service: "permits", Address: at(address), State: Serving, Slots: 2, Born: born, Seq: seq}
+}
+
+func TestLateAnnouncementChangesNothing(t *testing.T) {
+	d := newTestDirectory()
+	must.True(t, d.Merge(0, serving("a", 1, 10, 5)))
+	must.False(t, d.Merge(0, serving("a", 1, 10, 4)))
+	must.False(t, d.Merge(0, serving("a", 1, 9, 90)))
+	must.Eq(t, 5, d.Get("a").Seq)
+	must.False(t, d.Merge(time.Second, serving("a", 1, 10, 6)))
+	must.Eq(t, time.Second, d.Get("a").Heard)
+}
+
+func TestLeavingIsFinalWithinAnIncarnation(t *testing.T) {
+	d := newTestDirectory()
+	d.Merge(0, serving("a", 1, 10, 1))
+	leaving := serving("a", 1, 10, 2)
+	leaving.State = Leaving
+	must.True(t, d.Merge(0, leaving))
+	must.False(t, d.Merge(0, serving("a", 1, 10, 3)))
+	must.Eq(t, Leaving, d.Get("a").State)
+	must.True(t, d.Withdraw(0, "a"))
+	must.False(t, d.Withdraw(0, "a"))
+	leaving.Seq = 9
+	must.False(t, d.Merge(0, leaving))
+	must.Eq(t, Gone, d.Get("a").State)
+	must.True(t, d.Merge(0, serving("a", 1, 11, 1)))
+	must.Eq(t, Serving, d.Get("a").State)
+}
+
+func TestLaterIncarnationTakesTheAddress(t *testing.T) {
+	d := newTestDirectory()
+	d.Merge(0, serving("a", 1, 10, 1))
+	d.Merge(0, serving("b", 1, 20, 1))
+	must.Eq(t, Gone, d.Get("a").State)
+	must.Eq(t, Serving, d.Get("b").State)
+	// An announcement that was held up comes after its sender has ended, also
+	// after its successor has.
+	d.Withdraw(0, "b")
+	d.Merge(0, serving("c", 1, 15, 7))
+	must.Eq(t, Gone, d.Get("c").State)
+}
+
+func TestAnnouncementMayNotMoveAnIncarnation(t *testing.T) {
+	d := newTestDirectory()
+	_, err := d.Announce(0, serving("a", 1, 10, 1))
+	must.NoError(t, err)
+	_, err = d.Announce(0, serving("a", 2, 10, 2))
+	must.Eq(t, result.IncarnationConflict, result.CodeOf(err))
+	other := serving("a", 1, 10, 2)
+	other.Service = "sheets"
+	_, err = d.Announce(0, other)
+	must.Eq(t, result.IncarnationConflict, result.CodeOf(err))
+	_, err = d.Announce(0, serving("a", 2, 11, 1))
+	must.NoError(t, err)
+}
+
+func TestSilentUpstreamsLapseAndComeBack(t *testing.T) {
+	d := newTestDirectory()
+	d.Merge(0, serving("a", 1, 10, 1))
+	must.False(t, d.Tick(testLapse))
+	must.True(t, d.Tick(testLapse+1))
+	must.True(t, d.Get("a").Lapsed)
+	must.True(t, d.Renew(testLapse+2, []uint32{d.Get("a").Tag()}))
+	must.False(t, d.Get("a").Lapsed)
+	d.Tick(2*testLapse + 3)
+	must.True(t, d.Get("a").Lapsed)
+	must.True(t, d.Merge(2*testLapse+4, serving("a", 1, 10, 2)))
+	must.False(t, d.Get("a").Lapsed)
+	d.Tick(4 * testForget)
+	must.Eq(t, Gone, d.Get("a").State)
+	d.Tick(6 * testForget)
+	must.Eq(t, 0, d.Len())
+}
+
+func TestSinceTellsWhatChanged(t *testing.T) {
+	d := newTestDirectory()
+	d.Merge(0, serving("a", 1, 10, 1))
+	rev := d.Rev()
+	must.Nil(t, d.Since(rev))
+	d.Merge(0, serving("b", 2, 10, 1))
+	must.Len(t, 1, d.Since(rev))
+	must.Len(t, 2, d.Since(0))
+}
+
+// TestMergeOrderDoesNotMatter merges the same records in two orders.
+func TestMergeOrderDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var records []Record
+		for range rapid.IntRange(1, 12).Draw(t, "records") {
+			id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id")
+			// Starts are unique to an identifier, as clocks make them.
+			born := int64(rapid.IntRange(1, 4).Draw(t, "born"))*10 + int64(id[0])
+			r := serving(id, int(born)%2+1, born, rapid.Uint64Range(1, 5).Draw(t, "seq"))
+			r.State = State(rapid.IntRange(1, 3).Draw(t, "state"))
+			records = append(records, r)
+		}
+		one, two := newTestDirectory(), newTestDirectory()
+		for _, r := range records {
+			one.Merge(0, r)
+		}
+		shuffled := append([]Record(nil), records...)
+		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "order"), 0))
+		r.Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
+		for _, r := range shuffled {
+			two.Merge(0, r)
+		}
+		// Records that were replaced may have gone by the time that another
+		// one at their address came; what serves must agree.
+		for _, id := range []string{"a", "b", "c"} {
+			e, f := one.Get(id), two.Get(id)
+			must.Eq(t, e == nil, f == nil)
+			if e != nil {
+				must.Eq(t, e.Born, f.Born, must.Sprint(id))
+				must.Eq(t, e.State, f.State, must.Sprint(id))
+			}
+		}
+	})
+}
+
+func TestTagsDifferByIncarnation(t *testing.T) {
+	a, b := serving("a", 1, 10, 1), serving("a", 1, 11, 1)
+	must.NotEq(t, a.Tag(), b.Tag())
+	c := serving("a", 9, 10, 8)
+	must.Eq(t, a.Tag(), c.Tag())
+}
--- /dev/null
+++ b/internal/version/register/register_test.go
@@ -0,0 +1,58 @@
+package register
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"heatherport/internal/result"
+)
+
+func TestHighestNumberWins(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var r Register
+		newest := Document{}
+		for i := range rapid.IntRange(1, 20).Draw(t, "entries") {
+			d := Document{
+				Number: rapid.Uint64Range(1, 9).Draw(t, "number"),
+				Body:   rapid.SliceOfN(rapid.Byte(), 0, 200).Draw(t, "body"),
+			}
+			data, err := d.Encode()
+			must.NoError(t, err)
+			changed, err := r.Apply(uint64(i+1), data)
+			must.NoError(t, err)
+			must.Eq(t, d.Number > newest.Number, changed)
+			if changed {
+				newest = d
+			}
+			must.Eq(t, newest.Number, r.Document().Number)
+			must.Eq(t, string(newest.Body), string(r.Document().Body))
+		}
+		var restored Register
+		must.NoError(t, restored.Restore(r.Index(), r.Snapshot()))
+		must.Eq(t, r.Index(), restored.Index())
+		must.Eq(t, newest.Number, restored.Document().Number)
+		must.Eq(t, string(newest.Body), string(restored.Document().Body))
+	})
+}
+
+func TestEntriesWithoutDocumentAdvanceTheIndex(t *testing.T) {
+	var r Register
+	changed, err := r.Apply(7, nil)
+	must.NoError(t, err)
+	must.False(t, changed)
+	must.Eq(t, 7, r.Index())
+	must.NoError(t, (&Register{}).Restore(7, r.Snapshot()))
+}
+
+func TestDamagedEntryIsRefused(t *testing.T) {
+	data, err := Document{Number: 3, Body: []byte("routes of the season")}.Encode()
+	must.NoError(t, err)
+	var r Register
+	for _, damaged := range [][]byte{data[:len(data)-3], {0xff, 1, 2}} {
+		_, err := r.Apply(1, damaged)
+		must.Eq(t, result.StorageCorrupt, result.CodeOf(err))
+		must.Eq(t, 0, r.Document().Number)
+	}
+}
