Log each decision about a connection and serve counters and latencies

Cause: on the platform engineers have logs and metrics only; balancers logged nothing about connections. Change: a line for each choice of an upstream, each refusal and drop, the end of a connection, each change of belief about an upstream and each feed or link lost or regained, with what decided it. Counters and histograms stand on the metrics address.

--- a/cmd/heatherport/main.go
+++ b/cmd/heatherport/main.go
@@ -15,6 +15,7 @@
 	"heatherport/internal/process/demo"
 	"heatherport/internal/process/keys"
 	"heatherport/internal/process/logging"
+	"heatherport/internal/process/metrics"
 	"heatherport/internal/process/settings"
 	"heatherport/internal/request/api"
 	"heatherport/internal/version/sheet"
@@ -62,7 +63,8 @@
 	return daemon.Run(ctx, file, settings.Balancer, func(p daemon.Parts) daemon.Service {
 		b := balancer.New(balancer.Config{
 			Settings: p.Settings, Log: p.Log,
-			Codec: platform.Codec{ReturnPort: p.Settings.Packets.Port()},
+			Codec:   platform.Codec{ReturnPort: p.Settings.Packets.Port()},
+			Metrics: metrics.NewBalancer(p.Registry),
 		})
 		return daemon.Service{Part: b, Listen: p.Settings.Ready, Handler: platform.ReadyHandler(b.Ready)}
 	})
@@ -71,7 +73,10 @@
 // Controller implements cli.Programs.
 func (programs) Controller(ctx context.Context, file string) error {
 	return daemon.Run(ctx, file, settings.Controller, func(p daemon.Parts) daemon.Service {
-		c := controller.New(controller.Config{Settings: p.Settings, Log: p.Log, Read: platform.ReadConfiguration})
+		c := controller.New(controller.Config{
+			Settings: p.Settings, Log: p.Log, Read: platform.ReadConfiguration,
+			Metrics: metrics.NewController(p.Registry),
+		})
 		return daemon.Service{Part: c, Listen: p.Settings.API, Handler: platform.ControlHandler(c)}
 	})
 }
--- a/internal/connection/affinity/affinity.go
+++ b/internal/connection/affinity/affinity.go
@@ -48,6 +48,23 @@
 	Upstream *Upstream
 	Refuse   bool
 	Code     result.Code // cause when it is not forwarded
+	// Choice is set when the packet was placed.
+	Choice *Choice
+	// Opened is the time from the first opening packet to this one, the first
+	// after opening; zero for other packets.
+	Opened time.Duration
+	// Suspected and Cleared are upstreams about which the packet changed what
+	// the engine believes; zero for none.
+	Suspected, Cleared uint32
+}
+
+// Choice tells how an upstream was chosen.
+type Choice struct {
+	Service    string
+	Candidates int // eligible upstreams that were not tried before
+	Doubt      int // reasons to believe that the chosen one does not answer
+	Load       float64
+	Tried      int // upstreams that earlier copies went to
 }
 
 // Config holds the parameters of an Engine.
@@ -86,7 +103,8 @@
 	cookie   uint32 // of the upstream that holds the connection
 	pinned   bool   // a packet after opening carried the cookie
 	counted  bool
-	touched  time.Duration
+	begun    time.Duration // first opening packet
+	touched  time.Duration // last packet
 }
 
 // Engine places and forwards. It is not safe for concurrent use.
@@ -134,16 +152,16 @@
 		return refusal(result.RefusedNoRoute, v.Current && p.Copies == 0)
 	}
 	service := route.Service(e.cfg.Rand.Uint64())
-	u := e.choose(now, v, service, nil)
+	u, choice := e.choose(now, v, service, nil)
 	if u == nil {
 		return refusal(result.RefusedNoUpstream, v.Current && p.Copies == 0)
 	}
-	c = &entry{service: service, sequence: p.Sequence}
+	c = &entry{service: service, sequence: p.Sequence, begun: now}
 	if len(e.table) < e.cfg.Capacity {
 		e.table[k] = c
 	}
 	e.assign(now, c, u)
-	return Verdict{Upstream: u}
+	return Verdict{Upstream: u, Choice: choice}
 }
 
 // refusal drops a packet, or refuses the connection when it is certain that
@@ -159,19 +177,23 @@
 	if c.pinned {
 		return forwardTo(v, p, u)
 	}
-	if p.Copies > 0 {
-		e.suspect(now, c.cookie)
+	verdict := Verdict{}
+	if p.Copies > 0 && e.suspect(now, c.cookie) {
+		verdict.Suspected = c.cookie
 	}
 	if len(c.tried) < maxTried {
-		if other := e.choose(now, v, c.service, c.tried); other != nil && !e.isSuspect(now, other.Cookie) {
+		if other, choice := e.choose(now, v, c.service, c.tried); other != nil && !e.isSuspect(now, other.Cookie) {
 			u = other
+			verdict.Choice = choice
 		}
 	}
 	if u == nil || u.State == directory.Gone {
-		return Verdict{Code: result.DropUpstreamGone}
+		verdict.Code = result.DropUpstreamGone
+		return verdict
 	}
 	e.assign(now, c, u)
-	return Verdict{Upstream: u}
+	verdict.Upstream = u
+	return verdict
 }
 
 // forwardTo forwards a packet of a connection to its upstream. The connections
@@ -201,8 +223,11 @@
 			e.table[k] = c
 		}
 	}
+	var opened time.Duration
+	var cleared uint32
 	if !c.pinned {
-		e.pin(c, v, p.Cookie)
+		cleared = e.pin(c, v, p.Cookie)
+		opened = now - c.begun
 	}
 	c.touched = now
 	switch {
@@ -211,18 +236,26 @@
 	case p.Length > 0 || c.counted:
 		e.count(c)
 	}
-	return forwardTo(v, p, v.Upstream(c.cookie))
+	verdict := forwardTo(v, p, v.Upstream(c.cookie))
+	verdict.Opened = opened
+	verdict.Cleared = cleared
+	return verdict
 }
 
-// pin ties a connection to the upstream whose answer opened it.
-func (e *Engine) pin(c *entry, v *View, cookie uint32) {
+// pin ties a connection to the upstream whose answer opened it. It returns the
+// upstream's cookie if the answer cleared a suspicion.
+func (e *Engine) pin(c *entry, v *View, cookie uint32) (cleared uint32) {
 	if cookie != 0 && cookie != c.cookie && v.Upstream(cookie) != nil {
 		e.uncount(c)
 		c.cookie = cookie
 		e.count(c)
 	}
 	c.pinned = true
-	e.gauge(c.cookie).isSuspect = false
+	if g := e.gauge(c.cookie); g.isSuspect {
+		g.isSuspect = false
+		return c.cookie
+	}
+	return 0
 }
 
 func (e *Engine) assign(now time.Duration, c *entry, u *Upstream) {
@@ -263,10 +296,14 @@
 	delete(e.table, k)
 }
 
-func (e *Engine) suspect(now time.Duration, cookie uint32) {
+// suspect notes that an upstream left an opening packet unanswered. It reports
+// whether that was not known.
+func (e *Engine) suspect(now time.Duration, cookie uint32) (isNew bool) {
 	g := e.gauge(cookie)
+	isNew = !e.isSuspect(now, cookie)
 	g.isSuspect = true
 	g.suspected = now
+	return isNew
 }
 
 func (e *Engine) isSuspect(now time.Duration, cookie uint32) bool {
@@ -294,19 +331,21 @@
 // choose returns the eligible upstream of a service with the least load, or
 // nil. Upstreams under suspicion or without announcements are taken only when
 // there is no other.
-func (e *Engine) choose(now time.Duration, v *View, service string, except []uint32) *Upstream {
+func (e *Engine) choose(now time.Duration, v *View, service string, except []uint32) (*Upstream, *Choice) {
 	var best *Upstream
 	bestRank := rank{}
+	candidates := 0
 	for _, u := range v.byService[service] {
 		if slices.Contains(except, u.Cookie) {
 			continue
 		}
+		candidates++
 		r := e.rank(now, u)
 		if best == nil || r.less(bestRank) {
 			best, bestRank = u, r
 		}
 	}
-	return best
+	return best, &Choice{Service: service, Candidates: candidates, Doubt: bestRank.doubt, Load: bestRank.load, Tried: len(except)}
 }
 
 // rank orders upstreams for a choice; the lowest is taken.
--- a/internal/connection/affinity/stateful_test.go
+++ b/internal/connection/affinity/stateful_test.go
@@ -21,7 +21,7 @@
 	opened   uint32 // cookie of the upstream whose answer was acknowledged
 	inFlight []uint32
 	reached  []uint32 // upstreams that opening packets went to
-	balancer int // that the routers send this connection to
+	balancer int      // that the routers send this connection to
 	ended    bool
 }
 
--- a/internal/connection/affinity/view.go
+++ b/internal/connection/affinity/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"heatherport/internal/version/directory"
 	"heatherport/internal/version/routing"
@@ -11,6 +12,8 @@
 type Upstream struct {
 	directory.Record
 	Cookie uint32 // tag of the incarnation
+	// Known is when the balancer last learned something of it.
+	Known time.Duration
 	// Ended says that the incarnation ended long enough ago that nothing which
 	// it sent is still on its way. Its connections are dead.
 	Ended bool
@@ -25,8 +28,10 @@
 	// Former tells which services routes allowed lately; nil while that is not
 	// known for the longest life of a connection.
 	Former *routing.Former
-	// Current reports that the state was confirmed lately; a route that is
-	// missing then does not exist.
+	// Confirmed reports that a leader confirmed the state lately.
+	Confirmed bool
+	// Current reports that the state is confirmed and complete: a route that is
+	// missing does not exist.
 	Current   bool
 	byCookie  map[uint32]*Upstream
 	byService map[string][]*Upstream
--- a/internal/process/balancer/balancer.go
+++ b/internal/process/balancer/balancer.go
@@ -14,6 +14,8 @@
 
 	"heatherport/internal/connection/affinity"
 	"heatherport/internal/process/controller"
+	"heatherport/internal/process/logging"
+	"heatherport/internal/process/metrics"
 	"heatherport/internal/process/settings"
 	"heatherport/internal/version/directory"
 	"heatherport/internal/version/routing"
@@ -44,11 +46,13 @@
 	Settings *settings.Program
 	Log      hclog.Logger
 	Codec    Codec
+	Metrics  *metrics.Balancer
 }
 
 // Balancer is the program.
 type Balancer struct {
 	log       hclog.Logger
+	metrics   *metrics.Balancer
 	name      string
 	domain    string
 	link      netip.AddrPort
@@ -73,6 +77,7 @@
 	fedSince  time.Duration // when routes first came
 	reviewed  time.Duration
 	published time.Duration
+	linesLeft uint64 // log lines left out that the metric counts
 	changed   bool
 }
 
@@ -80,7 +85,7 @@
 func New(cfg Config) *Balancer {
 	s := cfg.Settings
 	b := &Balancer{
-		log: cfg.Log, name: s.VM.Name, domain: s.VM.Domain, link: s.Link,
+		log: cfg.Log, metrics: cfg.Metrics, name: s.VM.Name, domain: s.VM.Domain, link: s.Link,
 		lifetime: s.Lifetime, grace: s.VM.StopTimeout,
 		started:   time.Now(),
 		events:    make(chan func(), eventQueue),
@@ -92,6 +97,7 @@
 	}
 	b.forwarder = &forwarder{
 		codec: cfg.Codec, listen: s.Packets, log: cfg.Log, view: &b.view, started: b.started,
+		flows: logging.NewLimited(cfg.Log), metrics: cfg.Metrics,
 		engine: affinity.New(affinity.Config{
 			Domain:   s.VM.Domain,
 			Capacity: tableCapacity,
@@ -187,6 +193,7 @@
 	b.directory.Tick(b.now())
 	b.reviewFeeds()
 	b.forwarder.tick()
+	b.measure()
 	if now := b.now(); !b.ready.Load() || now-b.published > publishInterval {
 		b.changed = true
 	}
@@ -198,7 +205,7 @@
 	now := b.now()
 	b.published = now
 	confirmed := b.isConfirmed()
-	view := &affinity.View{Routes: b.table, Current: confirmed && now > refuseAfter}
+	view := &affinity.View{Routes: b.table, Confirmed: confirmed, Current: confirmed && now > refuseAfter}
 	if now > b.lifetime {
 		view.Former = b.former
 	}
@@ -223,9 +230,25 @@
 		out[i] = affinity.Upstream{
 			Record: e.Record,
 			Cookie: e.Tag(),
+			Known:  e.Heard,
 			Ended:  e.State == directory.Gone && now-e.Ended > endedTime,
 		}
 		out[i].Lapsed = b.isLapsed(e.ID)
 	}
 	return out
 }
+
+// measure sets the gauges.
+func (b *Balancer) measure() {
+	ready := 0.0
+	if b.Ready() {
+		ready = 1
+	}
+	b.metrics.Ready.Set(ready)
+	b.metrics.Feeds.Set(float64(len(b.feeds)))
+	if b.table != nil {
+		b.metrics.Number.Set(float64(b.table.Number))
+	}
+	b.metrics.LinesLeft.Add(float64(b.forwarder.flows.Omitted() - b.linesLeft))
+	b.linesLeft = b.forwarder.flows.Omitted()
+}
--- a/internal/process/balancer/feeds.go
+++ b/internal/process/balancer/feeds.go
@@ -122,6 +122,7 @@
 	go stream.Connect(ctx, s.address, stream.Events{
 		Open: func(conn *stream.Conn) {
 			b.post(func() {
+				b.log.Info("feed open", "controller", s.address, "domain", s.domain)
 				f.conn = conn
 				b.trimFeeds()
 			})
@@ -160,6 +161,7 @@
 	before := len(b.feeds)
 	b.feeds = slices.DeleteFunc(b.feeds, func(o *feed) bool { return o == f })
 	if f.conn != nil && before != len(b.feeds) {
+		b.metrics.FeedsLost.Inc()
 		b.log.Warn("feed lost", "controller", f.source.address, "error", cause, "left", len(b.feeds))
 	}
 	b.changed = true
@@ -177,7 +179,10 @@
 		b.takeRoutes(f, *m.Routes)
 	}
 	for _, r := range m.Upstreams {
-		b.directory.Merge(now, r)
+		if b.directory.Merge(now, r) || f.lapsed[r.ID] != r.Lapsed {
+			b.log.Info("upstream changed", "upstream", r.ID, "service", r.Service, "address", r.Address, "state", r.State,
+				"lapsed", r.Lapsed, "born", r.Born, "seq", r.Seq, "controller", f.source.address)
+		}
 		f.lapsed[r.ID] = r.Lapsed
 	}
 	for _, c := range m.Controllers {
--- a/internal/process/balancer/forwarder.go
+++ b/internal/process/balancer/forwarder.go
@@ -11,6 +11,8 @@
 	"github.com/hashicorp/go-hclog"
 
 	"heatherport/internal/connection/affinity"
+	"heatherport/internal/process/logging"
+	"heatherport/internal/process/metrics"
 	"heatherport/internal/result"
 )
 
@@ -39,6 +41,8 @@
 	codec   Codec
 	listen  netip.AddrPort
 	log     hclog.Logger
+	flows   *logging.Limited
+	metrics *metrics.Balancer
 	view    *atomic.Pointer[affinity.View]
 	started time.Time
 
@@ -66,8 +70,10 @@
 
 func (f *forwarder) tick() {
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.engine.Tick(time.Since(f.started))
+	n := f.engine.Len()
+	f.mu.Unlock()
+	f.metrics.Connections.Set(float64(n))
 }
 
 func (f *forwarder) run() {
@@ -91,21 +97,36 @@
 func (f *forwarder) handle(buf []byte, head int, reply []byte) {
 	now := time.Since(f.started)
 	f.last.Store(int64(now))
+	f.metrics.Received.Inc()
 	packet := buf[head:]
 	p, err := f.codec.Decode(packet)
 	if err != nil {
+		f.drop(&p, result.CodeOf(err))
 		return
 	}
+	view := f.view.Load()
 	f.mu.Lock()
-	verdict := f.engine.Decide(now, f.view.Load(), &p)
+	verdict := f.engine.Decide(now, view, &p)
 	f.mu.Unlock()
 	switch {
 	case verdict.Upstream != nil:
 		f.codec.SetCookie(packet, verdict.Upstream.Cookie)
 		f.codec.Envelope(buf[:head], verdict.Upstream)
 		f.send(buf, verdict.Upstream.Address)
+		f.metrics.Forwarded.Inc()
 	case verdict.Refuse:
 		f.send(f.codec.Refusal(reply, &p), f.codec.ReturnAddr(p.Caller.Addr()))
+		f.metrics.Refused(verdict.Code)
+	default:
+		f.drop(&p, verdict.Code)
+	}
+	f.report(now, view, &p, &verdict)
+}
+
+func (f *forwarder) drop(p *affinity.Packet, code result.Code) {
+	f.metrics.Dropped(code)
+	if f.flows.Allow(time.Now()) {
+		f.flows.Info("packet dropped", "flow", flowID(p), "cause", code, "cookie", p.Cookie, "opening", p.Opening, "copies", p.Copies)
 	}
 }
 
--- a/internal/process/controller/calls.go
+++ b/internal/process/controller/calls.go
@@ -13,7 +13,12 @@
 // Submit puts a valid document into force. It returns nil once the document,
 // or one with a higher number, is durable on a majority. Any error leaves the
 // outcome open; the same document may be submitted again to any controller.
-func (c *Controller) Submit(ctx context.Context, d register.Document) error {
+func (c *Controller) Submit(ctx context.Context, d register.Document) (err error) {
+	begun := time.Now()
+	defer func() {
+		c.cfg.Metrics.SubmitTime.Observe(time.Since(begun).Seconds())
+		c.cfg.Metrics.Call("submit", err)
+	}()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	data, err := d.Encode()
@@ -60,7 +65,12 @@
 
 // Latest returns the document in force; no newer one was acknowledged before
 // the call. It fails when that is not certain.
-func (c *Controller) Latest(ctx context.Context) (register.Document, error) {
+func (c *Controller) Latest(ctx context.Context) (d register.Document, err error) {
+	begun := time.Now()
+	defer func() {
+		c.cfg.Metrics.ReadTime.Observe(time.Since(begun).Seconds())
+		c.cfg.Metrics.Call("read", err)
+	}()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	type answer struct {
@@ -84,6 +94,7 @@
 // failure domain of the upstream if this one is elsewhere. That an upstream
 // leaves is accepted once another controller knows it too.
 func (c *Controller) Announce(ctx context.Context, r directory.Record) (nearer netip.AddrPort, err error) {
+	defer func() { c.cfg.Metrics.Call("announce", err) }()
 	err = c.change(ctx, r.ID, func() (bool, error) {
 		if c.table != nil && !c.table.HasService(r.Service) {
 			return false, result.Errorf(result.BadAnnouncement, "%s announces unknown service %q", r.ID, r.Service)
@@ -108,7 +119,8 @@
 }
 
 // Withdraw ends an upstream.
-func (c *Controller) Withdraw(ctx context.Context, id string) error {
+func (c *Controller) Withdraw(ctx context.Context, id string) (err error) {
+	defer func() { c.cfg.Metrics.Call("withdraw", err) }()
 	return c.change(ctx, id, func() (bool, error) {
 		changed := c.directory.Withdraw(c.now(), id)
 		if changed {
--- a/internal/process/controller/consensus.go
+++ b/internal/process/controller/consensus.go
@@ -10,6 +10,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"heatherport/internal/process/metrics"
 	"heatherport/internal/result"
 	"heatherport/internal/version/raft"
 	"heatherport/internal/version/register"
@@ -48,6 +49,7 @@
 	Founders    []netip.AddrPort
 	LossesBorne int
 	Log         hclog.Logger
+	Metrics     *metrics.Controller
 	// Send hands a message to another member.
 	Send func(m raft.Message)
 	// InForce is called with each document that comes into force.
@@ -245,6 +247,7 @@
 
 // fail gives the replica up after a storage failure; step opens it again.
 func (c *consensus) fail(err error) {
+	c.cfg.Metrics.LogFailures.Inc()
 	c.cfg.Log.Error("log failed", "error", err)
 	c.closeReplica()
 }
@@ -266,7 +269,9 @@
 
 // process makes effects durable and carries out the others.
 func (c *consensus) process() {
+	begun := time.Now()
 	out, err := c.replica.Process()
+	c.cfg.Metrics.SyncTime.Observe(time.Since(begun).Seconds())
 	if err != nil {
 		c.fail(err)
 		return
@@ -297,6 +302,9 @@
 	if s == c.soft {
 		return
 	}
+	if s.Leader != c.soft.Leader {
+		c.cfg.Metrics.Elections.Inc()
+	}
 	if s.Leader != c.soft.Leader || s.Role != c.soft.Role {
 		c.cfg.Log.Info("leadership", "role", s.Role, "leader", s.Leader, "term", s.Term)
 	}
--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -17,6 +17,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"heatherport/internal/process/metrics"
 	"heatherport/internal/process/settings"
 	"heatherport/internal/process/stream"
 	"heatherport/internal/result"
@@ -53,7 +54,8 @@
 	Settings *settings.Program
 	Log      hclog.Logger
 	// Read turns a document into the table of routes that it describes.
-	Read func(document []byte) (*routing.Table, error)
+	Read    func(document []byte) (*routing.Table, error)
+	Metrics *metrics.Controller
 	// Listener takes links; nil listens at the link address of the settings.
 	Listener net.Listener
 }
@@ -114,7 +116,7 @@
 	}
 	c.consensus = newConsensus(consensusConfig{
 		DataDir: s.VM.DataDir, Self: c.self, Founders: founders, LossesBorne: s.LossesBorne,
-		Log: cfg.Log.Named("log"), Send: c.sendLog, InForce: c.inForce, Known: c.contacts.candidates,
+		Log: cfg.Log.Named("log"), Metrics: cfg.Metrics, Send: c.sendLog, InForce: c.inForce, Known: c.contacts.candidates,
 	})
 	return c
 }
@@ -220,6 +222,7 @@
 	now := c.now()
 	c.directory.Tick(now)
 	c.memory.save(now, c.directory)
+	c.measure()
 	if now-c.lastRenewal >= renewInterval {
 		c.lastRenewal = now
 		c.sendRenewals()
@@ -230,6 +233,20 @@
 	}
 }
 
+// measure sets the gauges.
+func (c *Controller) measure() {
+	m := c.cfg.Metrics
+	m.Subscribers.Set(float64(len(c.subscribers)))
+	m.Upstreams.Set(float64(c.directory.Len()))
+	s := c.consensus.Standing()
+	m.Number.Set(float64(s.Number))
+	leads := 0.0
+	if s.Leads {
+		leads = 1
+	}
+	m.Leads.Set(leads)
+}
+
 // member describes this controller; it has no ID before its disk works.
 func (c *Controller) member() Member {
 	m := c.self
@@ -314,6 +331,7 @@
 				c.log.Debug("link not open", "peer", address, "error", cause)
 				return
 			}
+			c.cfg.Metrics.LinksLost.Inc()
 			c.log.Warn("link lost", "peer", address, "error", cause)
 			c.links.closed(address, conn)
 		},
--- a/internal/process/controller/group_test.go
+++ b/internal/process/controller/group_test.go
@@ -12,8 +12,10 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/shoenig/test/must"
 
+	"heatherport/internal/process/metrics"
 	"heatherport/internal/process/settings"
 	"heatherport/internal/process/stream"
 	"heatherport/internal/result"
@@ -98,7 +100,7 @@
 	for _, seed := range f.vms[:3] {
 		s.Seeds = append(s.Seeds, seed.address)
 	}
-	v.Controller = New(Config{Settings: s, Log: hclog.NewNullLogger(), Read: readNumber, Listener: v.listener})
+	v.Controller = New(Config{Settings: s, Log: hclog.NewNullLogger(), Read: readNumber, Listener: v.listener, Metrics: metrics.NewController(prometheus.NewRegistry())})
 	must.NoError(f.t, v.Start(context.Background()))
 }
 
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -13,10 +13,12 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
 	"heatherport/internal/process/logging"
+	"heatherport/internal/process/metrics"
 	"heatherport/internal/process/settings"
 	"heatherport/internal/result"
 )
@@ -33,6 +35,7 @@
 type Parts struct {
 	Settings *settings.Program
 	Log      hclog.Logger
+	Registry *prometheus.Registry
 }
 
 // Part is the core of a program.
@@ -66,7 +69,7 @@
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.StartTimeout(startTimeout),
 		fx.StopTimeout(s.VM.StopTimeout),
-		fx.Supply(Parts{Settings: s, Log: log}),
+		fx.Supply(Parts{Settings: s, Log: log, Registry: metrics.NewProgramRegistry()}),
 		fx.Provide(build),
 		fx.Invoke(serve),
 		fx.Populate(&service),
@@ -88,31 +91,37 @@
 	return err
 }
 
-// serve runs the core of the program and its HTTP interface. The interface
-// answers until the core has stopped, so that routers see a balancer that is
-// not ready rather than one that does not answer.
+// serve runs the core of the program and its HTTP interfaces. They answer until
+// the core has stopped, so that routers see a balancer that is not ready rather
+// than one that does not answer.
 func serve(lc fx.Lifecycle, p Parts, s Service) {
+	listen(lc, p.Log, p.Settings.Metrics, metrics.NewPage(p.Registry))
+	listen(lc, p.Log, s.Listen, s.Handler)
+	lc.Append(fx.Hook{OnStart: s.Part.Start, OnStop: s.Part.Stop})
+}
+
+// listen serves an HTTP interface while the program runs.
+func listen(lc fx.Lifecycle, log hclog.Logger, address netip.AddrPort, handler http.Handler) {
 	srv := &http.Server{
-		Handler:           s.Handler,
+		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       bodyTimeout,
 		IdleTimeout:       idleTimeout,
-		ErrorLog:          p.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+		ErrorLog:          log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			l, err := net.Listen("tcp", s.Listen.String())
+			l, err := net.Listen("tcp", address.String())
 			if err != nil {
-				return result.Wrapf(err, result.BadSettings, "listen on %s", s.Listen)
+				return result.Wrapf(err, result.BadSettings, "listen on %s", address)
 			}
 			go func() {
 				if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-					p.Log.Error("HTTP server ended", "address", s.Listen, "error", err)
+					log.Error("HTTP server ended", "address", address, "error", err)
 				}
 			}()
 			return nil
 		},
 		OnStop: func(context.Context) error { return srv.Close() },
 	})
-	lc.Append(fx.Hook{OnStart: s.Part.Start, OnStop: s.Part.Stop})
 }
--- a/internal/process/logging/async.go
+++ b/internal/process/logging/async.go
@@ -24,15 +24,14 @@
 	done    chan struct{}
 	omitted atomic.Uint64
 
-	mu     sync.Mutex // of the token bucket
-	tokens float64
-	filled time.Time
+	mu     sync.Mutex // of what follows
+	bucket bucket
 	closed bool
 }
 
 // NewAsync returns a writer to w; Close flushes it.
 func NewAsync(w io.Writer) *Async {
-	a := &Async{lines: make(chan []byte, asyncLines), done: make(chan struct{}), tokens: burstLines, filled: time.Now()}
+	a := &Async{lines: make(chan []byte, asyncLines), done: make(chan struct{}), bucket: newBucket(linesPerSecond, burstLines)}
 	go a.run(w)
 	return a
 }
@@ -44,7 +43,7 @@
 func (a *Async) Write(line []byte) (int, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.closed || !a.takeToken() {
+	if a.closed || !a.bucket.take(time.Now()) {
 		a.omitted.Add(1)
 		return len(line), nil
 	}
@@ -56,17 +55,6 @@
 	return len(line), nil
 }
 
-func (a *Async) takeToken() bool {
-	now := time.Now()
-	a.tokens = min(burstLines, a.tokens+now.Sub(a.filled).Seconds()*linesPerSecond)
-	a.filled = now
-	if a.tokens < 1 {
-		return false
-	}
-	a.tokens--
-	return true
-}
-
 func (a *Async) run(w io.Writer) {
 	defer close(a.done)
 	told := uint64(0)
--- a/internal/process/logging/async_test.go
+++ b/internal/process/logging/async_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bytes"
+	"fmt"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/shoenig/test/must"
 )
 
@@ -53,3 +56,22 @@
 	must.NoError(t, a.Close())
 	must.Eq(t, "first\n", out.String())
 }
+
+func TestLimitedTellsItsGaps(t *testing.T) {
+	var out bytes.Buffer
+	l := NewLimited(hclog.New(&hclog.LoggerOptions{Output: &out}))
+	now := time.Now()
+	written := 0
+	for range 2 * limitedBurst {
+		if l.Allow(now) {
+			l.Info("placed")
+			written++
+		}
+	}
+	must.Eq(t, limitedBurst, written)
+	must.Eq(t, limitedBurst, int(l.Omitted()))
+	must.StrNotContains(t, out.String(), "omitted")
+	must.True(t, l.Allow(now.Add(time.Second)))
+	l.Info("placed")
+	must.StrContains(t, out.String(), fmt.Sprint("omitted=", limitedBurst))
+}
--- a/internal/process/metrics/http.go
+++ b/internal/process/metrics/http.go
@@ -41,7 +41,7 @@
 // NewHandler returns the routes of NewServer.
 func NewHandler(registry *prometheus.Registry, health func() Health) http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{MaxRequestsInFlight: maxScrapes}))
+	mux.Handle("GET /metrics", NewPage(registry))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
 		h := health()
 		writeHealth(w, h, h.Alive)
@@ -53,6 +53,11 @@
 	return mux
 }
 
+// NewPage returns the page of all metrics in Prometheus' text format.
+func NewPage(registry *prometheus.Registry) http.Handler {
+	return promhttp.HandlerFor(registry, promhttp.HandlerOpts{MaxRequestsInFlight: maxScrapes})
+}
+
 func writeHealth(w http.ResponseWriter, h Health, ok bool) {
 	status := http.StatusOK
 	if !ok {
