--- a/internal/process/balancer/balancer.go
+++ b/internal/process/balancer/balancer.go
@@ -85,7 +85,7 @@
 func New(cfg Config) *Balancer {
 	s := cfg.Settings
 	b := &Balancer{
-		log: cfg.Log, metrics: cfg.Metrics, name: s.VM.Name, domain: s.VM.Domain, link: s.Link,
+		log: cfg.Log, metrics: cfg.Metrics, name: s.VM.Name, domain: s.VM.Domain, link: s.Link.Advertise,
 		lifetime: s.Lifetime, grace: s.VM.StopTimeout,
 		started:   time.Now(),
 		events:    make(chan func(), eventQueue),
--- a/internal/process/cli/arguments.go
+++ b/internal/process/cli/arguments.go
@@ -104,9 +104,18 @@
 type explainGroup struct {
 	Connection *explainConnectionCommand `arg:"subcommand:connection" help:"say where a connection goes, and why"`
 	Upstream   *explainUpstreamCommand   `arg:"subcommand:upstream" help:"say why an upstream receives new connections or none"`
+	Flow       *explainFlowCommand       `arg:"subcommand:flow" help:"tell from logs what was decided about a connection with a cookie, and why"`
 	Sheet      *explainSheetCommand      `arg:"subcommand:sheet" help:"say where the sheet is in force"`
 }
 
+type explainFlowCommand struct {
+	Flow     string        `arg:"positional" help:"connection as the logs name it, CALLER:PORT>SERVICE:PORT"`
+	Log      []string      `arg:"--log,separate,required" placeholder:"FILE" help:"log of a balancer or controller; several are read together"`
+	Upstream string        `arg:"--upstream" placeholder:"ID" help:"without a connection: list those that went to this upstream"`
+	At       string        `arg:"--at" placeholder:"TIME" help:"around this time, in RFC 3339"`
+	Within   time.Duration `arg:"--within" default:"100ms" help:"and no further from it than this"`
+}
+
 type explainConnectionCommand struct {
 	Caller   string `arg:"--caller,required" help:"address of the caller"`
 	Service  string `arg:"--service,required" help:"address of the service"`
@@ -208,6 +217,7 @@
 	{"status", exampleRemote},
 	{"explain connection", " --caller 198.51.100.7:40100 --service 203.0.113.10:443" + exampleRemote},
 	{"explain upstream", " permit-03" + exampleRemote},
+	{"explain flow", " --log balancer.log '203.0.113.7:40001>198.51.100.1:8443'"},
 	{"explain sheet", exampleRemote},
 	{"audit", " --kind sheet --last 24h" + exampleRemote},
 	{"voter bootstrap", " --settings /etc/heatherport/settings.ini"},
--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -94,7 +94,7 @@
 	c := &Controller{
 		cfg:      cfg,
 		log:      cfg.Log,
-		self:     Member{Domain: s.VM.Domain, Link: s.Link, API: s.API},
+		self:     Member{Domain: s.VM.Domain, Link: s.Link.Advertise, API: s.API},
 		started:  time.Now(),
 		contacts: newContacts(),
 		memory:   newMemory(s.VM.DataDir, cfg.Log.Named("memory")),
@@ -111,7 +111,7 @@
 	if s.FirstStart {
 		founders = seedLinks(s)
 	}
-	if !slices.Contains(founders, s.Link) {
+	if !slices.Contains(founders, s.Link.Advertise) {
 		founders = nil
 	}
 	c.consensus = newConsensus(consensusConfig{
@@ -137,8 +137,9 @@
 	l := c.cfg.Listener
 	if l == nil {
 		var err error
-		if l, err = net.Listen("tcp", c.self.Link.String()); err != nil {
-			return result.Wrapf(err, result.BadSettings, "listen on %s", c.self.Link)
+		address := c.cfg.Settings.Link.Listen
+		if l, err = net.Listen("tcp", address.String()); err != nil {
+			return result.Wrapf(err, result.BadSettings, "listen on %s", address)
 		}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/process/controller/group_test.go
+++ b/internal/process/controller/group_test.go
@@ -93,7 +93,7 @@
 	}
 	s := &settings.Program{
 		VM:         settings.VM{Name: v.dir, Domain: v.address.Addr().String(), DataDir: v.dir},
-		Link:       v.address,
+		Link:       settings.Endpoint{Listen: v.address, Advertise: v.address},
 		API:        v.address,
 		FirstStart: founding, LossesBorne: 1, Heartbeat: 300 * time.Millisecond, Lifetime: time.Minute,
 	}
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -81,7 +81,7 @@
 		log.Error("not started", "error", err)
 		return err
 	}
-	log.Info("started", "program", name, "domain", s.VM.Domain, "link", s.Link, "seeds", s.Seeds)
+	log.Info("started", "program", name, "domain", s.VM.Domain, "link", s.Link.Advertise, "seeds", s.Seeds)
 	(&reloader{file: file, program: name, log: log, reload: service.Part.Reload}).run(ctx)
 	log.Info("stopping", "program", name)
 	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.VM.StopTimeout)
--- a/internal/process/settings/program.go
+++ b/internal/process/settings/program.go
@@ -16,7 +16,7 @@
 	Packets     netip.AddrPort   // balancer: datagrams from the routers
 	Ready       netip.AddrPort   // balancer: readiness
 	API         netip.AddrPort   // controller: operators and upstreams
-	Link        netip.AddrPort   // other programs; the port is the same on all VMs
+	Link        Endpoint         // other programs; the advertised port is the same on all VMs
 	Metrics     netip.AddrPort   // metrics over HTTP
 	Seeds       []netip.AddrPort // APIs of some controllers
 	FirstStart  bool             // the fleet is founded by its seeds
@@ -62,7 +62,7 @@
 	r := newReader(f, indexLines(b))
 	p := &Program{
 		VM:          r.vm(),
-		Link:        r.destination("link", "listen"),
+		Link:        r.endpoint("link"),
 		Metrics:     r.addrPort("metrics", "listen"),
 		Seeds:       r.seeds(),
 		FirstStart:  r.choice("controllers", "first_start", "false", "true", "false") == "true",
@@ -102,5 +102,5 @@
 
 // LinkOf returns the address at which the program of another VM takes links.
 func (p *Program) LinkOf(vm netip.Addr) netip.AddrPort {
-	return netip.AddrPortFrom(vm, p.Link.Port())
+	return netip.AddrPortFrom(vm, p.Link.Advertise.Port())
 }
