Add a soak: real processes, faults from outside, promises checked meanwhile

Balancers and controllers run as processes; the soak kills, pauses, stops and reloads them, loses disks, tears logs, disturbs and resets their links through a loopback proxy, and crashes, drains, replaces and restarts stand-ins of upstreams, in series that overlap. It checks what callers, upstreams and the operator see.

--- /dev/null
+++ b/internal/soak/fault_test.go
@@ -0,0 +1,116 @@
+package soak
+
+import (
+	"os"
+	"syscall"
+	"time"
+)
+
+// fault is one disturbance; it returns when it is over.
+type fault struct {
+	name string
+	run  func(w *world)
+	// disk says that a controller's disk is lost; no other controller may be
+	// disturbed at the same time.
+	disk bool
+}
+
+// span draws how long a fault lasts.
+func (w *world) span() time.Duration { return time.Duration(200+w.rand.IntN(2500)) * time.Millisecond }
+
+func draw[T any](w *world, from []T) T { return from[w.rand.IntN(len(from))] }
+
+var faults = []fault{
+	{name: "kill a balancer", run: func(w *world) { w.restart(draw(w, w.balancers), w.span()) }},
+	{name: "kill a controller", run: func(w *world) { w.restart(draw(w, w.controllers), w.span()) }},
+	{name: "kill all controllers", run: func(w *world) {
+		for _, c := range w.controllers {
+			c.kill()
+		}
+		time.Sleep(w.span() / 4)
+		for _, c := range w.controllers {
+			c.start()
+		}
+	}},
+	{name: "pause a balancer", run: func(w *world) { w.pause(draw(w, w.balancers)) }},
+	{name: "pause a controller", run: func(w *world) { w.pause(draw(w, w.controllers)) }},
+	{name: "stop a balancer", run: func(w *world) { p := draw(w, w.balancers); p.stop(); p.start() }},
+	{name: "stop a controller", run: func(w *world) { p := draw(w, w.controllers); p.stop(); p.start() }},
+	{name: "reload all", run: func(w *world) {
+		for _, p := range append(w.controllers, w.balancers...) {
+			p.signal(syscall.SIGHUP)
+		}
+	}},
+	{name: "disturb a link", run: func(w *world) {
+		p := draw(w, w.controllers).proxy
+		p.set(mode(1 + w.rand.IntN(int(modes)-1)))
+		time.Sleep(w.span())
+		p.set(pass)
+	}},
+	{name: "reset links", run: func(w *world) { draw(w, w.controllers).proxy.reset() }},
+	{name: "tear a log", run: func(w *world) {
+		c := draw(w, w.controllers)
+		c.kill()
+		c.tear()
+		c.start()
+	}},
+	{name: "lose a disk", disk: true, run: func(w *world) {
+		c := draw(w, w.controllers)
+		c.kill()
+		if err := os.RemoveAll(c.dataDir()); err != nil {
+			w.t.Error(err)
+		}
+		time.Sleep(w.span() / 2)
+		c.start()
+	}},
+	{name: "crash an upstream", run: func(w *world) {
+		if u := w.spare("one"); u != nil {
+			u.crash()
+			w.newUpstream("one")
+		}
+	}},
+	{name: "release an upstream", run: func(w *world) {
+		if u := w.spare("one"); u != nil {
+			w.newUpstream("one")
+			u.leave()
+		}
+	}},
+	{name: "use an address again", run: func(w *world) {
+		if u := w.spare("one"); u != nil {
+			u.crash()
+			time.Sleep(w.span() / 4)
+			w.nextID++
+			id := 0x2_0000_0000 + w.seed<<16 + w.nextID
+			w.startUpstream(hexID(id), id, "two", u.address)
+			w.newUpstream("one")
+		}
+	}},
+	{name: "restart an upstream under its name", run: func(w *world) {
+		if u := w.spare("two"); u != nil {
+			u.crash()
+			time.Sleep(w.span() / 4)
+			w.startUpstream(u.id, u.handle, u.service, u.address)
+		}
+	}},
+}
+
+// spare returns an upstream that others can stand in for, or nil.
+func (w *world) spare(service string) *upstream {
+	alive := w.alive(service)
+	if len(alive) < 3 {
+		return nil
+	}
+	return alive[w.rand.IntN(len(alive))]
+}
+
+func (w *world) restart(p *process, after time.Duration) {
+	p.kill()
+	time.Sleep(after)
+	p.start()
+}
+
+func (w *world) pause(p *process) {
+	p.signal(syscall.SIGSTOP)
+	time.Sleep(w.span())
+	p.signal(syscall.SIGCONT)
+}
