Drop opening packets that waited while the process stood still

Cause: a balancer that is frozen for seconds finds opening packets in its socket when it wakes, whose callers have since opened through another balancer; placing them lets a second upstream answer and pulls the connection over. Found by reading, shown by TestOpeningThatWaitedDuringAStallIsDropped, which failed before.

--- a/internal/process/balancer/forwarder.go
+++ b/internal/process/balancer/forwarder.go
@@ -47,6 +47,7 @@
 	started time.Time
 
 	conn   *net.UDPConn
+	stall  stall
 	last   atomic.Int64 // time of the last packet since started
 	mu     sync.Mutex   // of engine
 	engine *affinity.Engine
@@ -69,8 +70,12 @@
 }
 
 func (f *forwarder) tick() {
+	now := time.Since(f.started)
+	if gap := f.stall.tick(now); gap > 0 {
+		f.log.Warn("stood still", "for", gap)
+	}
 	f.mu.Lock()
-	f.engine.Tick(time.Since(f.started))
+	f.engine.Tick(now)
 	n := f.engine.Len()
 	f.mu.Unlock()
 	f.metrics.Connections.Set(float64(n))
@@ -104,6 +109,10 @@
 		f.drop(&p, result.CodeOf(err))
 		return
 	}
+	if p.Opening && !f.stall.isOver(now) {
+		f.drop(&p, result.DropStale)
+		return
+	}
 	view := f.view.Load()
 	f.mu.Lock()
 	verdict := f.engine.Decide(now, view, &p)
--- /dev/null
+++ b/internal/process/balancer/forwarder_test.go
@@ -0,0 +1,155 @@
+package balancer
+
+import (
+	"encoding/binary"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/shoenig/test/must"
+
+	"heatherport/internal/connection/affinity"
+	"heatherport/internal/process/logging"
+	"heatherport/internal/process/metrics"
+	"heatherport/internal/result"
+	"heatherport/internal/version/directory"
+	"heatherport/internal/version/routing"
+)
+
+// testCodec is a form of packets for tests: a kind, the port of the caller and
+// a cookie.
+type testCodec struct{ returnPort uint16 }
+
+const (
+	kindOpening = 1
+	kindData    = 2
+	kindRefusal = 3
+	packetSize  = 7
+)
+
+var serviceAddr = netip.MustParseAddrPort("198.51.100.1:80")
+
+func testPacket(kind byte, port uint16, cookie uint32) []byte {
+	b := []byte{kind}
+	b = binary.BigEndian.AppendUint16(b, port)
+	return binary.BigEndian.AppendUint32(b, cookie)
+}
+
+func (testCodec) Decode(b []byte) (affinity.Packet, error) {
+	if len(b) != packetSize {
+		return affinity.Packet{}, result.Errorf(result.DropTruncated, "%d bytes", len(b))
+	}
+	return affinity.Packet{
+		Caller:  netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), binary.BigEndian.Uint16(b[1:])),
+		Service: serviceAddr, Opening: b[0] == kindOpening, Cookie: binary.BigEndian.Uint32(b[3:]), Length: 1,
+	}, nil
+}
+
+func (testCodec) SetCookie(b []byte, cookie uint32) { binary.BigEndian.PutUint32(b[3:], cookie) }
+func (testCodec) Headroom() int                     { return 1 }
+func (testCodec) Envelope(head []byte, u *affinity.Upstream) {
+	head[0] = byte(u.Handle)
+}
+
+func (testCodec) Refusal(buf []byte, p *affinity.Packet) []byte {
+	return append(buf, testPacket(kindRefusal, p.Caller.Port(), 0)...)
+}
+
+func (c testCodec) ReturnAddr(caller netip.Addr) netip.AddrPort {
+	return netip.AddrPortFrom(caller, c.returnPort)
+}
+
+// bench is a forwarder between sockets of a test.
+type bench struct {
+	*forwarder
+	t        *testing.T
+	caller   *net.UDPConn
+	upstream *net.UDPConn
+}
+
+// newBench starts a forwarder whose process began at started.
+func newBench(t *testing.T, started time.Time) *bench {
+	listen := func() *net.UDPConn {
+		c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+		must.NoError(t, err)
+		t.Cleanup(func() { c.Close() })
+		return c
+	}
+	b := &bench{t: t, caller: listen(), upstream: listen()}
+	routes, err := routing.New(1, 0, []string{"permits"}, []routing.Route{{Name: "r", Address: serviceAddr, Targets: []routing.Target{{Service: "permits", Weight: 1}}, Timeout: time.Second}})
+	must.NoError(t, err)
+	u := affinity.Upstream{Cookie: 9, Record: directory.Record{
+		ID: "i-7", Handle: 7, Service: "permits", State: directory.Serving, Slots: 1,
+		Address: netip.MustParseAddrPort(b.upstream.LocalAddr().String()),
+	}}
+	view := &affinity.View{Routes: routes, Current: true}
+	var current atomic.Pointer[affinity.View]
+	current.Store(view.Index([]affinity.Upstream{u}))
+	log := hclog.NewNullLogger()
+	b.forwarder = &forwarder{
+		codec: testCodec{netip.MustParseAddrPort(b.caller.LocalAddr().String()).Port()}, listen: netip.MustParseAddrPort("127.0.0.1:0"),
+		log: log, flows: logging.NewLimited(log), metrics: metrics.NewBalancer(prometheus.NewRegistry()), view: &current, started: started,
+		engine: affinity.New(affinity.Config{Capacity: 10, Lifetime: time.Minute, Rand: rand.New(rand.NewPCG(1, 1))}),
+	}
+	must.NoError(t, b.start())
+	t.Cleanup(func() { _ = b.forwarder.stop() })
+	return b
+}
+
+func (b *bench) send(packet []byte) {
+	_, err := b.caller.WriteTo(packet, b.conn.LocalAddr())
+	must.NoError(b.t, err)
+}
+
+func (b *bench) receive(c *net.UDPConn) []byte {
+	b.t.Helper()
+	must.NoError(b.t, c.SetReadDeadline(time.Now().Add(20*time.Second)))
+	buf := make([]byte, 100)
+	n, err := c.Read(buf)
+	must.NoError(b.t, err)
+	return buf[:n]
+}
+
+func TestForwarderWritesCookieAndEnvelope(t *testing.T) {
+	b := newBench(t, time.Now())
+	b.send(testPacket(kindOpening, 1000, 0))
+	must.Eq(t, append([]byte{7}, testPacket(kindOpening, 1000, 9)...), b.receive(b.upstream))
+	b.send([]byte{1, 2}) // malformed: dropped
+	b.send(testPacket(kindData, 1000, 9))
+	must.Eq(t, append([]byte{7}, testPacket(kindData, 1000, 9)...), b.receive(b.upstream))
+}
+
+func TestForwarderRefusesWithoutUpstream(t *testing.T) {
+	b := newBench(t, time.Now())
+	view := &affinity.View{Routes: b.view.Load().Routes, Current: true}
+	b.view.Store(view.Index(nil))
+	b.send(testPacket(kindOpening, 1000, 0))
+	must.Eq(t, testPacket(kindRefusal, 1000, 0), b.receive(b.caller))
+}
+
+// TestOpeningThatWaitedDuringAStallIsDropped checks that a packet of an open
+// connection still passes.
+func TestOpeningThatWaitedDuringAStallIsDropped(t *testing.T) {
+	b := newBench(t, time.Now().Add(-time.Hour)) // and has not ticked since
+	b.send(testPacket(kindOpening, 1000, 0))
+	b.send(testPacket(kindData, 1001, 9))
+	must.Eq(t, append([]byte{7}, testPacket(kindData, 1001, 9)...), b.receive(b.upstream))
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	must.Eq(t, 1, b.engine.Len())
+}
+
+func TestStall(t *testing.T) {
+	var s stall
+	must.Eq(t, 0, s.tick(100*time.Millisecond))
+	must.True(t, s.isOver(200*time.Millisecond))
+	must.False(t, s.isOver(101*time.Millisecond+stallLimit))
+	must.Eq(t, 2*time.Second, s.tick(2100*time.Millisecond))
+	must.False(t, s.isOver(2101*time.Millisecond))
+	must.True(t, s.isOver(2100*time.Millisecond+stallDrain))
+}
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -97,6 +97,7 @@
 	DropUnknownTag      Code = 720
 	DropNoCookie        Code = 721
 	RefusedNoRoute      Code = 722
+	DropStale           Code = 723
 
 	Internal      Code = 901
 	PromiseBroken Code = 902
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -90,6 +90,7 @@
 	{DropOversize, "drop_oversize", "packet too large to encapsulate", "lower the MTU"},
 	{DropUnknownTag, "drop_unknown_tag", "the cookie names an upstream that this VM does not know", "none; the caller retransmits"},
 	{DropNoCookie, "drop_no_cookie", "packet of an open connection without a cookie", "none"},
+	{DropStale, "drop_stale", "opening packet that waited while the process stood still", "none; the caller retransmits"},
 	{RefusedNoRoute, "refused_no_route", "no route at this address", "check the routes"},
 
 	{PromiseBroken, "promise_broken", "the demo saw a promise broken", "report it"},
