--- a/internal/soak/fault_test.go
+++ b/internal/soak/fault_test.go
@@ -16,15 +16,24 @@
 }
 
 // span draws how long a fault lasts.
-func (w *world) span() time.Duration { return time.Duration(200+w.rand.IntN(2500)) * time.Millisecond }
+func (w *world) span() time.Duration { return time.Duration(200+w.intN(2500)) * time.Millisecond }
 
-func draw[T any](w *world, from []T) T { return from[w.rand.IntN(len(from))] }
+func draw[T any](w *world, from []T) T { return from[w.intN(len(from))] }
+
+// intN draws from the source of the schedule.
+func (w *world) intN(n int) int {
+	w.draws.Lock()
+	defer w.draws.Unlock()
+	return w.rand.IntN(n)
+}
 
 var faults = []fault{
-	{name: "kill a balancer", run: func(w *world) { w.restart(draw(w, w.balancers), w.span()) }},
-	{name: "kill a controller", run: func(w *world) { w.restart(draw(w, w.controllers), w.span()) }},
+	{name: "kill a balancer", run: func(w *world) { w.with(w.balancers, w.restart) }},
+	{name: "kill a controller", run: func(w *world) { w.with(w.controllers, w.restart) }},
 	{name: "kill all controllers", run: func(w *world) {
 		for _, c := range w.controllers {
+			c.busy.Lock()
+			defer c.busy.Unlock()
 			c.kill()
 		}
 		time.Sleep(w.span() / 4)
@@ -32,10 +41,10 @@
 			c.start()
 		}
 	}},
-	{name: "pause a balancer", run: func(w *world) { w.pause(draw(w, w.balancers)) }},
-	{name: "pause a controller", run: func(w *world) { w.pause(draw(w, w.controllers)) }},
-	{name: "stop a balancer", run: func(w *world) { p := draw(w, w.balancers); p.stop(); p.start() }},
-	{name: "stop a controller", run: func(w *world) { p := draw(w, w.controllers); p.stop(); p.start() }},
+	{name: "pause a balancer", run: func(w *world) { w.with(w.balancers, w.pause) }},
+	{name: "pause a controller", run: func(w *world) { w.with(w.controllers, w.pause) }},
+	{name: "stop a balancer", run: func(w *world) { w.with(w.balancers, func(p *process) { p.stop(); p.start() }) }},
+	{name: "stop a controller", run: func(w *world) { w.with(w.controllers, func(p *process) { p.stop(); p.start() }) }},
 	{name: "reload all", run: func(w *world) {
 		for _, p := range append(w.controllers, w.balancers...) {
 			p.signal(syscall.SIGHUP)
@@ -43,25 +52,27 @@
 	}},
 	{name: "disturb a link", run: func(w *world) {
 		p := draw(w, w.controllers).proxy
-		p.set(mode(1 + w.rand.IntN(int(modes)-1)))
+		p.set(mode(1 + w.intN(int(modes)-1)))
 		time.Sleep(w.span())
 		p.set(pass)
 	}},
 	{name: "reset links", run: func(w *world) { draw(w, w.controllers).proxy.reset() }},
 	{name: "tear a log", run: func(w *world) {
-		c := draw(w, w.controllers)
-		c.kill()
-		c.tear()
-		c.start()
+		w.with(w.controllers, func(c *process) {
+			c.kill()
+			c.tear()
+			c.start()
+		})
 	}},
 	{name: "lose a disk", disk: true, run: func(w *world) {
-		c := draw(w, w.controllers)
-		c.kill()
-		if err := os.RemoveAll(c.dataDir()); err != nil {
-			w.t.Error(err)
-		}
-		time.Sleep(w.span() / 2)
-		c.start()
+		w.with(w.controllers, func(c *process) {
+			c.kill()
+			if err := os.RemoveAll(c.dataDir()); err != nil {
+				w.t.Error(err)
+			}
+			time.Sleep(w.span() / 2)
+			c.start()
+		})
 	}},
 	{name: "crash an upstream", run: func(w *world) {
 		if u := w.spare("one"); u != nil {
@@ -79,8 +90,7 @@
 		if u := w.spare("one"); u != nil {
 			u.crash()
 			time.Sleep(w.span() / 4)
-			w.nextID++
-			id := 0x2_0000_0000 + w.seed<<16 + w.nextID
+			id := w.nextNumber()
 			w.startUpstream(hexID(id), id, "two", u.address)
 			w.newUpstream("one")
 		}
@@ -100,12 +110,20 @@
 	if len(alive) < 3 {
 		return nil
 	}
-	return alive[w.rand.IntN(len(alive))]
+	return alive[w.intN(len(alive))]
 }
 
-func (w *world) restart(p *process, after time.Duration) {
+// with draws a process for a fault, which has it alone.
+func (w *world) with(from []*process, run func(p *process)) {
+	p := draw(w, from)
+	p.busy.Lock()
+	defer p.busy.Unlock()
+	run(p)
+}
+
+func (w *world) restart(p *process) {
 	p.kill()
-	time.Sleep(after)
+	time.Sleep(w.span())
 	p.start()
 }
 
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -23,15 +23,16 @@
 
 // process is a program of the fleet.
 type process struct {
-	w         *world
-	name      string
-	program   string
-	ip        netip.Addr // what others know
-	inner     netip.Addr // where links are taken, behind the proxy
-	dir       string
-	proxy     *proxy
-	founded   bool
-	downSince time.Time
+	w       *world
+	name    string
+	program string
+	ip      netip.Addr // what others know
+	inner   netip.Addr // where links are taken, behind the proxy
+	dir     string
+	proxy   *proxy
+	founded bool
+
+	busy sync.Mutex // held by the fault that has the process
 
 	mu      sync.Mutex
 	command *exec.Cmd
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -111,7 +111,7 @@
 	begun := time.Now()
 	for time.Since(begun) < length {
 		f := draw(w, faults)
-		gap := time.Duration(w.rand.IntN(1200)) * time.Millisecond
+		gap := time.Duration(w.intN(1200)) * time.Millisecond
 		if f.disk {
 			going.Wait()
 			time.Sleep(touchTime) // so that no second disk is behind
@@ -130,7 +130,7 @@
 			continue
 		}
 		// Faults of one kind of program follow each other, others overlap.
-		if w.rand.IntN(2) == 0 {
+		if w.intN(2) == 0 {
 			<-done
 		}
 		time.Sleep(gap)
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -36,6 +36,7 @@
 type world struct {
 	t       *testing.T
 	seed    uint64
+	draws   sync.Mutex
 	rand    *rand.Rand // of the schedule of faults alone
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -87,7 +88,7 @@
 func (w *world) ip(n byte) netip.Addr { return netip.AddrFrom4([4]byte{127, w.net[0], w.net[1], n}) }
 
 func (w *world) newProcess(program, dir string, i int, n byte) *process {
-	p := &process{w: w, name: fmt.Sprint(program, "-", i), program: program, ip: w.ip(n), inner: w.ip(n + 100)}
+	p := &process{w: w, name: fmt.Sprint(program, "-", i), program: program, ip: w.ip(n), inner: w.ip(n + 40)}
 	p.dir = filepath.Join(dir, p.name)
 	if err := os.MkdirAll(p.dir, 0o700); err != nil {
 		w.t.Fatal(err)
@@ -213,9 +214,16 @@
 
 // newUpstream starts an upstream at an address of its own.
 func (w *world) newUpstream(service string) *upstream {
+	n := w.nextNumber()
+	return w.startUpstream(hexID(n), n, service, netip.AddrPortFrom(w.ip(byte(150+n%100)), 8080))
+}
+
+// nextNumber numbers the upstreams of a run.
+func (w *world) nextNumber() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.nextID++
-	id := 0x1_0000_0000 + w.seed<<16 + w.nextID
-	return w.startUpstream(fmt.Sprintf("i-%x", id), id, service, netip.AddrPortFrom(w.ip(byte(60+w.nextID%60)), 8080))
+	return 0x1_0000_0000 + w.seed<<16 + w.nextID
 }
 
 // alive returns the living upstreams of a service that do not leave.
