--- a/internal/process/controller/consensus.go
+++ b/internal/process/controller/consensus.go
@@ -87,6 +87,7 @@
 	planned  time.Time
 	reopened time.Time
 	logBytes int
+	told     uint64 // number of the document last handed on
 	snapshot uint64 // index of the last snapshot
 }
 
@@ -227,7 +228,6 @@
 	if err != nil {
 		return err
 	}
-	before := c.register.Document().Number
 	boot := r.Recovered()
 	c.register = register.Register{}
 	if boot.Snapshot.Index > 0 {
@@ -239,9 +239,6 @@
 	c.replica = r
 	c.snapshot = boot.Snapshot.Index
 	c.logBytes = 0
-	if d := c.register.Document(); d.Number > before {
-		c.cfg.InForce(d)
-	}
 	return nil
 }
 
@@ -286,11 +283,11 @@
 			return
 		}
 		c.snapshot = out.Snapshot.Index
-		c.cfg.InForce(c.register.Document())
 	}
 	for i := range out.Committed {
 		c.apply(&out.Committed[i])
 	}
+	c.tellInForce()
 	for _, r := range out.ReadStates {
 		c.confirmRead(r)
 	}
@@ -332,13 +329,10 @@
 	if e.Kind != raft.EntryCommand {
 		data = nil
 	}
-	changed, err := c.register.Apply(e.Index, data)
+	_, err := c.register.Apply(e.Index, data)
 	if err != nil {
 		c.cfg.Log.Error("entry not applied", "index", e.Index, "error", err)
 	}
-	if changed {
-		c.cfg.InForce(c.register.Document())
-	}
 	i := slices.IndexFunc(c.waiting, func(p proposal) bool { return p.index == e.Index })
 	if i < 0 {
 		return
@@ -348,6 +342,17 @@
 	p.done(p.term == e.Term && err == nil)
 }
 
+// tellInForce hands on the newest document. Those that it has overtaken, as
+// most are while a log is read back after a start, are passed over.
+func (c *consensus) tellInForce() {
+	d := c.register.Document()
+	if d.Number <= c.told {
+		return
+	}
+	c.told = d.Number
+	c.cfg.InForce(d)
+}
+
 func (c *consensus) compact() {
 	index := c.register.Index()
 	if c.replica == nil || index-c.snapshot < compactEntries && c.logBytes < compactBytes || index == c.snapshot {
