--- a/internal/process/balancer/feeds.go
+++ b/internal/process/balancer/feeds.go
@@ -180,7 +180,7 @@
 	}
 	for _, r := range m.Upstreams {
 		if b.directory.Merge(now, r) || f.lapsed[r.ID] != r.Lapsed {
-			b.log.Info("upstream changed", "upstream", r.ID, "service", r.Service, "address", r.Address, "state", r.State,
+			b.log.Info("upstream changed", "upstream", r.ID, "service", r.Service, "address", r.Address, "state", r.State.String(),
 				"lapsed", r.Lapsed, "born", r.Born, "seq", r.Seq, "controller", f.source.address)
 		}
 		f.lapsed[r.ID] = r.Lapsed
--- a/internal/process/balancer/forwarder.go
+++ b/internal/process/balancer/forwarder.go
@@ -135,7 +135,7 @@
 func (f *forwarder) drop(p *affinity.Packet, code result.Code) {
 	f.metrics.Dropped(code)
 	if f.flows.Allow(time.Now()) {
-		f.flows.Info("packet dropped", "flow", flowID(p), "cause", code, "cookie", p.Cookie, "opening", p.Opening, "copies", p.Copies)
+		f.flows.Info("packet dropped", "flow", flowID(p), "cause", code.String(), "cookie", p.Cookie, "opening", p.Opening, "copies", p.Copies)
 	}
 }
 
--- a/internal/process/balancer/report.go
+++ b/internal/process/balancer/report.go
@@ -39,7 +39,7 @@
 		if view.Routes != nil {
 			number = view.Routes.Number
 		}
-		f.flows.Info("connection refused", "flow", flowID(p), "cause", v.Code, "opening", p.Opening, "routes", number, "confirmed", view.Confirmed)
+		f.flows.Info("connection refused", "flow", flowID(p), "cause", v.Code.String(), "opening", p.Opening, "routes", number, "confirmed", view.Confirmed)
 	}
 	// A connection that took longer to open than callers wait before a copy is
 	// worth a line; so is the end of each.
--- a/internal/process/controller/consensus.go
+++ b/internal/process/controller/consensus.go
@@ -303,7 +303,7 @@
 		c.cfg.Metrics.Elections.Inc()
 	}
 	if s.Leader != c.soft.Leader || s.Role != c.soft.Role {
-		c.cfg.Log.Info("leadership", "role", s.Role, "leader", s.Leader, "term", s.Term)
+		c.cfg.Log.Info("leadership", "role", s.Role.String(), "leader", s.Leader, "term", s.Term)
 	}
 	if s.Role == raft.Leader && c.soft.Role != raft.Leader {
 		c.leadFrom = time.Now()
--- a/internal/process/controller/group_test.go
+++ b/internal/process/controller/group_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -52,11 +53,12 @@
 	t    *testing.T
 	vms  []*vm
 	port uint16
+	read func(document []byte) (*routing.Table, error)
 }
 
 // newFleet founds a group of three; more controllers join by grow.
 func newFleet(t *testing.T) *fleet {
-	f := &fleet{t: t}
+	f := &fleet{t: t, read: readNumber}
 	for range 3 {
 		f.reserve()
 	}
@@ -100,7 +102,7 @@
 	for _, seed := range f.vms[:3] {
 		s.Seeds = append(s.Seeds, seed.address)
 	}
-	v.Controller = New(Config{Settings: s, Log: hclog.NewNullLogger(), Read: readNumber, Listener: v.listener, Metrics: metrics.NewController(prometheus.NewRegistry())})
+	v.Controller = New(Config{Settings: s, Log: hclog.NewNullLogger(), Read: f.read, Listener: v.listener, Metrics: metrics.NewController(prometheus.NewRegistry())})
 	must.NoError(f.t, v.Start(context.Background()))
 }
 
@@ -399,3 +401,24 @@
 	f.announce(f.vms[0], directory.Leaving, 2)
 	seen("leaving upstream", func() bool { return records["i-1"] == directory.Leaving })
 }
+
+// TestOnlyTheNewestDocumentIsHandedOn counts the tables that a controller makes
+// of a log that it reads back.
+func TestOnlyTheNewestDocumentIsHandedOn(t *testing.T) {
+	f := newFleet(t)
+	for number := uint64(1); number <= 20; number++ {
+		f.submit(f.vms[0], number)
+	}
+	v := f.vms[0]
+	f.stop(v)
+	var tables atomic.Int64
+	f.read = func(document []byte) (*routing.Table, error) {
+		tables.Add(1)
+		return readNumber(document)
+	}
+	f.start(v, false)
+	f.expect(v, 20)
+	// One for what is known to be committed, one for the last entry, which the
+	// leader confirms.
+	must.LessEq(t, 2, tables.Load())
+}
