--- /dev/null
+++ b/internal/process/balancer/feeds_test.go
@@ -0,0 +1,243 @@
+package balancer
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/shoenig/test/must"
+
+	"heatherport/internal/connection/affinity"
+	"heatherport/internal/process/controller"
+	"heatherport/internal/process/metrics"
+	"heatherport/internal/process/settings"
+	"heatherport/internal/process/stream"
+	"heatherport/internal/version/directory"
+	"heatherport/internal/version/routing"
+)
+
+// waitTimeout bounds every wait of these tests.
+const waitTimeout = 20 * time.Second
+
+// source is a controller of a test, which says what the test tells it to.
+type fakeController struct {
+	t          *testing.T
+	address    netip.AddrPort
+	stop       context.CancelFunc
+	listener   net.Listener
+	subscribed chan *stream.Conn
+}
+
+// fakes starts controllers at one port and several addresses.
+func fakes(t *testing.T, n int) []*fakeController {
+	var out []*fakeController
+	port := uint16(0)
+	for i := range n {
+		ip := netip.AddrFrom4([4]byte{127, 89, byte(os.Getpid() % 250), byte(i + 1)})
+		l, err := net.Listen("tcp", netip.AddrPortFrom(ip, port).String())
+		must.NoError(t, err)
+		address := netip.MustParseAddrPort(l.Addr().String())
+		port = address.Port()
+		ctx, cancel := context.WithCancel(context.Background())
+		f := &fakeController{t: t, address: address, stop: cancel, listener: l, subscribed: make(chan *stream.Conn, 10)}
+		go stream.Serve(ctx, l, stream.Events{Handle: func(c *stream.Conn, kind stream.Kind, _ []byte) {
+			if kind == controller.KindSubscribe {
+				f.subscribed <- c
+			}
+		}})
+		t.Cleanup(f.end)
+		out = append(out, f)
+	}
+	return out
+}
+
+func (f *fakeController) end() {
+	f.stop()
+	f.listener.Close()
+}
+
+// feed answers the next subscription with a feed.
+func (f *fakeController) feed(m controller.Feed) *stream.Conn {
+	f.t.Helper()
+	select {
+	case c := <-f.subscribed:
+		f.send(c, m)
+		return c
+	case <-time.After(waitTimeout):
+		f.t.Fatal("no subscription")
+		return nil
+	}
+}
+
+func (f *fakeController) send(c *stream.Conn, m controller.Feed) {
+	frame, err := stream.Encode(controller.KindFeed, m)
+	must.NoError(f.t, err)
+	must.True(f.t, c.Send(frame))
+}
+
+// startBalancer starts a balancer that knows controllers as seeds.
+func startBalancer(t *testing.T, seeds ...*fakeController) *Balancer {
+	s := &settings.Program{
+		VM:      settings.VM{Name: "akure-1", Domain: "akure", StopTimeout: time.Second},
+		Packets: netip.MustParseAddrPort("127.0.0.1:0"), Lifetime: time.Minute, Heartbeat: time.Second,
+		Link: settings.Endpoint{Advertise: seeds[0].address},
+	}
+	for _, seed := range seeds {
+		s.Seeds = append(s.Seeds, seed.address)
+	}
+	b := New(Config{Settings: s, Log: hclog.NewNullLogger(), Codec: testCodec{}, Metrics: metrics.NewBalancer(prometheus.NewRegistry())})
+	must.NoError(t, b.Start(context.Background()))
+	t.Cleanup(func() {
+		b.cancel()
+		_ = b.forwarder.stop()
+	})
+	return b
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(waitTimeout); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("not in time: %s", what)
+		}
+	}
+}
+
+func routes(t *testing.T, number uint64) *routing.Table {
+	table, err := routing.New(number, 0, []string{"permits"}, nil)
+	must.NoError(t, err)
+	return table
+}
+
+func wholeFeed(t *testing.T, number uint64, confirmed bool) controller.Feed {
+	d := routes(t, number).Diff(nil)
+	return controller.Feed{Confirmed: confirmed, Routes: &d}
+}
+
+func (b *Balancer) number() uint64 {
+	if v := b.view.Load(); v.Routes != nil {
+		return v.Routes.Number
+	}
+	return 0
+}
+
+func upstreamRecord(lapsed bool) directory.Record {
+	return directory.Record{
+		ID: "i-1", Handle: 1, Service: "permits", Address: netip.MustParseAddrPort("192.0.2.1:80"),
+		State: directory.Serving, Slots: 1, Born: 1, Seq: 1, Lapsed: lapsed,
+	}
+}
+
+func TestReadyOnlyWithRoutes(t *testing.T) {
+	f := fakes(t, 1)
+	b := startBalancer(t, f...)
+	c := f[0].feed(controller.Feed{Confirmed: true})
+	must.False(t, b.Ready())
+	f[0].send(c, wholeFeed(t, 3, true))
+	eventually(t, "ready", b.Ready)
+	must.Eq(t, 3, b.number())
+	must.True(t, b.view.Load().Confirmed)
+	b.stopping.Store(true)
+	must.False(t, b.Ready())
+}
+
+func TestServesWithAnUnconfirmedStateAfterAWhile(t *testing.T) {
+	f := fakes(t, 1)
+	b := startBalancer(t, f...)
+	f[0].feed(wholeFeed(t, 3, false))
+	eventually(t, "ready", b.Ready)
+	must.False(t, b.view.Load().Confirmed)
+}
+
+// TestNeverGoesBack feeds an older version after a newer one, from another
+// controller and on a new connection.
+func TestNeverGoesBack(t *testing.T) {
+	f := fakes(t, 2)
+	b := startBalancer(t, f...)
+	first := f[0].feed(wholeFeed(t, 5, true))
+	second := f[1].feed(wholeFeed(t, 4, true))
+	eventually(t, "the newer version", func() bool { return b.number() == 5 })
+	next := routes(t, 6).Diff(routes(t, 4))
+	f[1].send(second, controller.Feed{Confirmed: true, Routes: &next})
+	eventually(t, "the newest version", func() bool { return b.number() == 6 })
+	first.Close()
+	f[0].feed(wholeFeed(t, 5, true))
+	delta := routes(t, 7).Diff(routes(t, 6))
+	f[1].send(second, controller.Feed{Confirmed: true, Routes: &delta})
+	eventually(t, "version 7", func() bool { return b.number() == 7 })
+}
+
+func TestDeltaThatDoesNotFitBeginsTheFeedAnew(t *testing.T) {
+	f := fakes(t, 1)
+	b := startBalancer(t, f...)
+	c := f[0].feed(wholeFeed(t, 5, true))
+	delta := routes(t, 9).Diff(routes(t, 8))
+	f[0].send(c, controller.Feed{Confirmed: true, Routes: &delta})
+	f[0].feed(wholeFeed(t, 9, true))
+	eventually(t, "version 9", func() bool { return b.number() == 9 })
+}
+
+func TestLostControllerIsReplacedByOneThatItNamed(t *testing.T) {
+	f := fakes(t, 3)
+	b := startBalancer(t, f[0])
+	m := wholeFeed(t, 1, true)
+	for _, other := range f {
+		m.Controllers = append(m.Controllers, controller.Member{Link: other.address})
+	}
+	f[0].feed(m)
+	eventually(t, "the first version", func() bool { return b.number() == 1 })
+	f[0].end()
+	// Both others are known now, and feed it.
+	f[1].feed(wholeFeed(t, 2, true))
+	f[2].feed(wholeFeed(t, 3, true))
+	eventually(t, "the newest version", func() bool { return b.number() == 3 })
+}
+
+func TestUpstreamLapsesOnlyIfNoFeedHearsIt(t *testing.T) {
+	f := fakes(t, 2)
+	b := startBalancer(t, f...)
+	m := wholeFeed(t, 1, true)
+	m.Upstreams = []directory.Record{upstreamRecord(true)}
+	first := f[0].feed(m)
+	m.Upstreams = []directory.Record{upstreamRecord(false)}
+	second := f[1].feed(m)
+	lapsed := func() bool {
+		u := b.view.Load().Upstream((&m.Upstreams[0]).Tag())
+		return u != nil && u.Lapsed
+	}
+	known := func() bool { return b.view.Load().Upstream((&m.Upstreams[0]).Tag()) != nil }
+	eventually(t, "the upstream is known", known)
+	f[1].send(second, controller.Feed{Confirmed: true, Upstreams: []directory.Record{upstreamRecord(true)}})
+	eventually(t, "lapsed", lapsed)
+	f[0].send(first, controller.Feed{Confirmed: true, Upstreams: []directory.Record{upstreamRecord(false)}})
+	eventually(t, "heard again", func() bool { return !lapsed() })
+}
+
+func TestSilentControllerDoesNotHoldUpTheNextAttempt(t *testing.T) {
+	f := fakes(t, 1)
+	silent := netip.AddrPortFrom(netip.MustParseAddr("127.89.251.9"), f[0].address.Port())
+	b := startBalancer(t, f...)
+	b.post(func() { b.learn(silent, "") })
+	f[0].feed(wholeFeed(t, 1, true))
+	eventually(t, "fed", func() bool { return b.number() == 1 })
+}
+
+func TestEndedUpstreamIsMarkedAfterAWhile(t *testing.T) {
+	f := fakes(t, 1)
+	b := startBalancer(t, f...)
+	m := wholeFeed(t, 1, true)
+	gone := upstreamRecord(false)
+	gone.State = directory.Gone
+	m.Upstreams = []directory.Record{gone}
+	f[0].feed(m)
+	var u *affinity.Upstream
+	eventually(t, "ended", func() bool {
+		u = b.view.Load().Upstream(gone.Tag())
+		return u != nil && u.Ended
+	})
+}
