Hold a loopback network for each fleet of a test, with fixed ports

Cause: TestDisklessVMCatchesUpFromAnyPeer failed once with 'address already in use'. A fleet took each port by binding port 0 and closing it again; the two TCP ports of a VM, or its three UDP ports, can so be given the same number, and another process can take one before it is bound again. Change: a fleet holds a network in the loopback range by a guard socket until it ends, and uses fixed ports below those that the system gives to clients. The tests of real processes, controllers, balancers and the soak use it too, in place of networks that only the process's number told apart.

--- a/cmd/heatherport/cluster_test.go
+++ b/cmd/heatherport/cluster_test.go
@@ -11,7 +11,6 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -22,6 +21,7 @@
 	"heatherport/internal/process/metrics"
 	"heatherport/internal/request/api"
 	"heatherport/internal/result"
+	"heatherport/internal/standin/loopback"
 )
 
 const (
@@ -84,11 +84,12 @@
 	t.Cleanup(c.close)
 	c.command("keys", "init", "--dir", c.dir)
 	c.command("keys", "issue", "--dir", c.dir, "--operator", "amina")
-	net := newSubnet()
+	network, err := loopback.Reserve()
+	must.NoError(t, err)
+	t.Cleanup(network.Release)
 	for i, name := range clusterNames {
 		c.command("keys", "issue", "--dir", c.dir, "--name", name)
-		addr := netip.AddrFrom4([4]byte{net[0], net[1], net[2], byte(1 + i)})
-		v := &vm{name: name, dir: filepath.Join(c.dir, name), addr: addr}
+		v := &vm{name: name, dir: filepath.Join(c.dir, name), addr: network.Host(byte(1 + i))}
 		must.NoError(t, os.Mkdir(v.dir, 0o700))
 		c.vms = append(c.vms, v)
 	}
@@ -106,15 +107,6 @@
 	return c
 }
 
-// clusters counts the clusters of this test process.
-var clusters atomic.Uint32
-
-// newSubnet returns the first three bytes of loopback addresses that no other
-// cluster uses, so that its ports are free whatever ports clients are given.
-func newSubnet() [3]byte {
-	return [3]byte{127, byte(1 + os.Getpid()%250), byte(clusters.Add(1))}
-}
-
 // Ports of a VM.
 const (
 	fabricPort  = 5555
--- a/cmd/heatherport/layout_test.go
+++ b/cmd/heatherport/layout_test.go
@@ -58,6 +58,17 @@
 	}
 }
 
+// TestOnlyTheEntryImportsThePlatform checks that what the platform calls things
+// stays out of the product.
+func TestOnlyTheEntryImportsThePlatform(t *testing.T) {
+	for file, paths := range imports(t) {
+		for _, p := range paths {
+			bad := p == "heatherport/platform" && file != "cmd/heatherport/main.go"
+			must.False(t, bad, must.Sprintf("%s imports %s", file, p))
+		}
+	}
+}
+
 // TestProgramStartsNoProcess checks that no file of the program can start
 // another process. Tests may.
 func TestProgramStartsNoProcess(t *testing.T) {
--- a/internal/process/balancer/feeds_test.go
+++ b/internal/process/balancer/feeds_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/netip"
-	"os"
 	"testing"
 	"time"
 
@@ -17,6 +16,7 @@
 	"heatherport/internal/process/metrics"
 	"heatherport/internal/process/settings"
 	"heatherport/internal/process/stream"
+	"heatherport/internal/standin/loopback"
 	"heatherport/internal/version/directory"
 	"heatherport/internal/version/routing"
 )
@@ -24,7 +24,10 @@
 // waitTimeout bounds every wait of these tests.
 const waitTimeout = 20 * time.Second
 
-// source is a controller of a test, which says what the test tells it to.
+// linkPort is the port of all links.
+const linkPort = 7720
+
+// fakeController says what a test tells it to.
 type fakeController struct {
 	t          *testing.T
 	address    netip.AddrPort
@@ -36,13 +39,13 @@
 // fakes starts controllers at one port and several addresses.
 func fakes(t *testing.T, n int) []*fakeController {
 	var out []*fakeController
-	port := uint16(0)
+	network, err := loopback.Reserve()
+	must.NoError(t, err)
+	t.Cleanup(network.Release)
 	for i := range n {
-		ip := netip.AddrFrom4([4]byte{127, 89, byte(os.Getpid() % 250), byte(i + 1)})
-		l, err := net.Listen("tcp", netip.AddrPortFrom(ip, port).String())
+		address := netip.AddrPortFrom(network.Host(byte(i+1)), linkPort)
+		l, err := net.Listen("tcp", address.String())
 		must.NoError(t, err)
-		address := netip.MustParseAddrPort(l.Addr().String())
-		port = address.Port()
 		ctx, cancel := context.WithCancel(context.Background())
 		f := &fakeController{t: t, address: address, stop: cancel, listener: l, subscribed: make(chan *stream.Conn, 10)}
 		go stream.Serve(ctx, l, stream.Events{Handle: func(c *stream.Conn, kind stream.Kind, _ []byte) {
@@ -220,7 +223,8 @@
 
 func TestSilentControllerDoesNotHoldUpTheNextAttempt(t *testing.T) {
 	f := fakes(t, 1)
-	silent := netip.AddrPortFrom(netip.MustParseAddr("127.89.251.9"), f[0].address.Port())
+	// Nothing listens there; the address stands for a VM that is down.
+	silent := netip.AddrPortFrom(netip.MustParseAddr("127.251.251.9"), linkPort)
 	b := startBalancer(t, f...)
 	b.post(func() { b.learn(silent, "") })
 	f[0].feed(wholeFeed(t, 1, true))
--- a/internal/process/controller/group_test.go
+++ b/internal/process/controller/group_test.go
@@ -20,6 +20,7 @@
 	"heatherport/internal/process/settings"
 	"heatherport/internal/process/stream"
 	"heatherport/internal/result"
+	"heatherport/internal/standin/loopback"
 	"heatherport/internal/version/directory"
 	"heatherport/internal/version/register"
 	"heatherport/internal/version/routing"
@@ -50,15 +51,21 @@
 
 // fleet runs controllers in this process over real links and disks.
 type fleet struct {
-	t    *testing.T
-	vms  []*vm
-	port uint16
-	read func(document []byte) (*routing.Table, error)
+	t       *testing.T
+	vms     []*vm
+	network *loopback.Network
+	read    func(document []byte) (*routing.Table, error)
 }
 
+// linkPort is the port of all links.
+const linkPort = 7720
+
 // newFleet founds a group of three; more controllers join by grow.
 func newFleet(t *testing.T) *fleet {
-	f := &fleet{t: t, read: readNumber}
+	network, err := loopback.Reserve()
+	must.NoError(t, err)
+	t.Cleanup(network.Release)
+	f := &fleet{t: t, network: network, read: readNumber}
 	for range 3 {
 		f.reserve()
 	}
@@ -73,15 +80,12 @@
 	return f
 }
 
-// reserve adds a VM at an address of its own. All listen at one port, which
-// the first takes and the others share at other addresses.
+// reserve adds a VM at an address of its own.
 func (f *fleet) reserve() *vm {
 	n := len(f.vms) + 1
-	ip := netip.AddrFrom4([4]byte{127, 88, byte(os.Getpid() % 250), byte(n)})
-	l, err := net.Listen("tcp", netip.AddrPortFrom(ip, f.port).String())
+	address := netip.AddrPortFrom(f.network.Host(byte(n)), linkPort)
+	l, err := net.Listen("tcp", address.String())
 	must.NoError(f.t, err)
-	address := netip.MustParseAddrPort(l.Addr().String())
-	f.port = address.Port()
 	v := &vm{address: address, listener: l, dir: filepath.Join(f.t.TempDir(), fmt.Sprint("vm", n))}
 	f.vms = append(f.vms, v)
 	return v
@@ -274,7 +278,7 @@
 func announcement(state directory.State, seq uint64) directory.Record {
 	return directory.Record{
 		ID: "i-1", Handle: 1, Service: "permits", Address: netip.MustParseAddrPort("192.0.2.9:80"),
-		Domain: "127.88.0.1", Slots: 2, State: state, Born: 10, Seq: seq,
+		Domain: "akure", Slots: 2, State: state, Born: 10, Seq: seq,
 	}
 }
 
--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -6,12 +6,10 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/netip"
 	"os"
 	"path/filepath"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -23,6 +21,7 @@
 	"heatherport/internal/request/identity"
 	"heatherport/internal/result"
 	"heatherport/internal/standin"
+	"heatherport/internal/standin/loopback"
 )
 
 // domains are the failure domains of the fleet; each has two VMs, and the
@@ -36,21 +35,18 @@
 	stopTimeout  = 15 * time.Second
 )
 
-// fleets counts the fleets of this process.
-var fleets atomic.Uint32
-
-// newNetwork returns the first three bytes of loopback addresses that no other
-// fleet and no client uses, so that the ports of a VM stay free while it is
-// down.
-func newNetwork() [3]byte {
-	const networks = 250
-	return [3]byte{127, byte(1 + os.Getpid()%networks), byte(fleets.Add(1))}
-}
+// The ports of a VM, each at an address of its own. They lie below those that
+// the system gives to clients, so that they stay free while the VM is down.
+const (
+	fabricPort  = 5555
+	relayPort   = 5556
+	linkPort    = 5557
+	apiPort     = 8443
+	metricsPort = 9464
+)
 
 // address returns the loopback address of VM i.
-func (f *Fleet) address(i int) netip.Addr {
-	return netip.AddrFrom4([4]byte{f.network[0], f.network[1], f.network[2], byte(1 + i)})
-}
+func (f *Fleet) address(i int) netip.Addr { return f.network.Host(byte(1 + i)) }
 
 // Options configure a Fleet.
 type Options struct {
@@ -64,7 +60,7 @@
 	Options
 	// Cuts tells which links are cut.
 	Cuts      Cuts
-	network   [3]byte
+	network   *loopback.Network
 	authority *keys.Ephemeral
 	operator  *keys.Store
 	settings  []*settings.Settings
@@ -83,19 +79,20 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &Fleet{Options: o, network: newNetwork(), authority: authority, operator: operator}
+	network, err := loopback.Reserve()
+	if err != nil {
+		return nil, err
+	}
+	f := &Fleet{Options: o, network: network, authority: authority, operator: operator}
 	return f, f.configure()
 }
 
-// configure gives each VM free ports.
+// configure gives each VM its settings.
 func (f *Fleet) configure() error {
 	var peers []settings.Peer
 	var initial []string
 	for i := range len(domains) * vmsPerDomain {
-		s, err := f.newSettings(i)
-		if err != nil {
-			return err
-		}
+		s := f.newSettings(i)
 		f.settings = append(f.settings, s)
 		peers = append(peers, settings.Peer{Name: s.VM.Name, Link: s.Link.Listen})
 		if s.VM.DataDir != "" {
@@ -116,7 +113,7 @@
 	return nil
 }
 
-func (f *Fleet) newSettings(i int) (*settings.Settings, error) {
+func (f *Fleet) newSettings(i int) *settings.Settings {
 	domain := domains[i%len(domains)]
 	s := &settings.Settings{}
 	s.VM.Name = fmt.Sprintf("%s-%d", domain, 1+i/len(domains))
@@ -131,40 +128,15 @@
 	s.Connections.Capacity = capacity
 	addr := f.address(i)
 	s.Connections.ExceptionBudget = settings.DefaultExceptionBudget
-	for _, a := range []*netip.AddrPort{&s.Fabric.Listen, &s.Relay.Listen, &s.Link.Listen} {
-		if err := freeUDP(addr, a); err != nil {
-			return nil, err
-		}
-	}
-	for _, a := range []*netip.AddrPort{&s.API.Listen, &s.Metrics.Listen} {
-		if err := freeTCP(addr, a); err != nil {
-			return nil, err
-		}
-	}
+	s.Fabric.Listen = netip.AddrPortFrom(addr, fabricPort)
+	s.Relay.Listen = netip.AddrPortFrom(addr, relayPort)
+	s.Link.Listen = netip.AddrPortFrom(addr, linkPort)
+	s.API.Listen = netip.AddrPortFrom(addr, apiPort)
+	s.Metrics.Listen = netip.AddrPortFrom(addr, metricsPort)
 	s.Relay.Advertise = s.Relay.Listen
 	s.Link.Advertise = s.Link.Listen
 	s.API.Advertise = s.API.Listen
-	return s, nil
-}
-
-func freeUDP(addr netip.Addr, a *netip.AddrPort) error {
-	c, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.AddrPortFrom(addr, 0)))
-	if err != nil {
-		return result.Wrapf(err, result.Internal, "free UDP port")
-	}
-	defer c.Close()
-	*a = c.LocalAddr().(*net.UDPAddr).AddrPort()
-	return nil
-}
-
-func freeTCP(addr netip.Addr, a *netip.AddrPort) error {
-	l, err := net.Listen("tcp", netip.AddrPortFrom(addr, 0).String())
-	if err != nil {
-		return result.Wrapf(err, result.Internal, "free TCP port")
-	}
-	defer l.Close()
-	*a = l.Addr().(*net.TCPAddr).AddrPort()
-	return nil
+	return s
 }
 
 // Start starts VM i without giving it traffic.
@@ -222,6 +194,7 @@
 		f.Fabric.Remove(f.settings[i].Fabric.Listen)
 		f.take(i).Kill()
 	}
+	f.network.Release()
 	_ = os.RemoveAll(f.Dir)
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -195,5 +195,6 @@
 		w.caller.conn.Close()
 	}
 	w.running.Wait()
+	w.network.Release()
 	must.SliceEmpty(w.t, failures, must.Sprintf("seed %d:\n%s", w.seed, strings.Join(failures, "\n")))
 }
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"heatherport/internal/standin/loopback"
 )
 
 // The routes of the configuration.
@@ -43,7 +45,7 @@
 	running sync.WaitGroup
 	http    *http.Client
 	host    netip.Addr
-	net     [2]byte
+	network *loopback.Network
 
 	controllers []*process
 	balancers   []*process
@@ -64,11 +66,15 @@
 // newWorld lays out addresses and folders. Each run has a network of its own
 // in the loopback range.
 func newWorld(t *testing.T, seed uint64) *world {
+	network, err := loopback.Reserve()
+	if err != nil {
+		t.Fatal(err)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	w := &world{
 		t: t, seed: seed, rand: rand.New(rand.NewPCG(seed, 0)), ctx: ctx, cancel: cancel,
 		http:    &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
-		net:     [2]byte{byte(100 + os.Getpid()%100), byte(seed % 250)},
+		network: network,
 		routers: &routers{missed: make(map[*process]int)},
 		strays:  make(map[netip.AddrPort]string),
 	}
@@ -85,7 +91,7 @@
 	return w
 }
 
-func (w *world) ip(n byte) netip.Addr { return netip.AddrFrom4([4]byte{127, w.net[0], w.net[1], n}) }
+func (w *world) ip(n byte) netip.Addr { return w.network.Host(n) }
 
 func (w *world) newProcess(program, dir string, i int, n byte) *process {
 	p := &process{w: w, name: fmt.Sprint(program, "-", i), program: program, ip: w.ip(n), inner: w.ip(n + 40)}
--- /dev/null
+++ b/internal/standin/loopback/loopback_test.go
@@ -0,0 +1,29 @@
+package loopback
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestNetworksAreHeld(t *testing.T) {
+	one, err := Reserve()
+	must.NoError(t, err)
+	two, err := Reserve()
+	must.NoError(t, err)
+	must.NotEq(t, one.Host(1), two.Host(1))
+	// A network that another process holds is passed over.
+	reserved.Store(reserved.Load() - 2)
+	three, err := Reserve()
+	must.NoError(t, err)
+	must.NotEq(t, one.Host(1), three.Host(1))
+	must.NotEq(t, two.Host(1), three.Host(1))
+	one.Release()
+	reserved.Store(uint32(one.prefix[2]) - 1)
+	again, err := Reserve()
+	must.NoError(t, err)
+	must.Eq(t, one.Host(1), again.Host(1))
+	for _, n := range []*Network{two, three, again} {
+		n.Release()
+	}
+}
