--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint measure slopes fuzz known-red
+.PHONY: build test lint measure slopes fuzz soak known-red
 
 build:
 	go build -o bin/heatherport ./cmd/heatherport
@@ -19,8 +19,14 @@
 # Fuzz targets, a minute each.
 fuzz:
 	go test -fuzz FuzzDecodePacket -fuzztime 60s -fuzzminimizetime 10x -parallel 2 ./internal/request/wire
+	go test -fuzz 'FuzzDecode$$' -fuzztime 60s -fuzzminimizetime 10x -parallel 2 ./platform
+	go test -fuzz FuzzReadConfiguration -fuzztime 60s -fuzzminimizetime 10x -parallel 2 ./platform
 	go test -fuzz FuzzDecodeRelay -fuzztime 60s -fuzzminimizetime 10x -parallel 2 ./internal/request/relay
 
+# Real processes under faults; fifty seeds.
+soak:
+	go test ./internal/soak -run Soak -v -soak.seeds 50 -soak.parallel 4 -timeout 30m
+
 slopes:
 	go run ./internal/measure/slopes/cmd
 
--- a/internal/process/metrics/metrics_test.go
+++ b/internal/process/metrics/metrics_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/shoenig/test/must"
 
@@ -109,11 +110,29 @@
 		described[name] = true
 		must.StrContains(t, string(b), "`"+name+"`", must.Sprintf("%s has no line", name))
 	}
+	programs := prometheus.NewRegistry()
+	NewBalancer(programs)
+	for _, registry := range []*prometheus.Registry{programs, controllerRegistry()} {
+		descs := make(chan *prometheus.Desc, 100)
+		registry.Describe(descs)
+		close(descs)
+		for d := range descs {
+			name := descName.FindStringSubmatch(d.String())[1]
+			described[name] = true
+			must.StrContains(t, string(b), "`"+name+"`", must.Sprintf("%s has no line", name))
+		}
+	}
 	for _, m := range alertName.FindAllStringSubmatch(string(b), -1) {
 		must.True(t, described[m[1]], must.Sprintf("%s is no metric", m[1]))
 	}
 }
 
+func controllerRegistry() *prometheus.Registry {
+	r := prometheus.NewRegistry()
+	NewController(r)
+	return r
+}
+
 var (
 	descName  = regexp.MustCompile(`fqName: "` + namespace + `_([a-z_]+)"`)
 	alertName = regexp.MustCompile(namespace + `_([a-z_]+)`)
