Find stalls by a clock that counts suspension; drop unused fields of routes

Cause: a VM may be suspended, and the steady clock does not count that time, so a balancer that was would not drop the openings that waited.

--- a/internal/process/balancer/forwarder.go
+++ b/internal/process/balancer/forwarder.go
@@ -45,6 +45,7 @@
 	metrics *metrics.Balancer
 	view    *atomic.Pointer[affinity.View]
 	started time.Time
+	clock   func() time.Duration // bootClock, but in tests
 
 	conn   *net.UDPConn
 	stall  stall
@@ -70,12 +71,11 @@
 }
 
 func (f *forwarder) tick() {
-	now := time.Since(f.started)
-	if gap := f.stall.tick(now); gap > 0 {
+	if gap := f.stall.tick(f.clock()); gap > 0 {
 		f.log.Warn("stood still", "for", gap)
 	}
 	f.mu.Lock()
-	f.engine.Tick(now)
+	f.engine.Tick(time.Since(f.started))
 	n := f.engine.Len()
 	f.mu.Unlock()
 	f.metrics.Connections.Set(float64(n))
@@ -109,7 +109,7 @@
 		f.drop(&p, result.CodeOf(err))
 		return
 	}
-	if p.Opening && !f.stall.isOver(now) {
+	if p.Opening && !f.stall.isOver(f.clock()) {
 		f.drop(&p, result.DropStale)
 		return
 	}
--- a/internal/process/balancer/forwarder_test.go
+++ b/internal/process/balancer/forwarder_test.go
@@ -72,8 +72,9 @@
 	upstream *net.UDPConn
 }
 
-// newBench starts a forwarder whose process began at started.
-func newBench(t *testing.T, started time.Time) *bench {
+// newBench starts a forwarder whose clock stands still, and which last ticked
+// idle before that.
+func newBench(t *testing.T, idle time.Duration) *bench {
 	listen := func() *net.UDPConn {
 		c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
 		must.NoError(t, err)
@@ -93,9 +94,11 @@
 	log := hclog.NewNullLogger()
 	b.forwarder = &forwarder{
 		codec: testCodec{netip.MustParseAddrPort(b.caller.LocalAddr().String()).Port()}, listen: netip.MustParseAddrPort("127.0.0.1:0"),
-		log: log, flows: logging.NewLimited(log), metrics: metrics.NewBalancer(prometheus.NewRegistry()), view: &current, started: started,
+		log: log, flows: logging.NewLimited(log), metrics: metrics.NewBalancer(prometheus.NewRegistry()), view: &current, started: time.Now(),
+		clock:  func() time.Duration { return time.Hour },
 		engine: affinity.New(affinity.Config{Capacity: 10, Lifetime: time.Minute, Rand: rand.New(rand.NewPCG(1, 1))}),
 	}
+	b.stall.tick(time.Hour - idle)
 	must.NoError(t, b.start())
 	t.Cleanup(func() { _ = b.forwarder.stop() })
 	return b
@@ -116,7 +119,7 @@
 }
 
 func TestForwarderWritesCookieAndEnvelope(t *testing.T) {
-	b := newBench(t, time.Now())
+	b := newBench(t, 0)
 	b.send(testPacket(kindOpening, 1000, 0))
 	must.Eq(t, append([]byte{7}, testPacket(kindOpening, 1000, 9)...), b.receive(b.upstream))
 	b.send([]byte{1, 2}) // malformed: dropped
@@ -125,7 +128,7 @@
 }
 
 func TestForwarderRefusesWithoutUpstream(t *testing.T) {
-	b := newBench(t, time.Now())
+	b := newBench(t, 0)
 	view := &affinity.View{Routes: b.view.Load().Routes, Current: true}
 	b.view.Store(view.Index(nil))
 	b.send(testPacket(kindOpening, 1000, 0))
@@ -135,7 +138,7 @@
 // TestOpeningThatWaitedDuringAStallIsDropped checks that a packet of an open
 // connection still passes.
 func TestOpeningThatWaitedDuringAStallIsDropped(t *testing.T) {
-	b := newBench(t, time.Now().Add(-time.Hour)) // and has not ticked since
+	b := newBench(t, time.Minute)
 	b.send(testPacket(kindOpening, 1000, 0))
 	b.send(testPacket(kindData, 1001, 9))
 	must.Eq(t, append([]byte{7}, testPacket(kindData, 1001, 9)...), b.receive(b.upstream))
@@ -146,6 +149,7 @@
 
 func TestStall(t *testing.T) {
 	var s stall
+	must.True(t, s.isOver(time.Hour)) // it has not begun to tick
 	must.Eq(t, 0, s.tick(100*time.Millisecond))
 	must.True(t, s.isOver(200*time.Millisecond))
 	must.False(t, s.isOver(101*time.Millisecond+stallLimit))
--- a/internal/process/balancer/stall.go
+++ b/internal/process/balancer/stall.go
@@ -3,6 +3,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -15,7 +17,17 @@
 	stallDrain = 50 * time.Millisecond
 )
 
-// stall detects that the process stood still. Opening packets that waited may
+// bootClock reads a clock that goes on while the VM is suspended, as the clock
+// of package time does not.
+func bootClock() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		return 0 // no such clock: no stall is seen
+	}
+	return time.Duration(ts.Nano())
+}
+
+// stall detects that the process stood still or that its VM was suspended. Opening packets that waited may
 // have opened at an upstream that another balancer chose; placing them would
 // pull their connections over.
 type stall struct {
@@ -23,11 +35,12 @@
 	until  atomic.Int64
 }
 
-// tick is called at short intervals. It returns how long the process stood
-// still, or zero.
+// tick is called at short intervals, with the time of bootClock. It returns how
+// long the process stood still, or zero.
 func (s *stall) tick(now time.Duration) time.Duration {
-	gap := now - time.Duration(s.ticked.Swap(int64(now)))
-	if gap <= stallLimit {
+	before := time.Duration(s.ticked.Swap(int64(now)))
+	gap := now - before
+	if before == 0 || gap <= stallLimit {
 		return 0
 	}
 	s.until.Store(int64(now + stallDrain))
@@ -36,5 +49,6 @@
 
 // isOver reports whether a packet read now cannot have waited for long.
 func (s *stall) isOver(now time.Duration) bool {
-	return now-time.Duration(s.ticked.Load()) <= stallLimit && now >= time.Duration(s.until.Load())
+	ticked := time.Duration(s.ticked.Load())
+	return (ticked == 0 || now-ticked <= stallLimit) && now >= time.Duration(s.until.Load())
 }
--- a/internal/version/routing/routing.go
+++ b/internal/version/routing/routing.go
@@ -22,11 +22,7 @@
 	Name    string         `cbor:"1,keyasint"`
 	Address netip.AddrPort `cbor:"2,keyasint"`
 	Targets []Target       `cbor:"3,keyasint"`
-	// Repeatable says that the requests of the route may run twice.
-	Repeatable bool          `cbor:"4,keyasint,omitempty"`
-	Timeout    time.Duration `cbor:"5,keyasint"`
-	Aim        time.Duration `cbor:"6,keyasint"` // latency objective of a request
-	Priority   uint8         `cbor:"7,keyasint"` // 0 is the highest
+	Timeout time.Duration  `cbor:"4,keyasint"` // of a request
 }
 
 // Allows reports whether the route sends connections to service.
@@ -54,8 +50,7 @@
 }
 
 func (r *Route) equal(o *Route) bool {
-	return r.Name == o.Name && r.Address == o.Address && slices.Equal(r.Targets, o.Targets) &&
-		r.Repeatable == o.Repeatable && r.Timeout == o.Timeout && r.Aim == o.Aim && r.Priority == o.Priority
+	return r.Name == o.Name && r.Address == o.Address && slices.Equal(r.Targets, o.Targets) && r.Timeout == o.Timeout
 }
 
 // Table is one version of the routes.
