Try a controller again sooner after an attempt that hung

Change: attempts end after 150 ms, the next one comes after 50 ms, another controller is tried beside one after 60 ms.

--- a/internal/process/balancer/feeds.go
+++ b/internal/process/balancer/feeds.go
@@ -19,7 +19,7 @@
 	feedCount = 2
 	// hedgeTime is how long an attempt to connect may take before another
 	// controller is tried beside it: many round trips.
-	hedgeTime = 100 * time.Millisecond
+	hedgeTime = 60 * time.Millisecond
 	// avoidTime is how long a controller that failed is passed over while
 	// others are known.
 	avoidTime = 2 * time.Second
@@ -112,7 +112,7 @@
 }
 
 // retryDelay is the shortest time between two attempts on one controller.
-const retryDelay = 100 * time.Millisecond
+const retryDelay = 50 * time.Millisecond
 
 func (b *Balancer) openFeed(s *source) {
 	ctx, cancel := context.WithCancel(b.ctx)
--- a/internal/process/stream/stream.go
+++ b/internal/process/stream/stream.go
@@ -39,7 +39,7 @@
 	silenceLimit = 1500 * time.Millisecond
 	// dialTimeout is many round trips between failure domains, and less than
 	// the time after which a lost opening packet is sent again.
-	dialTimeout = 300 * time.Millisecond
+	dialTimeout = 150 * time.Millisecond
 	bufferSize  = 16 << 10
 )
 
@@ -203,8 +203,8 @@
 
 // Delays between two attempts to connect.
 const (
-	firstRetry = 100 * time.Millisecond
-	lastRetry  = 400 * time.Millisecond
+	firstRetry = 50 * time.Millisecond
+	lastRetry  = 200 * time.Millisecond
 )
 
 // Connect runs one connection to address and returns why it ended.
