--- a/internal/process/cli/arguments.go
+++ b/internal/process/cli/arguments.go
@@ -73,7 +73,8 @@
 }
 
 type settingsCheckCommand struct {
-	File string `arg:"positional,required" help:"settings file"`
+	File    string `arg:"positional,required" help:"settings file"`
+	Program string `arg:"--program" placeholder:"NAME" help:"balancer or controller, for their settings"`
 }
 
 type sheetGroup struct {
--- a/internal/process/cli/local.go
+++ b/internal/process/cli/local.go
@@ -42,6 +42,9 @@
 }
 
 func (c *settingsCheckCommand) run(_ context.Context, e *env) error {
+	if c.Program != "" {
+		return c.checkProgram(e)
+	}
 	s, err := settings.Load(c.File)
 	if err != nil {
 		return err
@@ -52,6 +55,28 @@
 	})
 }
 
+// programSummary describes valid settings of a balancer or controller.
+type programSummary struct {
+	VM      string `json:"vm"`
+	Domain  string `json:"domain"`
+	Program string `json:"program"`
+	Seeds   int    `json:"seeds"`
+}
+
+func (c *settingsCheckCommand) checkProgram(e *env) error {
+	if c.Program != settings.Balancer && c.Program != settings.Controller {
+		return result.Errorf(result.BadArguments, "--program is %s or %s, not %q", settings.Balancer, settings.Controller, c.Program)
+	}
+	s, err := settings.LoadProgram(c.File, c.Program)
+	if err != nil {
+		return err
+	}
+	sum := programSummary{VM: s.VM.Name, Domain: s.VM.Domain, Program: c.Program, Seeds: len(s.Seeds)}
+	return e.write(sum, func(w io.Writer) {
+		fmt.Fprintf(w, "%s: valid settings of the %s %s in %s with %d seeds\n", c.File, sum.Program, sum.VM, sum.Domain, sum.Seeds)
+	})
+}
+
 func (c *sheetCheckCommand) run(_ context.Context, e *env) error {
 	b, err := readSheet(c.File)
 	if err != nil {
--- /dev/null
+++ b/internal/process/controller/membership.go
@@ -0,0 +1,44 @@
+package controller
+
+import (
+	"time"
+
+	"heatherport/internal/version/raft"
+)
+
+// planMembership proposes the change that the group needs, on the leader.
+func (c *consensus) planMembership() {
+	if c.replica == nil || c.soft.Role != raft.Leader || time.Since(c.planned) < planInterval {
+		return
+	}
+	c.planned = time.Now()
+	s := c.replica.Status()
+	if s.ConfigPending || s.Transferee != "" {
+		return
+	}
+	p := plan{
+		self: s.ID, config: s.Config, last: s.LastIndex, lossesBorne: c.cfg.LossesBorne,
+		progress: make(map[string]raft.ProgressStatus, len(s.Progress)), known: c.cfg.Known(),
+	}
+	self := c.cfg.Self
+	self.ID = s.ID
+	p.known[s.ID] = candidate{Member: self}
+	for _, progress := range s.Progress {
+		p.progress[progress.ID] = progress
+	}
+	change, ok := p.nextChange()
+	if !ok {
+		return
+	}
+	if _, err := c.replica.ProposeConfig(change); err != nil {
+		c.cfg.Log.Debug("membership not changed", "member", change.ID, "error", err)
+		return
+	}
+	c.cfg.Log.Info("membership change", "change", changeNames[change.Kind], "member", change.ID, "voters", s.Config.Voters, "learners", s.Config.Learners)
+}
+
+var changeNames = map[raft.ChangeKind]string{
+	raft.AddLearner:     "add learner",
+	raft.PromoteLearner: "promote learner",
+	raft.RemoveMember:   "remove",
+}
