--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -17,11 +17,13 @@
 )
 
 var (
-	seedCount = flag.Int("soak.seeds", 1, "number of seeds to run")
-	firstSeed = flag.Uint64("soak.first", 1, "first seed")
-	atOnce    = flag.Int("soak.parallel", 1, "runs at the same time")
-	faultTime = flag.Duration("soak.time", 8*time.Second, "time with faults in a run")
-	logDir    = flag.String("soak.logs", "", "folder in which the programs' logs stay")
+	seedCount       = flag.Int("soak.seeds", 1, "number of seeds to run")
+	firstSeed       = flag.Uint64("soak.first", 1, "first seed")
+	atOnce          = flag.Int("soak.parallel", 1, "runs at the same time")
+	controllerCount = flag.Int("soak.controllers", 4, "controllers, three of them seeds")
+	balancerCount   = flag.Int("soak.balancers", 3, "balancers, 240 at most")
+	faultTime       = flag.Duration("soak.time", 8*time.Second, "time with faults in a run")
+	logDir          = flag.String("soak.logs", "", "folder in which the programs' logs stay")
 )
 
 // heatherport is the program under test.
@@ -78,7 +80,7 @@
 		w.newUpstream("one")
 		w.newUpstream("two")
 	}
-	w.caller = w.startCaller(w.ip(5))
+	w.caller = w.startCaller(w.networks[0].Host(5))
 	go w.probe()
 	if !w.eventually(recoveryTime, "a first configuration is accepted", func() bool { return w.operator.put(1) }) {
 		return
@@ -195,6 +197,8 @@
 		w.caller.conn.Close()
 	}
 	w.running.Wait()
-	w.network.Release()
+	for _, n := range w.networks {
+		n.Release()
+	}
 	must.SliceEmpty(w.t, failures, must.Sprintf("seed %d:\n%s", w.seed, strings.Join(failures, "\n")))
 }
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -24,8 +24,6 @@
 )
 
 const (
-	controllerCount = 4 // three voters and a learner
-	balancerCount   = 3
 	// touchTime is how long nothing may have gone wrong before a promise with
 	// a time bound holds.
 	touchTime = 4 * time.Second
@@ -45,7 +43,9 @@
 	running sync.WaitGroup
 	http    *http.Client
 	host    netip.Addr
-	network *loopback.Network
+	// networks are those of controllers and the caller, of balancers, and of
+	// upstreams.
+	networks [3]*loopback.Network
 
 	controllers []*process
 	balancers   []*process
@@ -66,35 +66,35 @@
 // newWorld lays out addresses and folders. Each run has a network of its own
 // in the loopback range.
 func newWorld(t *testing.T, seed uint64) *world {
-	network, err := loopback.Reserve()
-	if err != nil {
-		t.Fatal(err)
-	}
 	ctx, cancel := context.WithCancel(context.Background())
 	w := &world{
 		t: t, seed: seed, rand: rand.New(rand.NewPCG(seed, 0)), ctx: ctx, cancel: cancel,
 		http:    &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
-		network: network,
 		routers: &routers{missed: make(map[*process]int)},
 		strays:  make(map[netip.AddrPort]string),
 	}
+	for i := range w.networks {
+		var err error
+		if w.networks[i], err = loopback.Reserve(); err != nil {
+			t.Fatal(err)
+		}
+	}
 	w.host = netip.AddrFrom4([4]byte{198, 51, 100, 1})
 	w.operator = &operator{w: w, content: make(map[uint64]string)}
 	dir := logFolder(t, seed)
-	for i := range controllerCount {
-		w.controllers = append(w.controllers, w.newProcess("controller", dir, i, byte(10+i)))
+	for i := range *controllerCount {
+		w.controllers = append(w.controllers, w.newProcess("controller", dir, i, w.networks[0].Host(byte(10+i)), w.networks[0].Host(byte(50+i))))
 	}
-	for i := range balancerCount {
-		w.balancers = append(w.balancers, w.newProcess("balancer", dir, i, byte(30+i)))
+	for i := range *balancerCount {
+		ip := w.networks[1].Host(byte(1 + i))
+		w.balancers = append(w.balancers, w.newProcess("balancer", dir, i, ip, ip))
 	}
 	w.routers.all = w.balancers
 	return w
 }
 
-func (w *world) ip(n byte) netip.Addr { return w.network.Host(n) }
-
-func (w *world) newProcess(program, dir string, i int, n byte) *process {
-	p := &process{w: w, name: fmt.Sprint(program, "-", i), program: program, ip: w.ip(n), inner: w.ip(n + 40)}
+func (w *world) newProcess(program, dir string, i int, ip, inner netip.Addr) *process {
+	p := &process{w: w, name: fmt.Sprint(program, "-", i), program: program, ip: ip, inner: inner}
 	p.dir = filepath.Join(dir, p.name)
 	if err := os.MkdirAll(p.dir, 0o700); err != nil {
 		w.t.Fatal(err)
@@ -218,10 +218,13 @@
 	}
 }
 
+// upstreamHosts is the number of addresses that upstreams take in turn.
+const upstreamHosts = 240
+
 // newUpstream starts an upstream at an address of its own.
 func (w *world) newUpstream(service string) *upstream {
 	n := w.nextNumber()
-	return w.startUpstream(hexID(n), n, service, netip.AddrPortFrom(w.ip(byte(150+n%100)), 8080))
+	return w.startUpstream(hexID(n), n, service, netip.AddrPortFrom(w.networks[2].Host(byte(1+n%upstreamHosts)), 8080))
 }
 
 // nextNumber numbers the upstreams of a run.
