Introduce a controller on a link before anything else is sent there

Cause: a link was open for broadcasts before it had carried the whole directory. A peer that acknowledged a later change could so be taken to hold an earlier one that was made while its link was down, and the leaving of an upstream be acknowledged with one copy. Found by reading; TestPeerIsIntroducedBeforeItIsSentChanges failed before. Change: the link takes broadcasts only after the introduction.

--- a/internal/process/controller/exchange.go
+++ b/internal/process/controller/exchange.go
@@ -7,6 +7,8 @@
 	"heatherport/internal/version/raft"
 )
 
+// broadcast sends a message to all controllers and returns how many have an
+// open connection.
 func (c *Controller) broadcast(kind stream.Kind, message any) int {
 	frame, err := stream.Encode(kind, message)
 	if err != nil {
@@ -46,8 +48,15 @@
 	return stream.Events{
 		Open: func(conn *stream.Conn) {
 			c.log.Info("link open", "peer", address)
-			c.links.opened(address, conn)
-			c.post(func() { c.introduce(conn) })
+			// An acknowledgement of a change stands for all earlier ones, so
+			// nothing else goes before what introduces this controller.
+			introduced := c.post(func() {
+				c.introduce(conn)
+				c.links.opened(address, conn)
+			})
+			if !introduced {
+				conn.Close()
+			}
 		},
 		Handle: func(conn *stream.Conn, kind stream.Kind, body []byte) {
 			c.receiveAnswer(address, kind, body)
