Drop the list of balancers that feeds carried and nothing read

Cause: controllers told balancers of the others in their failure domain, for shared counts that were not built; the list was made and sorted anew on each event. With it go the balancer's link address in its subscription, the address of a connection's other end and the count of a broadcast, which nothing used. Behaviour is as before; tests of balancer, stream and controller pass.

--- a/internal/process/balancer/balancer.go
+++ b/internal/process/balancer/balancer.go
@@ -6,14 +6,12 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/netip"
 	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
 	"heatherport/internal/connection/affinity"
-	"heatherport/internal/process/controller"
 	"heatherport/internal/process/logging"
 	"heatherport/internal/process/metrics"
 	"heatherport/internal/process/settings"
@@ -55,7 +53,6 @@
 	metrics   *metrics.Balancer
 	name      string
 	domain    string
-	link      netip.AddrPort
 	lifetime  time.Duration
 	grace     time.Duration
 	started   time.Time
@@ -73,7 +70,6 @@
 	directory *directory.Directory
 	table     *routing.Table
 	former    *routing.Former
-	peers     []controller.Peer
 	fedSince  time.Duration // when routes first came
 	reviewed  time.Duration
 	published time.Duration
@@ -85,7 +81,7 @@
 func New(cfg Config) *Balancer {
 	s := cfg.Settings
 	b := &Balancer{
-		log: cfg.Log, metrics: cfg.Metrics, name: s.VM.Name, domain: s.VM.Domain, link: s.Link.Advertise,
+		log: cfg.Log, metrics: cfg.Metrics, name: s.VM.Name, domain: s.VM.Domain,
 		lifetime: s.Lifetime, grace: s.VM.StopTimeout,
 		started:   time.Now(),
 		events:    make(chan func(), eventQueue),
--- a/internal/process/balancer/feeds.go
+++ b/internal/process/balancer/feeds.go
@@ -146,7 +146,7 @@
 }
 
 func (b *Balancer) subscribe(conn *stream.Conn) {
-	frame, err := stream.Encode(controller.KindSubscribe, controller.Subscribe{Name: b.name, Domain: b.domain, Link: b.link})
+	frame, err := stream.Encode(controller.KindSubscribe, controller.Subscribe{Name: b.name, Domain: b.domain})
 	if err != nil {
 		b.log.Error("subscription not encoded", "error", err)
 		return
@@ -188,9 +188,6 @@
 	for _, c := range m.Controllers {
 		b.learn(c.Link, c.Domain)
 	}
-	if m.Peers != nil {
-		b.peers = m.Peers
-	}
 	b.changed = true
 }
 
--- a/internal/process/controller/exchange.go
+++ b/internal/process/controller/exchange.go
@@ -7,15 +7,14 @@
 	"heatherport/internal/version/raft"
 )
 
-// broadcast sends a message to all controllers and returns how many have an
-// open connection.
-func (c *Controller) broadcast(kind stream.Kind, message any) int {
+// broadcast sends a message to all controllers.
+func (c *Controller) broadcast(kind stream.Kind, message any) {
 	frame, err := stream.Encode(kind, message)
 	if err != nil {
 		c.log.Error("message not encoded", "kind", kind, "error", err)
-		return 0
+		return
 	}
-	return c.links.broadcast(frame)
+	c.links.broadcast(frame)
 }
 
 // share sends what changed in the directory to the other controllers.
--- a/internal/process/controller/feed.go
+++ b/internal/process/controller/feed.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 
 	"heatherport/internal/process/stream"
 	"heatherport/internal/version/routing"
@@ -16,7 +15,6 @@
 	table     *routing.Table
 	confirmed bool
 	contacts  []Member
-	peers     []Peer
 }
 
 func (c *Controller) subscribe(conn *stream.Conn, s Subscribe) {
@@ -40,7 +38,6 @@
 	}
 	confirmed := c.consensus.Standing().Leader != ""
 	known := append(c.contacts.members(contactAge), c.member())
-	peers := c.domainPeers()
 	for conn, s := range c.subscribers {
 		f := Feed{Confirmed: confirmed}
 		changed := !s.started || s.confirmed != confirmed
@@ -56,11 +53,6 @@
 			f.Controllers = known
 			changed = true
 		}
-		if p := peers[s.Domain]; !slices.Equal(s.peers, p) {
-			f.Peers = p
-			s.peers = p
-			changed = true
-		}
 		if !changed {
 			continue
 		}
@@ -68,15 +60,3 @@
 		c.reply(conn, KindFeed, f)
 	}
 }
-
-// domainPeers returns the balancers that subscribed here by failure domain.
-func (c *Controller) domainPeers() map[string][]Peer {
-	out := make(map[string][]Peer)
-	for _, s := range c.subscribers {
-		out[s.Domain] = append(out[s.Domain], Peer(s.Subscribe))
-	}
-	for _, peers := range out {
-		slices.SortFunc(peers, func(a, b Peer) int { return strings.Compare(a.Name, b.Name) })
-	}
-	return out
-}
--- a/internal/process/controller/message.go
+++ b/internal/process/controller/message.go
@@ -66,16 +66,8 @@
 
 // Subscribe introduces a balancer.
 type Subscribe struct {
-	Name   string         `cbor:"1,keyasint"`
-	Domain string         `cbor:"2,keyasint"`
-	Link   netip.AddrPort `cbor:"3,keyasint"`
-}
-
-// Peer is a balancer as other balancers know it.
-type Peer struct {
-	Name   string         `cbor:"1,keyasint"`
-	Domain string         `cbor:"2,keyasint"`
-	Link   netip.AddrPort `cbor:"3,keyasint"`
+	Name   string `cbor:"1,keyasint"`
+	Domain string `cbor:"2,keyasint"`
 }
 
 // Feed carries what changed since the last feed on the same connection; the
@@ -87,5 +79,4 @@
 	Routes      *routing.Delta     `cbor:"2,keyasint,omitempty"`
 	Upstreams   []directory.Record `cbor:"3,keyasint,omitempty"`
 	Controllers []Member           `cbor:"4,keyasint,omitempty"`
-	Peers       []Peer             `cbor:"6,keyasint,omitempty"` // balancers; nil when unchanged
 }
--- a/internal/process/stream/stream.go
+++ b/internal/process/stream/stream.go
@@ -100,15 +100,6 @@
 	})
 }
 
-// Remote returns the address of the other end.
-func (c *Conn) Remote() netip.AddrPort {
-	a, err := netip.ParseAddrPort(c.conn.RemoteAddr().String())
-	if err != nil {
-		return netip.AddrPort{}
-	}
-	return a
-}
-
 // Handler takes the messages of a connection, one at a time.
 type Handler func(c *Conn, kind Kind, body []byte)
 
