Suspect upstreams by requests, and share suspicions through controllers

And a balancer of 73 meets one of 120 upstreams once in 7 s, so that its own experience comes too late. Ruled out: finer load counts, as upstreams there have one connection at a time; health checks, which say nothing about such upstreams and are priced. Change: a balancer times requests by the caller's acknowledgements. One waiting longer than the route's objective and four times the average is overdue, an opening that nothing follows was reset; both suspect the upstream, at most a third of a service. Two balancers within 2 s make controllers tell all balancers for 5 s. Answer times are a histogram.

--- a/internal/connection/affinity/affinity.go
+++ b/internal/connection/affinity/affinity.go
@@ -21,7 +21,6 @@
 import (
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"time"
 
 	"heatherport/internal/result"
@@ -53,9 +52,12 @@
 	// Opened is the time from the first opening packet to this one, the first
 	// after opening; zero for other packets.
 	Opened time.Duration
-	// Suspected and Cleared are upstreams about which the packet changed what
-	// the engine believes; zero for none.
-	Suspected, Cleared uint32
+	// Answered is the time from a request to the acknowledgement of its answer
+	// by this packet; zero for other packets.
+	Answered time.Duration
+	// Cleared is the cookie of an upstream that the packet cleared of a
+	// suspicion; zero for none.
+	Cleared uint32
 }
 
 // Choice tells how an upstream was chosen.
@@ -84,10 +86,6 @@
 	// covers the longest gap between retransmissions. A connection that may
 	// have opened at one of several upstreams is kept for its whole life.
 	forgetAfter = 4 * time.Second
-	// suspicionTime is how long an upstream that left an opening packet
-	// unanswered gets no new connections while others are there. Measured: 2
-	// to 4 s are alike.
-	suspicionTime = 2 * time.Second
 	// maxTried bounds the upstreams that the copies of one opening packet
 	// reach; a caller sends two copies.
 	maxTried = 3
@@ -105,6 +103,10 @@
 	counted  bool
 	begun    time.Duration // first opening packet
 	touched  time.Duration // last packet
+
+	asked     time.Duration // first packet of a request without an answer; zero for none
+	askedAck  uint32        // what the caller had acknowledged by then
+	suspected bool          // the pending request or opening spoke against the upstream
 }
 
 // Engine places and forwards. It is not safe for concurrent use.
@@ -112,18 +114,16 @@
 	cfg       Config
 	table     map[key]*entry
 	upstreams map[uint32]*gauge
-}
-
-// gauge is what the engine observes of an upstream.
-type gauge struct {
-	open      int // connections counted here
-	suspected time.Duration
-	isSuspect bool
+	answers   map[netip.AddrPort]*answerTime // by address of the service
+	observed  []Suspicion                    // since the last Tick
 }
 
 // New returns an engine with an empty table.
 func New(cfg Config) *Engine {
-	return &Engine{cfg: cfg, table: make(map[key]*entry), upstreams: make(map[uint32]*gauge)}
+	return &Engine{
+		cfg: cfg, table: make(map[key]*entry), upstreams: make(map[uint32]*gauge),
+		answers: make(map[netip.AddrPort]*answerTime),
+	}
 }
 
 // Len returns the number of connections in the table.
@@ -177,10 +177,10 @@
 	if c.pinned {
 		return forwardTo(v, p, u)
 	}
-	verdict := Verdict{}
-	if p.Copies > 0 && e.suspect(now, c.cookie) {
-		verdict.Suspected = c.cookie
+	if p.Copies > 0 {
+		e.suspect(now, c, key{p.Caller, p.Service}, Unanswered)
 	}
+	verdict := Verdict{}
 	if len(c.tried) < maxTried {
 		if other, choice := e.choose(now, v, c.service, c.tried); other != nil && !e.isSuspect(now, other.Cookie) {
 			u = other
@@ -230,6 +230,7 @@
 		opened = now - c.begun
 	}
 	c.touched = now
+	answered := e.timeAnswer(now, c, p)
 	switch {
 	case p.Ending, p.Reset:
 		e.uncount(c)
@@ -238,6 +239,7 @@
 	}
 	verdict := forwardTo(v, p, v.Upstream(c.cookie))
 	verdict.Opened = opened
+	verdict.Answered = answered
 	verdict.Cleared = cleared
 	return verdict
 }
@@ -251,8 +253,8 @@
 		e.count(c)
 	}
 	c.pinned = true
-	if g := e.gauge(c.cookie); g.isSuspect {
-		g.isSuspect = false
+	if g := e.gauge(c.cookie); g.cause == Unanswered || g.cause == Abandoned {
+		g.cause = 0
 		return c.cookie
 	}
 	return 0
@@ -268,15 +270,6 @@
 	c.touched = now
 }
 
-func (e *Engine) gauge(cookie uint32) *gauge {
-	g := e.upstreams[cookie]
-	if g == nil {
-		g = &gauge{}
-		e.upstreams[cookie] = g
-	}
-	return g
-}
-
 func (e *Engine) count(c *entry) {
 	if !c.counted {
 		c.counted = true
@@ -296,23 +289,9 @@
 	delete(e.table, k)
 }
 
-// suspect notes that an upstream left an opening packet unanswered. It reports
-// whether that was not known.
-func (e *Engine) suspect(now time.Duration, cookie uint32) (isNew bool) {
-	g := e.gauge(cookie)
-	isNew = !e.isSuspect(now, cookie)
-	g.isSuspect = true
-	g.suspected = now
-	return isNew
-}
-
-func (e *Engine) isSuspect(now time.Duration, cookie uint32) bool {
-	g := e.upstreams[cookie]
-	return g != nil && g.isSuspect && now-g.suspected < suspicionTime
-}
-
-// Tick lets idle connections go.
-func (e *Engine) Tick(now time.Duration) {
+// Tick lets idle connections go and returns what spoke against upstreams since
+// the last one.
+func (e *Engine) Tick(now time.Duration, v *View) []Suspicion {
 	for k, c := range e.table {
 		switch idle := now - c.touched; {
 		case idle > e.cfg.Lifetime, idle > forgetAfter && len(c.tried) < 2:
@@ -320,64 +299,14 @@
 		case idle > idleCount:
 			e.uncount(c)
 		}
+		e.review(now, v, k, c)
 	}
 	for cookie, g := range e.upstreams {
 		if g.open == 0 && !e.isSuspect(now, cookie) {
 			delete(e.upstreams, cookie)
 		}
 	}
-}
-
-// choose returns the eligible upstream of a service with the least load, or
-// nil. Upstreams under suspicion or without announcements are taken only when
-// there is no other.
-func (e *Engine) choose(now time.Duration, v *View, service string, except []uint32) (*Upstream, *Choice) {
-	var best *Upstream
-	bestRank := rank{}
-	candidates := 0
-	for _, u := range v.byService[service] {
-		if slices.Contains(except, u.Cookie) {
-			continue
-		}
-		candidates++
-		r := e.rank(now, u)
-		if best == nil || r.less(bestRank) {
-			best, bestRank = u, r
-		}
-	}
-	return best, &Choice{Service: service, Candidates: candidates, Doubt: bestRank.doubt, Load: bestRank.load, Tried: len(except)}
-}
-
-// rank orders upstreams for a choice; the lowest is taken.
-type rank struct {
-	doubt   int     // reasons to believe that it does not answer
-	load    float64 // open connections a slot
-	distant bool    // in another failure domain
-	tie     uint32
-}
-
-func (r rank) less(o rank) bool {
-	switch {
-	case r.doubt != o.doubt:
-		return r.doubt < o.doubt
-	case r.load != o.load:
-		return r.load < o.load
-	case r.distant != o.distant:
-		return o.distant
-	}
-	return r.tie < o.tie
-}
-
-func (e *Engine) rank(now time.Duration, u *Upstream) rank {
-	r := rank{distant: u.Domain != e.cfg.Domain, tie: e.cfg.Rand.Uint32()}
-	if e.isSuspect(now, u.Cookie) {
-		r.doubt++
-	}
-	if u.Lapsed {
-		r.doubt++
-	}
-	if g := e.upstreams[u.Cookie]; g != nil {
-		r.load = float64(g.open) / float64(max(u.Slots, 1))
-	}
-	return r
+	out := e.observed
+	e.observed = nil
+	return out
 }
--- a/internal/connection/affinity/affinity_test.go
+++ b/internal/connection/affinity/affinity_test.go
@@ -256,7 +256,7 @@
 	e := newEngine(1)
 	u := e.Decide(0, f.view(), opening(0)).Upstream
 	must.Eq(t, 1, e.gauge(u.Cookie).open)
-	e.Tick(idleCount + 1)
+	e.Tick(idleCount+1, f.view())
 	must.Eq(t, 0, e.gauge(u.Cookie).open)
 	e.Decide(idleCount+2, f.view(), data(u.Cookie))
 	must.Eq(t, 1, e.gauge(u.Cookie).open)
@@ -264,7 +264,7 @@
 	end.Ending = true
 	e.Decide(idleCount+3, f.view(), end)
 	must.Eq(t, 0, e.gauge(u.Cookie).open)
-	e.Tick(idleCount + forgetAfter + 4)
+	e.Tick(idleCount+forgetAfter+4, f.view())
 	must.Eq(t, 0, e.Len())
 	must.MapEmpty(t, e.upstreams)
 }
--- a/internal/connection/affinity/stateful_test.go
+++ b/internal/connection/affinity/stateful_test.go
@@ -199,7 +199,7 @@
 func (w *world) tick(t *rapid.T) {
 	w.now += time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond
 	for _, e := range w.engines {
-		e.Tick(w.now)
+		e.Tick(w.now, w.view())
 	}
 }
 
--- /dev/null
+++ b/internal/connection/affinity/suspicion_test.go
@@ -0,0 +1,187 @@
+package affinity
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+const (
+	// usualAnswer is the time that upstreams of these tests take.
+	usualAnswer = 50 * time.Millisecond
+	tick        = 100 * time.Millisecond
+)
+
+// callers drive connections with one request each through an engine.
+type callers struct {
+	t *testing.T
+	*fixture
+	*Engine
+	now  time.Duration
+	port uint16
+}
+
+func newCallers(t *testing.T, upstreams int) *callers {
+	c := &callers{t: t, fixture: newFixture(upstreams, 0), Engine: newEngine(1), now: time.Second, port: 1000}
+	for range answerSamples {
+		c.answer(c.ask(), usualAnswer)
+	}
+	return c
+}
+
+// packet is one of the latest connection.
+func (c *callers) packet(port uint16, p Packet) Verdict {
+	p.Caller, p.Service = netip.AddrPortFrom(callerAddr.Addr(), port), permitsAddr
+	return c.Decide(c.now, c.view(), &p)
+}
+
+// open sends an opening packet and returns the upstream.
+func (c *callers) open() (port uint16, u *Upstream) {
+	c.port++
+	u = c.packet(c.port, Packet{Opening: true, Sequence: 1}).Upstream
+	must.NotNil(c.t, u)
+	return c.port, u
+}
+
+// asked is a connection whose request waits.
+type asked struct {
+	port     uint16
+	upstream *Upstream
+	at       time.Duration
+}
+
+// ask opens a connection and sends a request in two packets.
+func (c *callers) ask() asked {
+	port, u := c.open()
+	c.packet(port, Packet{Cookie: u.Cookie, Sequence: 2, Acknowledged: 501, Length: 100})
+	c.packet(port, Packet{Cookie: u.Cookie, Sequence: 102, Acknowledged: 501, Length: 100})
+	return asked{port: port, upstream: u, at: c.now}
+}
+
+// answer lets the caller acknowledge an answer and end the connection.
+func (c *callers) answer(a asked, after time.Duration) {
+	c.now = a.at + after
+	got := c.packet(a.port, Packet{Cookie: a.upstream.Cookie, Acknowledged: 1501, Ending: true})
+	must.Eq(c.t, after, got.Answered)
+}
+
+func (c *callers) tick(after time.Duration) []Suspicion {
+	c.now += after
+	return c.Tick(c.now, c.view())
+}
+
+// share returns how many of n new connections reach an upstream.
+func (c *callers) share(u *Upstream, n int) (found int) {
+	for range n {
+		port, got := c.open()
+		if got.ID == u.ID {
+			found++
+		}
+		c.packet(port, Packet{Cookie: got.Cookie, Ending: true})
+	}
+	return found
+}
+
+func TestUpstreamWithAnOverdueAnswerIsAvoided(t *testing.T) {
+	c := newCallers(t, 6)
+	must.SliceEmpty(t, c.tick(tick))
+	a := c.ask()
+	must.SliceEmpty(t, c.tick(usualAnswer))
+	got := c.tick(overdueFactor * usualAnswer)
+	must.Len(t, 1, got)
+	must.Eq(t, Suspicion{
+		Upstream: a.upstream.Cookie, Cause: Overdue, Service: permitsAddr, Waited: (overdueFactor + 1) * usualAnswer,
+		Caller: netip.AddrPortFrom(callerAddr.Addr(), a.port),
+	}, got[0])
+	must.SliceEmpty(t, c.tick(tick))
+	must.Eq(t, 0, c.share(a.upstream, 60))
+	c.tick(suspicionTime)
+	must.Positive(t, c.share(a.upstream, 60))
+}
+
+func TestAnswersThatComeInTimeAreNoReason(t *testing.T) {
+	c := newCallers(t, 6)
+	a := c.ask()
+	c.answer(a, 3*usualAnswer)
+	must.SliceEmpty(t, c.tick(time.Second))
+	// A caller that ends its connection waits no longer.
+	a = c.ask()
+	c.packet(a.port, Packet{Cookie: a.upstream.Cookie, Acknowledged: 501, Ending: true})
+	must.SliceEmpty(t, c.tick(time.Second))
+}
+
+func TestObjectiveOfTheRouteExtendsPatience(t *testing.T) {
+	c := newCallers(t, 6)
+	c.routes.Route(permitsAddr).Objective = time.Second
+	c.ask()
+	must.SliceEmpty(t, c.tick(900*time.Millisecond))
+	must.Len(t, 1, c.tick(200*time.Millisecond))
+}
+
+func TestAverageOfAnswersIsNeededFirst(t *testing.T) {
+	c := &callers{t: t, fixture: newFixture(6, 0), Engine: newEngine(1), now: time.Second, port: 1000}
+	c.ask()
+	must.SliceEmpty(t, c.tick(time.Second))
+}
+
+func TestOpeningThatNothingFollowsIsAReason(t *testing.T) {
+	c := newCallers(t, 6)
+	_, u := c.open()
+	must.SliceEmpty(t, c.tick(abandonTime))
+	got := c.tick(tick)
+	must.Len(t, 1, got)
+	must.Eq(t, Abandoned, got[0].Cause)
+	must.Eq(t, u.Cookie, got[0].Upstream)
+	must.Eq(t, 0, c.share(u, 60))
+	must.SliceEmpty(t, c.tick(0))
+}
+
+// Where most upstreams are slow none is avoided: the service is overloaded.
+func TestSlowServiceKeepsAllUpstreams(t *testing.T) {
+	c := newCallers(t, 6)
+	var waiting []asked
+	for range 6 {
+		waiting = append(waiting, c.ask())
+	}
+	must.Len(t, 6, c.tick(overdueFactor*usualAnswer+tick))
+	reached := 0
+	for _, a := range waiting {
+		if c.share(a.upstream, 60) > 0 {
+			reached++
+		}
+	}
+	must.Eq(t, 6, reached)
+}
+
+func TestDoubtOfOthersIsHeeded(t *testing.T) {
+	c := newCallers(t, 6)
+	c.fixture.upstreams[2].Doubted = true
+	must.Eq(t, 0, c.share(&c.fixture.upstreams[2], 60))
+	for i := range c.fixture.upstreams {
+		c.fixture.upstreams[i].Doubted = i < 3
+	}
+	must.Positive(t, c.share(&c.fixture.upstreams[2], 60))
+}
+
+func TestTimeWithoutReadingIsExcused(t *testing.T) {
+	c := newCallers(t, 6)
+	c.ask()
+	c.open()
+	c.now += time.Second
+	c.Excuse()
+	must.SliceEmpty(t, c.tick(tick))
+	c.ask()
+	must.Len(t, 1, c.tick(overdueFactor*usualAnswer+tick))
+}
+
+func TestAnswerClearsSilentUpstream(t *testing.T) {
+	c := newCallers(t, 2)
+	port, u := c.open()
+	c.tick(abandonTime + tick)
+	must.True(t, c.isSuspect(c.now, u.Cookie))
+	got := c.packet(port, Packet{Cookie: u.Cookie, Sequence: 2, Acknowledged: 501, Length: 100})
+	must.Eq(t, u.Cookie, got.Cleared)
+	must.False(t, c.isSuspect(c.now, u.Cookie))
+}
--- a/internal/process/balancer/balancer.go
+++ b/internal/process/balancer/balancer.go
@@ -188,7 +188,7 @@
 func (b *Balancer) tick() {
 	b.directory.Tick(b.now())
 	b.reviewFeeds()
-	b.forwarder.tick()
+	b.takeSuspicions(b.forwarder.tick())
 	b.measure()
 	if now := b.now(); !b.ready.Load() || now-b.published > publishInterval {
 		b.changed = true
@@ -230,6 +230,7 @@
 			Ended:  e.State == directory.Gone && now-e.Ended > endedTime,
 		}
 		out[i].Lapsed = b.isLapsed(e.ID)
+		out[i].Doubted = b.isDoubted(e.ID)
 	}
 	return out
 }
--- a/internal/process/balancer/feeds.go
+++ b/internal/process/balancer/feeds.go
@@ -47,8 +47,10 @@
 	confirmed   bool
 	unconfirmed time.Duration // since when
 	opened      time.Duration
-	table       *routing.Table  // base of the next delta
-	lapsed      map[string]bool // by upstream, as this controller sees it
+	table       *routing.Table // base of the next delta
+	// lapsed and doubted are by upstream, as this controller sees it.
+	lapsed  map[string]bool
+	doubted map[string]bool
 }
 
 // fillFeeds opens feeds up to their number. An attempt that takes long does
@@ -116,7 +118,7 @@
 
 func (b *Balancer) openFeed(s *source) {
 	ctx, cancel := context.WithCancel(b.ctx)
-	f := &feed{source: s, cancel: cancel, lapsed: make(map[string]bool), unconfirmed: b.now(), opened: b.now()}
+	f := &feed{source: s, cancel: cancel, lapsed: make(map[string]bool), doubted: make(map[string]bool), unconfirmed: b.now(), opened: b.now()}
 	s.inUse = true
 	b.feeds = append(b.feeds, f)
 	go stream.Connect(ctx, s.address, stream.Events{
@@ -179,11 +181,11 @@
 		b.takeRoutes(f, *m.Routes)
 	}
 	for _, r := range m.Upstreams {
-		if b.directory.Merge(now, r) || f.lapsed[r.ID] != r.Lapsed {
+		if b.directory.Merge(now, r) || f.lapsed[r.ID] != r.Lapsed || f.doubted[r.ID] != r.Doubted {
 			b.log.Info("upstream changed", "upstream", r.ID, "service", r.Service, "address", r.Address, "state", r.State.String(),
-				"lapsed", r.Lapsed, "born", r.Born, "seq", r.Seq, "controller", f.source.address)
+				"lapsed", r.Lapsed, "doubted", r.Doubted, "born", r.Born, "seq", r.Seq, "controller", f.source.address)
 		}
-		f.lapsed[r.ID] = r.Lapsed
+		f.lapsed[r.ID], f.doubted[r.ID] = r.Lapsed, r.Doubted
 	}
 	for _, c := range m.Controllers {
 		b.learn(c.Link, c.Domain)
--- a/internal/process/balancer/feeds_test.go
+++ b/internal/process/balancer/feeds_test.go
@@ -34,6 +34,7 @@
 	stop       context.CancelFunc
 	listener   net.Listener
 	subscribed chan *stream.Conn
+	doubts     chan controller.Doubts
 }
 
 // fakes starts controllers at one port and several addresses.
@@ -47,10 +48,14 @@
 		l, err := net.Listen("tcp", address.String())
 		must.NoError(t, err)
 		ctx, cancel := context.WithCancel(context.Background())
-		f := &fakeController{t: t, address: address, stop: cancel, listener: l, subscribed: make(chan *stream.Conn, 10)}
-		go stream.Serve(ctx, l, stream.Events{Handle: func(c *stream.Conn, kind stream.Kind, _ []byte) {
-			if kind == controller.KindSubscribe {
+		f := &fakeController{t: t, address: address, stop: cancel, listener: l, subscribed: make(chan *stream.Conn, 10), doubts: make(chan controller.Doubts, 10)}
+		go stream.Serve(ctx, l, stream.Events{Handle: func(c *stream.Conn, kind stream.Kind, body []byte) {
+			var d controller.Doubts
+			switch {
+			case kind == controller.KindSubscribe:
 				f.subscribed <- c
+			case kind == controller.KindDoubts && stream.Decode(body, &d) == nil:
+				f.doubts <- d
 			}
 		}})
 		t.Cleanup(f.end)
@@ -221,6 +226,73 @@
 	eventually(t, "heard again", func() bool { return !lapsed() })
 }
 
+func TestSuspicionsReachAllFeeds(t *testing.T) {
+	f := fakes(t, 2)
+	b := startBalancer(t, f...)
+	for _, c := range f {
+		c.feed(wholeFeed(t, 1, true))
+	}
+	eventually(t, "two feeds", func() bool { return b.openFeeds() == 2 })
+	suspicions := []affinity.Suspicion{{Upstream: 7, Cause: affinity.Overdue}, {Upstream: 9, Cause: affinity.Abandoned}}
+	b.post(func() { b.takeSuspicions(suspicions) })
+	for _, c := range f {
+		select {
+		case got := <-c.doubts:
+			must.Eq(t, controller.Doubts{Tags: []uint32{7, 9}}, got)
+		case <-time.After(waitTimeout):
+			t.Fatal("no doubts")
+		}
+	}
+	// While routers let go, silence says nothing about upstreams.
+	b.stopping.Store(true)
+	done := make(chan struct{})
+	b.post(func() {
+		b.takeSuspicions(suspicions)
+		close(done)
+	})
+	<-done
+	time.Sleep(50 * time.Millisecond)
+	must.Eq(t, 0, len(f[0].doubts))
+}
+
+// openFeeds asks the control goroutine.
+func (b *Balancer) openFeeds() int {
+	count := make(chan int)
+	b.post(func() {
+		n := 0
+		for _, f := range b.feeds {
+			if f.conn != nil {
+				n++
+			}
+		}
+		count <- n
+	})
+	return <-count
+}
+
+func TestDoubtOfOneControllerIsHeeded(t *testing.T) {
+	f := fakes(t, 2)
+	b := startBalancer(t, f...)
+	m := wholeFeed(t, 1, true)
+	m.Upstreams = []directory.Record{upstreamRecord(false)}
+	first := f[0].feed(m)
+	f[1].feed(m)
+	doubted := func(want bool) func() bool {
+		return func() bool {
+			r := upstreamRecord(false)
+			u := b.view.Load().Upstream(r.Tag())
+			return u != nil && u.Doubted == want
+		}
+	}
+	eventually(t, "the upstream", doubted(false))
+	r := upstreamRecord(false)
+	r.Doubted = true
+	f[0].send(first, controller.Feed{Confirmed: true, Upstreams: []directory.Record{r}})
+	eventually(t, "the doubt", doubted(true))
+	f[0].send(first, controller.Feed{Confirmed: true, Upstreams: []directory.Record{upstreamRecord(false)}})
+	eventually(t, "no doubt", doubted(false))
+}
+
 func TestSilentControllerDoesNotHoldUpTheNextAttempt(t *testing.T) {
 	f := fakes(t, 1)
 	// Nothing listens there; the address stands for a VM that is down.
--- a/internal/process/balancer/forwarder.go
+++ b/internal/process/balancer/forwarder.go
@@ -70,15 +70,20 @@
 	return f.started.Add(time.Duration(f.last.Load()))
 }
 
-func (f *forwarder) tick() {
-	if gap := f.stall.tick(f.clock()); gap > 0 {
+// tick does the periodic work. It returns what spoke against upstreams.
+func (f *forwarder) tick() []affinity.Suspicion {
+	gap := f.stall.tick(f.clock())
+	if gap > 0 {
 		f.log.Warn("stood still", "for", gap)
 	}
 	f.mu.Lock()
-	f.engine.Tick(time.Since(f.started))
-	n := f.engine.Len()
-	f.mu.Unlock()
-	f.metrics.Connections.Set(float64(n))
+	defer f.mu.Unlock()
+	if gap > 0 {
+		f.engine.Excuse()
+	}
+	suspicions := f.engine.Tick(time.Since(f.started), f.view.Load())
+	f.metrics.Connections.Set(float64(f.engine.Len()))
+	return suspicions
 }
 
 func (f *forwarder) run() {
--- a/internal/process/balancer/report.go
+++ b/internal/process/balancer/report.go
@@ -1,13 +1,16 @@
 package balancer
 
 import (
+	"net/netip"
 	"time"
 
 	"heatherport/internal/connection/affinity"
 )
 
 // flowID names a connection in log lines.
-func flowID(p *affinity.Packet) string { return p.Caller.String() + ">" + p.Service.String() }
+func flowID(p *affinity.Packet) string { return flowOf(p.Caller, p.Service) }
+
+func flowOf(caller, service netip.AddrPort) string { return caller.String() + ">" + service.String() }
 
 // report logs and counts what the engine decided about a connection or came to
 // believe of an upstream. Packets that only follow their cookie leave no line.
@@ -15,10 +18,6 @@
 	if p.Opening && p.Copies > 0 {
 		f.metrics.Copies.Inc()
 	}
-	if v.Suspected != 0 {
-		f.metrics.Suspicions.Inc()
-		f.log.Info("upstream suspected", "upstream", name(view, v.Suspected), "flow", flowID(p), "copies", p.Copies)
-	}
 	if v.Cleared != 0 {
 		f.log.Info("upstream answers again", "upstream", name(view, v.Cleared), "flow", flowID(p))
 	}
@@ -34,6 +33,9 @@
 	if v.Opened > 0 {
 		f.metrics.OpenTime.Observe(v.Opened.Seconds())
 	}
+	if v.Answered > 0 {
+		f.metrics.AnswerTime.Observe(v.Answered.Seconds())
+	}
 	if v.Refuse && f.flows.Allow(time.Now()) {
 		number := uint64(0)
 		if view.Routes != nil {
--- a/internal/process/controller/exchange.go
+++ b/internal/process/controller/exchange.go
@@ -140,6 +140,11 @@
 		if c.decode(body, &r) {
 			c.post(func() { c.directory.Renew(c.now(), r.Tags) })
 		}
+	case KindDoubts:
+		var d Doubts
+		if c.decode(body, &d) {
+			c.post(func() { c.takeDoubts(conn, d) })
+		}
 	case KindSubmit:
 		var s Submit
 		if c.decode(body, &s) {
@@ -206,3 +211,20 @@
 	c.broadcast(KindRenewals, Renewals{Tags: c.renewed})
 	c.renewed = nil
 }
+
+// takeDoubts takes what a balancer, or another controller, tells of upstreams.
+func (c *Controller) takeDoubts(conn *stream.Conn, d Doubts) {
+	if d.Balancer == "" {
+		s := c.subscribers[conn]
+		if s == nil {
+			return // its subscription has ended
+		}
+		d.Balancer = s.Name
+		c.broadcast(KindDoubts, d)
+	}
+	for _, tag := range d.Tags {
+		if id, changed := c.directory.Doubt(c.now(), tag, d.Balancer); changed {
+			c.log.Info("upstream doubted", "upstream", id, "last", d.Balancer)
+		}
+	}
+}
--- a/internal/process/controller/group_test.go
+++ b/internal/process/controller/group_test.go
@@ -355,55 +355,100 @@
 	must.Eq(t, directory.Serving, f.stateAt(f.vms[0]))
 }
 
-// TestFeedCarriesChanges subscribes as a balancer does.
-func TestFeedCarriesChanges(t *testing.T) {
-	f := newFleet(t)
-	f.submit(f.vms[0], 1)
-	feeds := make(chan Feed, 100)
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go stream.Dial(ctx, f.vms[2].address, stream.Events{
+// fed is a balancer that a controller feeds.
+type fed struct {
+	t       *testing.T
+	feeds   chan Feed
+	open    chan *stream.Conn
+	table   *routing.Table
+	records map[string]directory.Record
+}
+
+// subscribe connects to a VM as a balancer does.
+func (f *fleet) subscribe(v *vm, name string) *fed {
+	b := &fed{t: f.t, feeds: make(chan Feed, 100), open: make(chan *stream.Conn, 1), records: make(map[string]directory.Record)}
+	go stream.Dial(f.t.Context(), v.address, stream.Events{
 		Open: func(c *stream.Conn) {
-			frame, err := stream.Encode(KindSubscribe, Subscribe{Name: "balancer-1", Domain: "a"})
+			frame, err := stream.Encode(KindSubscribe, Subscribe{Name: name, Domain: "a"})
 			if err == nil {
 				c.Send(frame)
 			}
+			b.open <- c
 		},
 		Handle: func(_ *stream.Conn, kind stream.Kind, body []byte) {
 			var m Feed
 			if kind == KindFeed && stream.Decode(body, &m) == nil {
-				feeds <- m
+				b.feeds <- m
 			}
 		},
 	})
-	var table *routing.Table
-	records := make(map[string]directory.State)
-	seen := func(what string, ok func() bool) {
-		t.Helper()
-		for !ok() {
-			select {
-			case m := <-feeds:
-				if m.Routes != nil {
-					next, err := table.Apply(*m.Routes)
-					must.NoError(t, err)
-					table = next
-				}
-				for _, r := range m.Upstreams {
-					records[r.ID] = r.State
-				}
-			case <-time.After(waitTimeout):
-				t.Fatalf("not in time: %s", what)
+	return b
+}
+
+// await takes feeds until ok.
+func (b *fed) await(what string, ok func() bool) {
+	b.t.Helper()
+	for !ok() {
+		select {
+		case m := <-b.feeds:
+			if m.Routes != nil {
+				next, err := b.table.Apply(*m.Routes)
+				must.NoError(b.t, err)
+				b.table = next
+			}
+			for _, r := range m.Upstreams {
+				b.records[r.ID] = r
 			}
+		case <-time.After(waitTimeout):
+			b.t.Fatalf("not in time: %s", what)
 		}
 	}
-	number := func(n uint64) func() bool { return func() bool { return table != nil && table.Number == n } }
-	seen("first routes", number(1))
+}
+
+func (b *fed) awaitState(s directory.State) {
+	b.t.Helper()
+	b.await(s.String(), func() bool { return b.records["i-1"].State == s })
+}
+
+func TestFeedCarriesChanges(t *testing.T) {
+	f := newFleet(t)
+	f.submit(f.vms[0], 1)
+	b := f.subscribe(f.vms[2], "balancer-1")
+	number := func(n uint64) func() bool { return func() bool { return b.table != nil && b.table.Number == n } }
+	b.await("first routes", number(1))
 	f.submit(f.vms[1], 5)
-	seen("new routes", number(5))
+	b.await("new routes", number(5))
 	f.announce(f.vms[0], directory.Serving, 1)
-	seen("upstream", func() bool { return records["i-1"] == directory.Serving })
+	b.awaitState(directory.Serving)
 	f.announce(f.vms[0], directory.Leaving, 2)
-	seen("leaving upstream", func() bool { return records["i-1"] == directory.Leaving })
+	b.awaitState(directory.Leaving)
+}
+
+// TestDoubtsOfBalancersMeet lets two balancers that different controllers feed
+// tell of the same upstream.
+func TestDoubtsOfBalancersMeet(t *testing.T) {
+	f := newFleet(t)
+	for i := range 3 {
+		r := announcement(directory.Serving, 1)
+		r.ID, r.Address = fmt.Sprint("i-", i+1), netip.AddrPortFrom(r.Address.Addr(), uint16(1000+i))
+		f.eventually("the announcement", func() bool {
+			_, err := f.vms[0].Announce(context.Background(), r)
+			return err == nil
+		})
+	}
+	first, second := f.subscribe(f.vms[1], "balancer-1"), f.subscribe(f.vms[2], "balancer-2")
+	for _, b := range []*fed{first, second} {
+		b.await("upstreams", func() bool { return len(b.records) == 3 })
+		conn := <-b.open
+		r := b.records["i-2"]
+		frame, err := stream.Encode(KindDoubts, Doubts{Tags: []uint32{r.Tag()}})
+		must.NoError(t, err)
+		must.True(t, conn.Send(frame))
+	}
+	for _, b := range []*fed{first, second} {
+		b.await("doubt", func() bool { return b.records["i-2"].Doubted })
+		must.False(t, b.records["i-1"].Doubted)
+	}
 }
 
 // TestOnlyTheNewestDocumentIsHandedOn counts the tables that a controller makes
--- a/internal/process/controller/message.go
+++ b/internal/process/controller/message.go
@@ -19,6 +19,7 @@
 	KindSubmitted                         // its answer: Submitted
 	KindSubscribe                         // balancer to controller: Subscribe
 	KindFeed                              // controller to balancer: Feed
+	KindDoubts                            // balancer to controller, and between controllers: Doubts
 )
 
 // Member is a controller as others know it.
@@ -80,3 +81,10 @@
 	Upstreams   []directory.Record `cbor:"3,keyasint,omitempty"`
 	Controllers []Member           `cbor:"4,keyasint,omitempty"`
 }
+
+// Doubts lists the tags of upstreams that a balancer found not to answer.
+type Doubts struct {
+	// Balancer is its name where a controller passes the message on.
+	Balancer string   `cbor:"1,keyasint,omitempty"`
+	Tags     []uint32 `cbor:"2,keyasint"`
+}
--- a/internal/process/metrics/programs.go
+++ b/internal/process/metrics/programs.go
@@ -52,10 +52,11 @@
 	Forwarded   prometheus.Counter
 	Placed      prometheus.Counter
 	Copies      prometheus.Counter
-	Suspicions  prometheus.Counter
+	Suspicions  *prometheus.CounterVec // by cause
 	FeedsLost   prometheus.Counter
 	LinesLeft   prometheus.Counter
 	OpenTime    prometheus.Histogram
+	AnswerTime  prometheus.Histogram
 	Connections prometheus.Gauge
 	Number      prometheus.Gauge
 	Feeds       prometheus.Gauge
@@ -73,10 +74,11 @@
 		Forwarded:   r.counter("cookie_packets_forwarded_total", "Packets forwarded to upstreams."),
 		Placed:      r.counter("cookie_connections_placed_total", "Connections for which an upstream was chosen."),
 		Copies:      r.counter("cookie_opening_copies_total", "Repeated opening packets."),
-		Suspicions:  r.counter("cookie_suspicions_total", "Upstreams that left an opening packet unanswered."),
+		Suspicions:  r.vector("cookie_suspicions_total", "Times that an upstream came under suspicion, by cause.", "cause"),
 		FeedsLost:   r.counter("feeds_lost_total", "Feeds from controllers that ended."),
 		LinesLeft:   r.counter("log_lines_left_out_total", "Log lines about connections beyond the rate."),
 		OpenTime:    r.histogram("cookie_open_seconds", "Time from the first opening packet to the caller's first packet after opening."),
+		AnswerTime:  r.histogram("cookie_answer_seconds", "Time from a request to the acknowledgement of its first answer bytes."),
 		Connections: r.gauge("cookie_connections", "Entries of the connection table."),
 		Number:      r.gauge("configuration_number", "Number of the configuration in force."),
 		Feeds:       r.gauge("feeds", "Feeds from controllers."),
--- a/internal/version/directory/directory.go
+++ b/internal/version/directory/directory.go
@@ -56,6 +56,8 @@
 	Cold time.Duration `cbor:"10,keyasint,omitempty"`
 	// Lapsed says that no announcement came for the lapse time.
 	Lapsed bool `cbor:"11,keyasint,omitempty"`
+	// Doubted says that several balancers lately found it not to answer.
+	Doubted bool `cbor:"12,keyasint,omitempty"`
 }
 
 // Tag returns the 32-bit tag of the incarnation that cookies carry.
@@ -91,6 +93,7 @@
 	Heard time.Duration // when it was last confirmed
 	Rev   uint64        // revision of the directory that changed it
 	Ended time.Duration // when it became Gone
+	doubt doubt
 }
 
 // Config bounds the memory of a Directory.
@@ -138,8 +141,8 @@
 // Merge takes a record from an announcement or from another controller. It
 // reports whether anything but its age and sequence number has changed.
 func (d *Directory) Merge(now time.Duration, r Record) (changed bool) {
-	// Whether an upstream has lapsed depends on who can hear it.
-	r.Lapsed = false
+	// Whether an upstream has lapsed or is doubted depends on who can hear it.
+	r.Lapsed, r.Doubted = false, false
 	old := d.entries[r.ID]
 	if old != nil && !r.supersedes(&old.Record) {
 		return false
@@ -221,6 +224,7 @@
 // Tick marks upstreams that fell silent and forgets those that ended long ago.
 func (d *Directory) Tick(now time.Duration) (changed bool) {
 	for id, e := range d.entries {
+		changed = d.reviewDoubt(now, e) || changed
 		switch {
 		case e.State == Gone:
 			if now-e.Ended > d.cfg.Forget {
--- a/internal/version/routing/routing.go
+++ b/internal/version/routing/routing.go
@@ -23,6 +23,8 @@
 	Address netip.AddrPort `cbor:"2,keyasint"`
 	Targets []Target       `cbor:"3,keyasint"`
 	Timeout time.Duration  `cbor:"4,keyasint"` // of a request
+	// Objective is the time within which requests are to be answered.
+	Objective time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
 // Allows reports whether the route sends connections to service.
@@ -50,7 +52,8 @@
 }
 
 func (r *Route) equal(o *Route) bool {
-	return r.Name == o.Name && r.Address == o.Address && slices.Equal(r.Targets, o.Targets) && r.Timeout == o.Timeout
+	return r.Name == o.Name && r.Address == o.Address && slices.Equal(r.Targets, o.Targets) &&
+		r.Timeout == o.Timeout && r.Objective == o.Objective
 }
 
 // Table is one version of the routes.
