Refuse new connections while a service answers late

Ruled out: uneven load (busiest upstream 1.05 of the mean); losses at balancers. Change: the time of answers in parts of the objective is the pressure of a service. From 0.5 on a window, moved by answers, bounds the open connections of a balancer; openings beyond it get a reset at once, copies never. Urgent routes have a wider window. Nothing is refused in the first 4 s after a start.

--- a/internal/connection/affinity/affinity.go
+++ b/internal/connection/affinity/affinity.go
@@ -47,6 +47,8 @@
 	Upstream *Upstream
 	Refuse   bool
 	Code     result.Code // cause when it is not forwarded
+	// Overload is set when an opening was refused for the load of its service.
+	Overload *Overload
 	// Choice is set when the packet was placed.
 	Choice *Choice
 	// Opened is the time from the first opening packet to this one, the first
@@ -115,6 +117,7 @@
 	table     map[key]*entry
 	upstreams map[uint32]*gauge
 	answers   map[netip.AddrPort]*answerTime // by address of the service
+	pressures map[string]*pressure           // by service
 	observed  []Suspicion                    // since the last Tick
 }
 
@@ -122,14 +125,14 @@
 func New(cfg Config) *Engine {
 	return &Engine{
 		cfg: cfg, table: make(map[key]*entry), upstreams: make(map[uint32]*gauge),
-		answers: make(map[netip.AddrPort]*answerTime),
+		answers: make(map[netip.AddrPort]*answerTime), pressures: make(map[string]*pressure),
 	}
 }
 
 // Len returns the number of connections in the table.
 func (e *Engine) Len() int { return len(e.table) }
 
-// Decide says where a packet goes at time now.
+// Decide says where a packet goes at time now, which begins with the process.
 func (e *Engine) Decide(now time.Duration, v *View, p *Packet) Verdict {
 	if p.Opening {
 		return e.open(now, v, p)
@@ -152,6 +155,10 @@
 		return refusal(result.RefusedNoRoute, v.Current && p.Copies == 0)
 	}
 	service := route.Service(e.cfg.Rand.Uint64())
+	// A copy may follow a packet that another balancer has forwarded.
+	if load := e.pressure(service); p.Copies == 0 && !load.admits(now, route) {
+		return Verdict{Code: result.RefusedOverloaded, Refuse: true, Overload: load.overload()}
+	}
 	u, choice := e.choose(now, v, service, nil)
 	if u == nil {
 		return refusal(result.RefusedNoUpstream, v.Current && p.Copies == 0)
@@ -230,7 +237,7 @@
 		opened = now - c.begun
 	}
 	c.touched = now
-	answered := e.timeAnswer(now, c, p)
+	answered := e.timeAnswer(now, v, c, p)
 	switch {
 	case p.Ending, p.Reset:
 		e.uncount(c)
@@ -274,6 +281,7 @@
 	if !c.counted {
 		c.counted = true
 		e.gauge(c.cookie).open++
+		e.pressure(c.service).open++
 	}
 }
 
@@ -281,6 +289,7 @@
 	if c.counted {
 		c.counted = false
 		e.gauge(c.cookie).open--
+		e.pressure(c.service).open--
 	}
 }
 
--- a/internal/connection/affinity/suspicion.go
+++ b/internal/connection/affinity/suspicion.go
@@ -86,7 +86,7 @@
 // timeAnswer notes requests and answers from the packets of a caller: data
 // begins a request, a higher acknowledgement is of its answer. It returns the
 // time that an answer took.
-func (e *Engine) timeAnswer(now time.Duration, c *entry, p *Packet) (took time.Duration) {
+func (e *Engine) timeAnswer(now time.Duration, v *View, c *entry, p *Packet) (took time.Duration) {
 	if c.asked != 0 && int32(p.Acknowledged-c.askedAck) > 0 {
 		a := e.answers[p.Service]
 		if a == nil {
@@ -95,6 +95,7 @@
 		}
 		took = now - c.asked
 		a.add(took)
+		e.noteAnswer(now, v.route(p.Service), c.service, took)
 		c.asked = 0
 	}
 	switch {
--- a/internal/process/balancer/report.go
+++ b/internal/process/balancer/report.go
@@ -37,11 +37,7 @@
 		f.metrics.AnswerTime.Observe(v.Answered.Seconds())
 	}
 	if v.Refuse && f.flows.Allow(time.Now()) {
-		number := uint64(0)
-		if view.Routes != nil {
-			number = view.Routes.Number
-		}
-		f.flows.Info("connection refused", "flow", flowID(p), "cause", v.Code.String(), "opening", p.Opening, "routes", number, "confirmed", view.Confirmed)
+		f.flows.Info("connection refused", refusalFields(view, p, v)...)
 	}
 	// A connection that took longer to open than callers wait before a copy is
 	// worth a line; so is the end of each.
@@ -50,6 +46,19 @@
 	}
 }
 
+// refusalFields are what decided a refusal.
+func refusalFields(view *affinity.View, p *affinity.Packet, v *affinity.Verdict) []any {
+	number := uint64(0)
+	if view.Routes != nil {
+		number = view.Routes.Number
+	}
+	fields := []any{"flow", flowID(p), "cause", v.Code.String(), "opening", p.Opening, "routes", number, "confirmed", view.Confirmed}
+	if o := v.Overload; o != nil {
+		fields = append(fields, "pressure", o.Pressure, "window", o.Window, "open", o.Open)
+	}
+	return fields
+}
+
 // slowOpening is the time after which callers repeat an opening packet.
 const slowOpening = 200 * time.Millisecond
 
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -98,6 +98,7 @@
 	DropNoCookie        Code = 721
 	RefusedNoRoute      Code = 722
 	DropStale           Code = 723
+	RefusedOverloaded   Code = 724
 
 	Internal      Code = 901
 	PromiseBroken Code = 902
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -92,6 +92,7 @@
 	{DropNoCookie, "drop_no_cookie", "packet of an open connection without a cookie", "none"},
 	{DropStale, "drop_stale", "opening packet that waited while the process stood still", "none; the caller retransmits"},
 	{RefusedNoRoute, "refused_no_route", "no route at this address", "check the routes"},
+	{RefusedOverloaded, "refused_overloaded", "the service answers late; nothing was run", "try again after a second; add upstreams"},
 
 	{PromiseBroken, "promise_broken", "the demo saw a promise broken", "report it"},
 	{Internal, "internal", "a defect in heatherport", "report it"},
--- a/internal/version/routing/routing.go
+++ b/internal/version/routing/routing.go
@@ -25,6 +25,8 @@
 	Timeout time.Duration  `cbor:"4,keyasint"` // of a request
 	// Objective is the time within which requests are to be answered.
 	Objective time.Duration `cbor:"5,keyasint,omitempty"`
+	// Priority orders routes under overload; zero is the most urgent.
+	Priority int `cbor:"6,keyasint,omitempty"`
 }
 
 // Allows reports whether the route sends connections to service.
@@ -53,7 +55,7 @@
 
 func (r *Route) equal(o *Route) bool {
 	return r.Name == o.Name && r.Address == o.Address && slices.Equal(r.Targets, o.Targets) &&
-		r.Timeout == o.Timeout && r.Objective == o.Objective
+		r.Timeout == o.Timeout && r.Objective == o.Objective && r.Priority == o.Priority
 }
 
 // Table is one version of the routes.
--- a/internal/version/routing/routing_test.go
+++ b/internal/version/routing/routing_test.go
@@ -105,3 +105,24 @@
 	_, err = none.Apply(Delta{From: 2, Number: 4})
 	must.Eq(t, result.VersionStale, result.CodeOf(err))
 }
+
+func TestDiffCarriesEachFieldOfARoute(t *testing.T) {
+	before := route(1)
+	old, err := New(1, 0, []string{"a", "b"}, []Route{before})
+	must.NoError(t, err)
+	for _, change := range []func(*Route){
+		func(r *Route) { r.Name = "other" },
+		func(r *Route) { r.Targets = []Target{{"b", 1}} },
+		func(r *Route) { r.Timeout++ },
+		func(r *Route) { r.Objective++ },
+		func(r *Route) { r.Priority++ },
+	} {
+		after := before
+		change(&after)
+		next, err := New(2, 0, []string{"a", "b"}, []Route{after})
+		must.NoError(t, err)
+		got, err := old.Apply(next.Diff(old))
+		must.NoError(t, err)
+		must.Eq(t, after, *got.Route(address(1)))
+	}
+}
