--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -180,7 +180,7 @@
 }
 
 func (c *caller) write(f *flow, p *packet) {
-	if b := c.w.routers.pick(f.from); b != nil {
+	if b := c.w.routers.pick(f.from); b != nil && !c.w.loses() {
 		_, _ = c.conn.WriteToUDPAddrPort(p.encode(), netip.AddrPortFrom(b.ip, packetPort)) // lost like any packet
 	}
 }
--- a/internal/soak/fault_test.go
+++ b/internal/soak/fault_test.go
@@ -74,6 +74,18 @@
 			c.start()
 		})
 	}},
+	{name: "lose packets", run: func(w *world) {
+		w.lossy.Store(true)
+		time.Sleep(w.span())
+		w.lossy.Store(false)
+	}},
+	{name: "let an upstream hang", run: func(w *world) {
+		if u := w.spare(draw(w, []string{"one", "two"})); u != nil {
+			u.hangs.Store(true)
+			time.Sleep(2 * w.span())
+			u.hangs.Store(false)
+		}
+	}},
 	{name: "crash an upstream", run: func(w *world) {
 		if u := w.spare("one"); u != nil {
 			u.crash()
--- a/internal/soak/upstream_test.go
+++ b/internal/soak/upstream_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -32,6 +33,7 @@
 	born    int64
 	conn    *net.UDPConn
 	cancel  context.CancelFunc
+	hangs   atomic.Bool // takes connections and answers no request
 
 	mu       sync.Mutex
 	flows    map[netip.AddrPort]*held
@@ -167,6 +169,7 @@
 		u.answer(p, &held{}, flagRST, nil)
 	case p.Flags&flagFIN != 0:
 		u.answer(p, h, flagACK, nil)
+	case len(p.data) > 0 && u.hangs.Load():
 	case len(p.data) > 0:
 		h.open = true
 		u.answer(p, h, flagACK, append([]byte(u.id+" "), p.data...))
@@ -186,6 +189,9 @@
 func (u *upstream) answer(p *packet, h *held, flags uint8, data []byte) {
 	a := newPacket(flags, p.to(), p.from(), data)
 	a.Seq, a.Ack, a.Echo = h.sequence, p.Seq, h.cookie
+	if u.w.loses() {
+		return
+	}
 	to := netip.AddrPortFrom(p.from().Addr(), u.returnTo)
 	_, _ = u.conn.WriteToUDPAddrPort(a.encode(), to) // lost like any packet
 }
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -61,8 +61,15 @@
 	nextID    uint64
 
 	asked, served atomic.Int64
+	lossy         atomic.Bool // packets of callers and upstreams are lost
 }
 
+// lossShare is the part of the packets that is lost.
+const lossShare = 0.1
+
+// loses reports whether the next packet is lost.
+func (w *world) loses() bool { return w.lossy.Load() && rand.Float64() < lossShare }
+
 // newWorld lays out addresses and folders. Each run has a network of its own
 // in the loopback range.
 func newWorld(t *testing.T, seed uint64) *world {
