Do not take pauses of callers for answer times

Cause: a caller that keeps its connection may acknowledge an answer only with its next request, so that its pause counted as the answer's time: requests were overdue, pressure rose and openings were refused. Ruled out: faults as the cause, as it went on after recovery; lost packets. Change: a packet with new data gives no answer time, and where a connection carries a second request, answers of that address are not timed for a minute. The soak's callers and upstreams count bytes in sequence and acknowledgement numbers as the platform's do; callers of the second route open a connection for each request. TestPausesOfCallersAreNoAnswerTimes failed before.

--- a/internal/connection/affinity/affinity.go
+++ b/internal/connection/affinity/affinity.go
@@ -108,6 +108,8 @@
 
 	asked     time.Duration // first packet of a request without an answer; zero for none
 	askedAck  uint32        // what the caller had acknowledged by then
+	dataEnd   uint32        // sequence number after the caller's data
+	requests  int           // seen here
 	suspected bool          // the pending request or opening spoke against the upstream
 }
 
--- a/internal/connection/affinity/suspicion.go
+++ b/internal/connection/affinity/suspicion.go
@@ -48,6 +48,9 @@
 	answerSamples = 8
 	// answerWeight is the weight of a new answer in the average.
 	answerWeight = 1.0 / 16
+	// reuseMemory is how long it is remembered that callers of an address keep
+	// connections: as long as a connection with long pauses.
+	reuseMemory = time.Minute
 	// observedLimit bounds the suspicions between two ticks.
 	observedLimit = 256
 )
@@ -73,6 +76,7 @@
 type answerTime struct {
 	mean    time.Duration
 	samples int
+	reused  time.Duration // last time that a connection carried a second request
 }
 
 func (a *answerTime) add(d time.Duration) {
@@ -83,25 +87,46 @@
 	a.mean += time.Duration(answerWeight * float64(d-a.mean))
 }
 
+// isTelling reports whether acknowledgements tell when answers came. Callers
+// that keep connections may acknowledge an answer with their next request.
+func (a *answerTime) isTelling(now time.Duration) bool {
+	return a.reused == 0 || now-a.reused > reuseMemory
+}
+
+// answerTime returns the average at an address.
+func (e *Engine) answerTime(service netip.AddrPort) *answerTime {
+	a := e.answers[service]
+	if a == nil {
+		a = &answerTime{}
+		e.answers[service] = a
+	}
+	return a
+}
+
 // timeAnswer notes requests and answers from the packets of a caller: data
 // begins a request, a higher acknowledgement is of its answer. It returns the
-// time that an answer took.
+// time that an answer took, or zero.
 func (e *Engine) timeAnswer(now time.Duration, v *View, c *entry, p *Packet) (took time.Duration) {
+	isNewData := p.Length > 0 && (c.requests == 0 || int32(p.Sequence-c.dataEnd) >= 0)
 	if c.asked != 0 && int32(p.Acknowledged-c.askedAck) > 0 {
-		a := e.answers[p.Service]
-		if a == nil {
-			a = &answerTime{}
-			e.answers[p.Service] = a
+		if a := e.answerTime(p.Service); !isNewData && a.isTelling(now) {
+			took = now - c.asked
+			a.add(took)
+			e.noteAnswer(now, v.route(p.Service), c.service, took)
 		}
-		took = now - c.asked
-		a.add(took)
-		e.noteAnswer(now, v.route(p.Service), c.service, took)
 		c.asked = 0
 	}
+	if isNewData {
+		c.dataEnd = p.Sequence + uint32(p.Length)
+	}
 	switch {
 	case p.Ending, p.Reset:
 		c.asked = 0
-	case p.Length > 0 && c.asked == 0:
+	case isNewData && c.asked == 0:
+		if c.requests > 0 {
+			e.answerTime(p.Service).reused = now
+		}
+		c.requests++
 		c.asked, c.askedAck, c.suspected = now, p.Acknowledged, false
 	}
 	return took
@@ -113,7 +138,7 @@
 	case c.suspected:
 	case !c.pinned && c.touched == c.begun && now-c.begun > abandonTime:
 		e.suspect(now, c, k, Abandoned)
-	case c.asked != 0 && now-c.asked > e.patience(v, k.service):
+	case c.asked != 0 && now-c.asked > e.patience(now, v, k.service):
 		e.suspect(now, c, k, Overdue)
 	}
 }
@@ -128,11 +153,11 @@
 
 // patience returns the time after which an answer at an address is overdue: the
 // route's objective, or a multiple of the average where that is longer.
-func (e *Engine) patience(v *View, service netip.AddrPort) time.Duration {
+func (e *Engine) patience(now time.Duration, v *View, service netip.AddrPort) time.Duration {
 	const never = time.Duration(1<<63 - 1)
 	r := v.route(service)
 	a := e.answers[service]
-	if r == nil || a == nil || a.samples < answerSamples {
+	if r == nil || a == nil || a.samples < answerSamples || !a.isTelling(now) {
 		return never
 	}
 	return max(r.Objective, overdueFactor*a.mean)
--- a/internal/connection/affinity/suspicion_test.go
+++ b/internal/connection/affinity/suspicion_test.go
@@ -185,3 +185,40 @@
 	must.Eq(t, u.Cookie, got.Cleared)
 	must.False(t, c.isSuspect(c.now, u.Cookie))
 }
+
+// Callers that keep connections acknowledge an answer with their next request,
+// after a pause of theirs.
+func TestPausesOfCallersAreNoAnswerTimes(t *testing.T) {
+	c := newCallers(t, 6)
+	c.now = settleTime + time.Second
+	c.routes.Route(permitsAddr).Objective = 4 * usualAnswer
+	type kept struct {
+		asked
+		sequence, acknowledged uint32
+	}
+	var connections []*kept
+	for range 12 {
+		connections = append(connections, &kept{c.ask(), 202, 501})
+	}
+	for range 20 {
+		c.now += time.Second
+		for _, k := range connections {
+			k.acknowledged += 1000
+			got := c.packet(k.port, Packet{Cookie: k.upstream.Cookie, Sequence: k.sequence, Acknowledged: k.acknowledged, Length: 100})
+			must.Eq(t, 0, got.Answered)
+			must.Eq(t, k.upstream.ID, got.Upstream.ID)
+			k.sequence += 100
+		}
+		must.SliceEmpty(t, c.tick(tick))
+		port, _ := c.open()
+		c.packet(port, Packet{Reset: true})
+	}
+}
+
+func TestRepeatedRequestIsNoSecondOne(t *testing.T) {
+	c := newCallers(t, 6)
+	a := c.ask()
+	c.packet(a.port, Packet{Cookie: a.upstream.Cookie, Sequence: 102, Acknowledged: 501, Length: 100})
+	c.answer(a, usualAnswer)
+	must.True(t, c.answers[permitsAddr].isTelling(c.now))
+}
--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -158,6 +158,8 @@
 						c.w.broken("connection moved from %s to %s", f.holder, holder)
 					}
 					f.holder = holder
+					f.sequence += uint32(len(text))
+					f.acknowled += uint32(len(a.data))
 					return true
 				}
 			case <-deadline:
--- a/internal/soak/regressions_test.go
+++ b/internal/soak/regressions_test.go
@@ -14,6 +14,7 @@
 }{
 	{6, 8 * time.Second, "the soak itself: two faults restarted one controller at the same time and left a process behind"},
 	{12, 8 * time.Second, "the soak itself, as seed 6"},
+	{525, 8 * time.Second, "pauses of callers that keep their connections were taken for answer times, so that openings were refused"},
 }
 
 func TestRegressions(t *testing.T) {
