--- a/internal/connection/affinity/admission.go
+++ b/internal/connection/affinity/admission.go
@@ -37,8 +37,10 @@
 	// waited too long already to be refused.
 	settleTime = 4 * time.Second
 	// urgentShare is the part by which the window is wider for each step of a
-	// route's urgency above the least urgent one of its service.
+	// route's urgency above the least urgent one of its service, and urgentSteps
+	// the number of steps that count.
 	urgentShare = 0.5
+	urgentSteps = 2
 )
 
 // pressure is what the engine observes of a service's load.
@@ -83,7 +85,8 @@
 	if !p.isHigh(now) {
 		return true
 	}
-	return float64(p.open) < max(p.window, windowMin)*(1+urgentShare*float64(p.least-r.Priority))
+	steps := min(p.least-r.Priority, urgentSteps)
+	return float64(p.open) < max(p.window, windowMin)*(1+urgentShare*float64(steps))
 }
 
 // pressure returns the pressure of a service.
@@ -98,7 +101,7 @@
 
 // noteAnswer counts an answer at a route towards the pressure of a service.
 func (e *Engine) noteAnswer(now time.Duration, r *routing.Route, service string, took time.Duration) {
-	if r != nil && r.Objective > 0 && service != "" {
+	if r.Objective > 0 && service != "" {
 		e.pressure(service).add(now, float64(took)/float64(r.Objective))
 	}
 }
--- a/internal/connection/affinity/affinity.go
+++ b/internal/connection/affinity/affinity.go
@@ -317,6 +317,7 @@
 			delete(e.upstreams, cookie)
 		}
 	}
+	e.forgetIdle(now, v)
 	out := e.observed
 	e.observed = nil
 	return out
--- a/internal/connection/affinity/suspicion.go
+++ b/internal/connection/affinity/suspicion.go
@@ -107,12 +107,16 @@
 // begins a request, a higher acknowledgement is of its answer. It returns the
 // time that an answer took, or zero.
 func (e *Engine) timeAnswer(now time.Duration, v *View, c *entry, p *Packet) (took time.Duration) {
+	r := v.route(p.Service)
+	if r == nil {
+		return 0
+	}
 	isNewData := p.Length > 0 && (c.requests == 0 || int32(p.Sequence-c.dataEnd) >= 0)
 	if c.asked != 0 && int32(p.Acknowledged-c.askedAck) > 0 {
 		if a := e.answerTime(p.Service); !isNewData && a.isTelling(now) {
 			took = now - c.asked
 			a.add(took)
-			e.noteAnswer(now, v.route(p.Service), c.service, took)
+			e.noteAnswer(now, r, c.service, took)
 		}
 		c.asked = 0
 	}
@@ -143,6 +147,21 @@
 	}
 }
 
+// forgetIdle drops what is known of routes that are gone and of services that
+// are not used.
+func (e *Engine) forgetIdle(now time.Duration, v *View) {
+	for address := range e.answers {
+		if v.route(address) == nil {
+			delete(e.answers, address)
+		}
+	}
+	for service, p := range e.pressures {
+		if p.open == 0 && now-p.heard > pressureAge {
+			delete(e.pressures, service)
+		}
+	}
+}
+
 // Excuse is called after a time in which packets were not read: what waited
 // then says nothing about upstreams.
 func (e *Engine) Excuse() {
--- a/internal/connection/affinity/suspicion_test.go
+++ b/internal/connection/affinity/suspicion_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"heatherport/internal/version/routing"
 )
 
 const (
@@ -222,3 +224,30 @@
 	c.answer(a, usualAnswer)
 	must.True(t, c.answers[permitsAddr].isTelling(c.now))
 }
+
+func TestOnlyKnownRoutesAreRemembered(t *testing.T) {
+	c := newCallers(t, 2)
+	cookie := c.fixture.upstreams[0].Cookie
+	for port := range uint16(100) {
+		p := Packet{Caller: callerAddr, Service: netip.AddrPortFrom(permitsAddr.Addr(), 20_000+port), Cookie: cookie, Length: 10}
+		for p.Acknowledged = range uint32(3) {
+			c.Decide(c.now, c.view(), &p)
+			p.Sequence += 10
+		}
+	}
+	must.MapLen(t, 1, c.answers)
+	c.routes = mustRoutes(2)
+	c.tick(idleCount + forgetAfter + 1)
+	c.tick(tick)
+	must.MapEmpty(t, c.answers)
+	must.MapEmpty(t, c.pressures)
+}
+
+// mustRoutes returns a table without routes.
+func mustRoutes(number uint64) *routing.Table {
+	table, err := routing.New(number, 0, nil, nil)
+	if err != nil {
+		panic(err)
+	}
+	return table
+}
