--- a/internal/process/controller/group_test.go
+++ b/internal/process/controller/group_test.go
@@ -47,6 +47,7 @@
 	address  netip.AddrPort
 	listener net.Listener
 	dir      string
+	cut      cut
 }
 
 // fleet runs controllers in this process over real links and disks.
@@ -106,7 +107,7 @@
 	for _, seed := range f.vms[:3] {
 		s.Seeds = append(s.Seeds, seed.address)
 	}
-	v.Controller = New(Config{Settings: s, Log: hclog.NewNullLogger(), Read: f.read, Listener: v.listener, Metrics: metrics.NewController(prometheus.NewRegistry())})
+	v.Controller = New(Config{Settings: s, Log: hclog.NewNullLogger(), Read: f.read, Listener: &cutListener{v.listener, &v.cut}, Metrics: metrics.NewController(prometheus.NewRegistry())})
 	must.NoError(f.t, v.Start(context.Background()))
 }
 
--- a/internal/process/controller/history_test.go
+++ b/internal/process/controller/history_test.go
@@ -47,8 +47,9 @@
 }
 
 // TestHistoryOfConfigurations lets clients put and read at random controllers
-// while controllers are killed and started, and checks that the history is
-// linearizable. A put without an outcome may take effect at any later time.
+// while controllers are killed and started, or hear or say nothing for a while,
+// and checks that the history is linearizable. A put without an outcome may
+// take effect at any later time.
 func TestHistoryOfConfigurations(t *testing.T) {
 	f := newFleet(t)
 	f.submit(f.vms[0], 1)
@@ -97,9 +98,15 @@
 		})
 	}
 	r := rand.New(rand.NewPCG(*historySeed, 99))
-	for range 6 {
+	for range 8 {
 		time.Sleep(time.Duration(100+r.IntN(500)) * time.Millisecond)
 		i := r.IntN(3)
+		if in, out := r.IntN(4) == 0, r.IntN(4) == 0; in || out {
+			f.vms[i].cut.set(in, out)
+			time.Sleep(time.Duration(500+r.IntN(2500)) * time.Millisecond)
+			f.vms[i].cut.set(false, false)
+			continue
+		}
 		at[i].Store(nil)
 		f.stop(f.vms[i])
 		time.Sleep(time.Duration(r.IntN(800)) * time.Millisecond)
