--- a/internal/connection/affinity/affinity.go
+++ b/internal/connection/affinity/affinity.go
@@ -12,6 +12,13 @@
 // upstream may change the cookie of the packets that follow. The engine
 // therefore pins a connection to the first cookie that it sees after opening.
 //
+// # Evidence
+//
+// Answers do not pass a balancer. What the caller repeats, abandons or
+// acknowledges tells whether its upstream answers, and how fast. Suspected
+// upstreams get no new connections while others are there; when a service as a
+// whole answers late, new connections beyond a window are refused.
+//
 // # Loss of the table
 //
 // The table of connections serves counts, copies and pins. A packet without an
--- a/internal/version/directory/doubt.go
+++ b/internal/version/directory/doubt.go
@@ -6,9 +6,11 @@
 	// doubtQuorum is the number of balancers that must have found an upstream
 	// not to answer. A single one may be slow or cut off itself.
 	doubtQuorum = 2
-	// doubtWindow is the time within which they must have.
+	// doubtWindow is the time within which they must have, that in which a
+	// balancer reports an upstream once.
 	doubtWindow = 2 * time.Second
-	// doubtTime is how long an upstream stays doubted after the last of them.
+	// doubtTime is how long an upstream stays doubted after the last of them:
+	// several times what it takes balancers to find out anew.
 	doubtTime = 5 * time.Second
 	// doubtShare is the part of a service's serving upstreams that may be
 	// doubted at a time. When more are slow, the service is overloaded.
