balancer: hold packets until the first routes; place late openings with credits

A caller repeats after 200 ms, past its aim of 150 ms. Then all callers of the last second repeated at once, with 2.4 times the usual number of openings because they retry, and fresh ones queued behind them. Change: packets wait in a bounded queue until routes arrive, those of open connections first, then the latest callers. An opening whose answer will miss the objective needs a credit, which answers in time earn. Openings that waited raise no suspicion of upstreams.

--- a/internal/connection/affinity/admission.go
+++ b/internal/connection/affinity/admission.go
@@ -52,7 +52,9 @@
 	lastAnswer     time.Duration
 	open           int // connections counted here
 	limit          float64
-	lowestPriority int // greatest priority number of a route seen; lower is more urgent
+	lowestPriority int     // greatest priority number of a route seen; lower is more urgent
+	credits        float64 // for late openings
+	creditTime     time.Duration
 }
 
 func (l *limiter) isOverloaded(now time.Duration) bool {
@@ -60,6 +62,7 @@
 }
 
 func (l *limiter) add(now time.Duration, ratio float64) {
+	l.earnCredit(ratio)
 	if now-l.lastAnswer > ratioMaxAge {
 		l.ratio = 0
 	}
--- a/internal/connection/affinity/affinity.go
+++ b/internal/connection/affinity/affinity.go
@@ -47,13 +47,23 @@
 	Acknowledged uint32
 	Copies       uint32 // copies of this opening packet that the caller sent before
 	Length       int    // bytes of data
+	// Waited is the time since the caller sent the first copy of this opening
+	// packet.
+	Waited time.Duration
+	// Repeat is the time after which the caller sends the packet again, or gives
+	// up, if it goes unanswered.
+	Repeat time.Duration
+	// Held reports that the packet waited at this balancer.
+	Held bool
 }
 
 // Verdict is the decision about a packet. A packet is dropped if Upstream is
-// nil. Refuse means that the caller is sent a reset.
+// nil. Refuse means that the caller is sent a reset, Wait that the packet is
+// decided on again later.
 type Verdict struct {
 	Upstream *Upstream
 	Refuse   bool
+	Wait     bool
 	Code     result.Code // cause if the packet is not forwarded
 	// Overload is set when a connection was refused because its service is
 	// overloaded.
@@ -148,6 +158,9 @@
 // Decide returns the verdict on a packet. now is the time since the process
 // started.
 func (e *Engine) Decide(now time.Duration, v *View, p *Packet) Verdict {
+	if v.Routes == nil {
+		return Verdict{Wait: true, Code: result.DropNotReady}
+	}
 	if p.Opening {
 		return e.placeOpening(now, v, p)
 	}
@@ -174,11 +187,19 @@
 	if l := e.limiter(service); p.Copies == 0 && !l.admits(now, route) {
 		return Verdict{Code: result.RefusedOverloaded, Refuse: true, Overload: l.overload()}
 	}
+	if e.isLate(route, p) {
+		if deferred := e.deferLate(now, route, e.limiter(service), p); deferred != nil {
+			return *deferred
+		}
+	}
 	u, choice := e.choose(now, v, service, nil)
 	if u == nil {
 		return refusal(result.RefusedNoUpstream, v.Current && p.Copies == 0)
 	}
 	c = &entry{service: service, sequence: p.Sequence, started: now}
+	// The caller of an opening that waited here may have given it up; that no
+	// packet follows is then no sign of a fault of the upstream.
+	c.reported = p.Held
 	if len(e.table) < e.cfg.Capacity {
 		e.table[k] = c
 	}
--- a/internal/process/balancer/balancer.go
+++ b/internal/process/balancer/balancer.go
@@ -210,6 +210,7 @@
 	}
 	upstreams := b.upstreams(now)
 	b.view.Store(view.Index(upstreams))
+	b.forwarder.release()
 	if b.table == nil {
 		return
 	}
--- a/internal/process/balancer/forwarder.go
+++ b/internal/process/balancer/forwarder.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"heatherport/internal/connection/affinity"
+	"heatherport/internal/connection/backlog"
 	"heatherport/internal/process/logging"
 	"heatherport/internal/process/metrics"
 	"heatherport/internal/result"
@@ -36,6 +38,9 @@
 // truncated and then rejected by the codec.
 const maxDatagram = 2048
 
+// repeatMargin is the time by which a repeated packet may arrive late.
+const repeatMargin = 50 * time.Millisecond
+
 // forwarder reads packets from the socket and forwards them.
 type forwarder struct {
 	codec   Codec
@@ -50,8 +55,10 @@
 	conn         *net.UDPConn
 	stall        stall
 	lastPacketAt atomic.Int64 // time of the last packet, relative to started
-	mu           sync.Mutex   // guards engine
-	engine       *affinity.Engine
+
+	mu      sync.Mutex // guards the fields below and flowLog
+	engine  *affinity.Engine
+	waiting backlog.Queue
 }
 
 func (f *forwarder) start() error {
@@ -103,13 +110,15 @@
 	}
 }
 
-// handle forwards, refuses or drops the packet that begins at buf[head].
+// handle forwards, refuses or drops the packet that begins at buf[head], or
+// queues a copy of it.
 func (f *forwarder) handle(buf []byte, head int, reply []byte) {
 	now := time.Since(f.started)
 	f.lastPacketAt.Store(int64(now))
 	f.metrics.Received.Inc()
-	packet := buf[head:]
-	p, err := f.codec.Decode(packet)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p, err := f.codec.Decode(buf[head:])
 	if err != nil {
 		f.drop(&p, result.CodeOf(err))
 		return
@@ -118,23 +127,67 @@
 		f.drop(&p, result.DropStale)
 		return
 	}
+	if f.decide(now, buf, head, &p, reply) {
+		f.releaseWaiting(now)
+		return
+	}
+	item := backlog.Item{
+		Caller: p.Caller, Service: p.Service, Opening: p.Opening,
+		Began: now - p.Waited, Expires: now + p.Repeat + repeatMargin, Datagram: slices.Clone(buf),
+	}
+	if !f.waiting.Add(item) {
+		f.drop(&p, result.DropNotReady)
+	}
+}
+
+// decide carries out the verdict on the packet p, which begins at buf[head]. It
+// reports false if the packet has to wait.
+func (f *forwarder) decide(now time.Duration, buf []byte, head int, p *affinity.Packet, reply []byte) bool {
 	view := f.view.Load()
-	f.mu.Lock()
-	verdict := f.engine.Decide(now, view, &p)
-	f.mu.Unlock()
+	verdict := f.engine.Decide(now, view, p)
 	switch {
+	case verdict.Wait:
+		return false
 	case verdict.Upstream != nil:
-		f.codec.SetCookie(packet, verdict.Upstream.Cookie)
+		f.codec.SetCookie(buf[head:], verdict.Upstream.Cookie)
 		f.codec.Encapsulate(buf[:head], verdict.Upstream)
 		f.send(buf, verdict.Upstream.Address)
 		f.metrics.Forwarded.Inc()
 	case verdict.Refuse:
-		f.send(f.codec.AppendReset(reply, &p), f.codec.ReturnAddr(p.Caller.Addr()))
+		f.send(f.codec.AppendReset(reply, p), f.codec.ReturnAddr(p.Caller.Addr()))
 		f.metrics.Refused(verdict.Code)
 	default:
-		f.drop(&p, verdict.Code)
+		f.drop(p, verdict.Code)
+	}
+	f.report(now, view, p, &verdict)
+	return true
+}
+
+// release decides again on the packets that wait.
+func (f *forwarder) release() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.releaseWaiting(time.Since(f.started))
+}
+
+func (f *forwarder) releaseWaiting(now time.Duration) {
+	if f.waiting.Len() == 0 {
+		return
+	}
+	head := f.codec.Headroom()
+	expired := f.waiting.Release(now, func(item backlog.Item) bool {
+		p, err := f.codec.Decode(item.Datagram[head:])
+		if err != nil {
+			f.drop(&p, result.CodeOf(err))
+			return true
+		}
+		p.Waited, p.Held = now-item.Began, true
+		return f.decide(now, item.Datagram, head, &p, nil)
+	})
+	for _, item := range expired {
+		p := affinity.Packet{Caller: item.Caller, Service: item.Service, Opening: item.Opening}
+		f.drop(&p, result.DropExpired)
 	}
-	f.report(now, view, &p, &verdict)
 }
 
 func (f *forwarder) drop(p *affinity.Packet, code result.Code) {
--- a/internal/process/balancer/forwarder_test.go
+++ b/internal/process/balancer/forwarder_test.go
@@ -46,7 +46,7 @@
 	}
 	return affinity.Packet{
 		Caller:  netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), binary.BigEndian.Uint16(b[1:])),
-		Service: serviceAddr, Opening: b[0] == kindOpening, Cookie: binary.BigEndian.Uint32(b[3:]), Length: 1,
+		Service: serviceAddr, Opening: b[0] == kindOpening, Cookie: binary.BigEndian.Uint32(b[3:]), Length: 1, Repeat: time.Minute,
 	}, nil
 }
 
@@ -157,3 +157,23 @@
 	must.False(t, s.isOver(2101*time.Millisecond))
 	must.True(t, s.isOver(2100*time.Millisecond+stallDrain))
 }
+
+// TestPacketsBeforeTheFirstRoutesAreForwardedLater checks that the packets that
+// arrive at a starting balancer are forwarded when its routes arrive, those of
+// open connections first.
+func TestPacketsBeforeTheFirstRoutesAreForwardedLater(t *testing.T) {
+	h := newHarness(t, 0)
+	view := h.view.Load()
+	h.view.Store((&affinity.View{}).Index(nil))
+	h.send(testPacket(kindOpening, 1000, 0))
+	h.send(testPacket(kindData, 1001, 9))
+	eventually(t, "packets wait", func() bool {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return h.waiting.Len() == 2
+	})
+	h.view.Store(view)
+	h.release()
+	must.Eq(t, append([]byte{7}, testPacket(kindData, 1001, 9)...), h.receive(h.upstream))
+	must.Eq(t, append([]byte{7}, testPacket(kindOpening, 1000, 9)...), h.receive(h.upstream))
+}
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -100,6 +100,7 @@
 	RefusedNoRoute      Code = 722
 	DropStale           Code = 723
 	RefusedOverloaded   Code = 724
+	DropExpired         Code = 725
 
 	Internal      Code = 901
 	PromiseBroken Code = 902
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -92,6 +92,7 @@
 	{DropNoCookie, "drop_no_cookie", "packet of an open connection without a cookie", "none"},
 	{DropStale, "drop_stale", "opening packet that may have been queued while the process was stalled", "none; the caller retransmits"},
 	{RefusedNoRoute, "refused_no_route", "no route at this address", "check the routes"},
+	{DropExpired, "drop_expired", "the caller's timeout ends before an answer can arrive", "none; look for an outage of balancers"},
 	{RefusedOverloaded, "refused_overloaded", "the overloaded service is at its concurrency limit; no request was run", "try again after a second; add upstreams"},
 
 	{PromiseBroken, "promise_broken", "the demo detected the violation of a guarantee", "report it"},
