Run balancers and controllers with a binary of their own

Cause: the start of a program took 16 to 18 ms of processor time before main, 2,400 page faults, of which gopacket's tables alone took 4.5 ms; on 0.061 cores that is 0.3 s in which a restarted VM serves nothing. Change: cmd/heatherport-node links only what the two programs need; the command line keeps the rest. The test that only the main package imports platform/ names the new one.

--- a/cmd/heatherport/imports_test.go
+++ b/cmd/heatherport/imports_test.go
@@ -58,12 +58,12 @@
 	}
 }
 
-// TestOnlyMainImportsPlatform checks that only the main package depends on the
-// platform's formats and names.
+// TestOnlyMainImportsPlatform checks that only the main package of the programs
+// on the platform depends on its formats and names.
 func TestOnlyMainImportsPlatform(t *testing.T) {
 	for file, paths := range imports(t) {
 		for _, p := range paths {
-			forbidden := p == "heatherport/platform" && file != "cmd/heatherport/main.go"
+			forbidden := p == "heatherport/platform" && file != "cmd/heatherport-node/main.go"
 			must.False(t, forbidden, must.Sprintf("%s imports %s", file, p))
 		}
 	}
--- a/cmd/heatherport/main.go
+++ b/cmd/heatherport/main.go
@@ -8,24 +8,18 @@
 	"os"
 
 	"heatherport/internal/process/app"
-	"heatherport/internal/process/balancer"
 	"heatherport/internal/process/cli"
-	"heatherport/internal/process/controller"
-	"heatherport/internal/process/daemon"
 	"heatherport/internal/process/demo"
 	"heatherport/internal/process/keys"
 	"heatherport/internal/process/logging"
-	"heatherport/internal/process/metrics"
 	"heatherport/internal/process/settings"
 	"heatherport/internal/request/api"
 	"heatherport/internal/version/sheet"
-	"heatherport/platform"
 )
 
 func main() {
 	os.Exit(cli.Main(os.Args[1:], cli.Options{
 		Runner:     runner{},
-		Programs:   programs{},
 		CheckSheet: checkSheet,
 		Stdout:     os.Stdout,
 		Stderr:     os.Stderr,
@@ -55,32 +49,6 @@
 // Demo implements cli.Runner.
 func (runner) Demo(ctx context.Context, o cli.DemoOptions) error { return demo.Run(ctx, o) }
 
-// programs implements cli.Programs for the platform.
-type programs struct{}
-
-// Balancer implements cli.Programs.
-func (programs) Balancer(ctx context.Context, file string) error {
-	return daemon.Run(ctx, file, settings.Balancer, func(p daemon.Dependencies) daemon.Service {
-		b := balancer.New(balancer.Config{
-			Settings: p.Settings, Log: p.Log,
-			Codec:   platform.Codec{ReturnPort: p.Settings.Packets.Port()},
-			Metrics: metrics.NewBalancer(p.Registry),
-		})
-		return daemon.Service{Component: b, Listen: p.Settings.Ready, Handler: platform.ReadyHandler(b.Ready)}
-	})
-}
-
-// Controller implements cli.Programs.
-func (programs) Controller(ctx context.Context, file string) error {
-	return daemon.Run(ctx, file, settings.Controller, func(p daemon.Dependencies) daemon.Service {
-		c := controller.New(controller.Config{
-			Settings: p.Settings, Log: p.Log, ParseRoutes: platform.ParseConfiguration,
-			Metrics: metrics.NewController(p.Registry),
-		})
-		return daemon.Service{Component: c, Listen: p.Settings.API, Handler: platform.ControlHandler(c)}
-	})
-}
-
 func checkSheet(csv []byte) (cli.SheetSummary, error) {
 	s, err := sheet.Parse(bytes.NewReader(csv))
 	if err != nil {
--- a/internal/process/cli/arguments.go
+++ b/internal/process/cli/arguments.go
@@ -12,19 +12,17 @@
 
 // arguments is the command line.
 type arguments struct {
-	Run        *runCommand        `arg:"subcommand:run" help:"run the balancer of this VM"`
-	Balancer   *balancerCommand   `arg:"subcommand:balancer" help:"run a balancer for connections with cookies"`
-	Controller *controllerCommand `arg:"subcommand:controller" help:"run a controller, which feeds balancers"`
-	Settings   *settingsGroup     `arg:"subcommand:settings" help:"check a settings file"`
-	Sheet      *sheetGroup        `arg:"subcommand:sheet" help:"check, submit or show a sheet"`
-	Status     *statusCommand     `arg:"subcommand:status" help:"show VMs, upstreams, open drains and versions"`
-	Explain    *explainGroup      `arg:"subcommand:explain" help:"explain where a connection goes, why an upstream is eligible, or where a sheet is in force"`
-	Audit      *auditCommand      `arg:"subcommand:audit" help:"show the audit trail"`
-	Voter      *voterGroup        `arg:"subcommand:voter" help:"change the voters of the replicated log"`
-	Keys       *keysGroup         `arg:"subcommand:keys" help:"create and rotate certificates and relay keys"`
-	Demo       *demoCommand       `arg:"subcommand:demo" help:"run eight balancers with stand-ins in this process"`
-	Codes      *codesCommand      `arg:"subcommand:codes" help:"list the result codes"`
-	JSON       bool               `arg:"--json" help:"write output and errors as JSON"`
+	Run      *runCommand    `arg:"subcommand:run" help:"run the balancer of this VM"`
+	Settings *settingsGroup `arg:"subcommand:settings" help:"check a settings file"`
+	Sheet    *sheetGroup    `arg:"subcommand:sheet" help:"check, submit or show a sheet"`
+	Status   *statusCommand `arg:"subcommand:status" help:"show VMs, upstreams, open drains and versions"`
+	Explain  *explainGroup  `arg:"subcommand:explain" help:"explain where a connection goes, why an upstream is eligible, or where a sheet is in force"`
+	Audit    *auditCommand  `arg:"subcommand:audit" help:"show the audit trail"`
+	Voter    *voterGroup    `arg:"subcommand:voter" help:"change the voters of the replicated log"`
+	Keys     *keysGroup     `arg:"subcommand:keys" help:"create and rotate certificates and relay keys"`
+	Demo     *demoCommand   `arg:"subcommand:demo" help:"run eight balancers with stand-ins in this process"`
+	Codes    *codesCommand  `arg:"subcommand:codes" help:"list the result codes"`
+	JSON     bool           `arg:"--json" help:"write output and errors as JSON"`
 }
 
 // Description is shown above the usage.
@@ -55,19 +53,6 @@
 	Settings string `arg:"--settings,required" help:"settings of this VM"`
 }
 
-// programSettings is the settings file of a balancer or controller.
-type programSettings struct {
-	File string `arg:"--settings,required,env:HEATHERPORT_CONFIG" placeholder:"FILE" help:"settings of this program"`
-}
-
-type balancerCommand struct {
-	programSettings
-}
-
-type controllerCommand struct {
-	programSettings
-}
-
 type settingsGroup struct {
 	Check *settingsCheckCommand `arg:"subcommand:check" help:"list all faults of a settings file"`
 }
@@ -209,8 +194,6 @@
 var examples = []struct{ command, arguments string }{
 	{"demo", ""},
 	{"run", " --settings /etc/heatherport/settings.ini"},
-	{"balancer", " --settings /etc/heatherport/balancer.ini"},
-	{"controller", " --settings /etc/heatherport/controller.ini"},
 	{"settings check", " /etc/heatherport/settings.ini"},
 	{"sheet check", " sheet.csv"},
 	{"sheet submit", " sheet.csv --wait 30s" + exampleRemote},
--- a/internal/process/cli/cli.go
+++ b/internal/process/cli/cli.go
@@ -30,13 +30,6 @@
 	Demo(ctx context.Context, o DemoOptions) error
 }
 
-// Programs runs the programs of a fleet without a static list of members. Both
-// serve until ctx is done, and then stop gracefully.
-type Programs interface {
-	Balancer(ctx context.Context, file string) error
-	Controller(ctx context.Context, file string) error
-}
-
 // DemoOptions are the options of the demo.
 type DemoOptions struct {
 	Seed   uint64
@@ -56,7 +49,6 @@
 // Options are the dependencies of the command line.
 type Options struct {
 	Runner     Runner
-	Programs   Programs
 	CheckSheet func(csv []byte) (SheetSummary, error)
 	Stdout     io.Writer
 	Stderr     io.Writer
--- a/internal/process/cli/local.go
+++ b/internal/process/cli/local.go
@@ -21,14 +21,6 @@
 	return e.Runner.Run(ctx, s)
 }
 
-func (c *balancerCommand) run(ctx context.Context, e *env) error {
-	return e.Programs.Balancer(ctx, c.File)
-}
-
-func (c *controllerCommand) run(ctx context.Context, e *env) error {
-	return e.Programs.Controller(ctx, c.File)
-}
-
 func (c *demoCommand) run(ctx context.Context, e *env) error {
 	return e.Runner.Demo(ctx, DemoOptions{Seed: c.Seed, JSON: e.json, Output: e.Stdout, Log: e.Stderr})
 }
--- a/internal/process/cli/program_test.go
+++ b/internal/process/cli/program_test.go
@@ -1,10 +1,8 @@
 package cli
 
 import (
-	"context"
 	"os"
 	"path/filepath"
-	"strings"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -38,24 +36,3 @@
 	got = runWith(Options{}, "settings", "check", "--program", "router", file)
 	must.Eq(t, int(result.ClassUsage), got.code)
 }
-
-// fakePrograms records which programs were started.
-type fakePrograms struct{ started []string }
-
-func (f *fakePrograms) Balancer(_ context.Context, file string) error {
-	f.started = append(f.started, "balancer "+file)
-	return nil
-}
-
-func (f *fakePrograms) Controller(_ context.Context, file string) error {
-	f.started = append(f.started, "controller "+file)
-	return result.Errorf(result.BadSettings, "none")
-}
-
-func TestProgramsStart(t *testing.T) {
-	f := &fakePrograms{}
-	must.Eq(t, 0, runWith(Options{Programs: f}, "balancer", "--settings", "a.ini").code)
-	t.Setenv("HEATHERPORT_CONFIG", "b.ini")
-	must.Eq(t, int(result.ClassUsage), runWith(Options{Programs: f}, "controller").code)
-	must.Eq(t, "balancer a.ini,controller b.ini", strings.Join(f.started, ","))
-}
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -68,7 +68,7 @@
 		return
 	}
 	p.startedBefore = true
-	c := exec.Command(heatherport, p.program, "--settings", file)
+	c := exec.Command(node, p.program, "--settings", file)
 	c.Stdout, c.Stderr = p.log, p.log
 	if err := c.Start(); err != nil {
 		p.h.t.Errorf("start %s: %v", p.name, err)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -26,8 +26,8 @@
 	logDir          = flag.String("soak.logs", "", "folder for the programs' settings, data and logs, kept after the run; default: a temporary folder")
 )
 
-// heatherport is the path of the program under test.
-var heatherport string
+// node is the path of the program under test.
+var node string
 
 func TestMain(m *testing.M) {
 	flag.Parse()
@@ -36,8 +36,8 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
-	heatherport = filepath.Join(dir, "heatherport")
-	if out, err := exec.Command("go", "build", "-o", heatherport, "heatherport/cmd/heatherport").CombinedOutput(); err != nil {
+	node = filepath.Join(dir, "heatherport-node")
+	if out, err := exec.Command("go", "build", "-o", node, "heatherport/cmd/heatherport-node").CombinedOutput(); err != nil {
 		fmt.Fprintln(os.Stderr, string(out), err)
 		os.Exit(1)
 	}
