controller: keep and pass on suspicions that were reported while links open

Cause (KNOWN-RED, DuringStart): a report was sent once. A controller without an open link to another one yet did not pass it on, and one that did not know the upstream yet ignored it. The age keeps a report that is sent twice from counting longer. The directory finds an entry by its tag and the changes since a revision without walking all entries, which Renew, Since and ReportSuspicion did.

--- a/Makefile
+++ b/Makefile
@@ -34,4 +34,3 @@
 known-red:
 	go run ./internal/measure/cmd forward
 	go run ./internal/measure/slopes/cmd relay
-	go test -race -tags knownred -run DuringStart -count 40 ./internal/process/controller
--- a/internal/process/balancer/balancer.go
+++ b/internal/process/balancer/balancer.go
@@ -74,6 +74,7 @@
 	routesSince    time.Duration // when the first routes arrived
 	lastRebalance  time.Duration
 	lastPublish    time.Duration
+	reported       []reportedSuspicion
 	omittedCounted uint64 // omitted log lines already counted in the metric
 	changed        bool
 }
@@ -191,6 +192,7 @@
 func (b *Balancer) tick() {
 	b.directory.Tick(b.now())
 	b.rebalanceFeeds()
+	b.expireReported(b.now())
 	b.reportSuspicions(b.forwarder.tick())
 	b.updateGauges()
 	if now := b.now(); !b.ready.Load() || now-b.lastPublish > publishInterval {
--- a/internal/process/balancer/feeds.go
+++ b/internal/process/balancer/feeds.go
@@ -130,9 +130,10 @@
 			b.post(func() {
 				b.log.Info("feed open", "controller", s.address, "domain", s.domain)
 				f.conn = conn
+				b.subscribe(conn)
+				b.repeatSuspicions(conn)
 				b.closeExcessFeed()
 			})
-			b.subscribe(conn)
 		},
 		Handle: func(_ *stream.Conn, kind stream.Kind, body []byte) {
 			if kind != controller.KindFeedUpdate {
--- a/internal/process/balancer/feeds_test.go
+++ b/internal/process/balancer/feeds_test.go
@@ -257,6 +257,27 @@
 	must.Eq(t, 0, len(f[0].suspicions))
 }
 
+// A suspicion may be reported while no feed is open, or before one that opens.
+func TestRecentSuspicionsReachNewFeed(t *testing.T) {
+	f := startFakes(t, 2)
+	b := startBalancer(t, f[0])
+	f[0].feed(fullUpdate(t, 1, true))
+	eventually(t, "one feed", func() bool { return b.countOpenFeeds() == 1 })
+	b.post(func() {
+		b.reported = []reportedSuspicion{{tag: 5, at: b.now() - reportRetention - 1}}
+		b.reportSuspicions([]affinity.Suspicion{{Upstream: 7, Cause: affinity.Overdue}})
+		b.addSource(f[1].address, "")
+	})
+	f[1].feed(fullUpdate(t, 1, true))
+	select {
+	case got := <-f[1].suspicions:
+		must.Eq(t, []uint32{7}, got.Tags)
+		must.Len(t, 1, got.AgesMillis)
+	case <-time.After(waitTimeout):
+		t.Fatal("no suspicion report")
+	}
+}
+
 // countOpenFeeds counts the open feeds on the control goroutine.
 func (b *Balancer) countOpenFeeds() int {
 	count := make(chan int)
--- a/internal/process/controller/exchange.go
+++ b/internal/process/controller/exchange.go
@@ -73,16 +73,22 @@
 	}
 }
 
-// sendFullState sends a Hello and all records of the directory.
+// sendFullState sends a Hello, all records of the directory and the suspicions
+// that were reported recently.
 func (c *Controller) sendFullState(conn *stream.Conn) {
 	c.recordsNumber++
-	messages := []struct {
+	type message struct {
 		kind stream.Kind
 		body any
-	}{
+	}
+	messages := []message{
 		{KindHello, c.hello()},
 		{KindRecords, Records{Number: c.recordsNumber, Records: c.directory.Since(0)}},
 	}
+	now := c.now()
+	for _, r := range suspicionReports(now, c.directory.Suspicions(now)) {
+		messages = append(messages, message{KindSuspicionReport, r})
+	}
 	for _, m := range messages {
 		frame, err := stream.Encode(m.kind, m.body)
 		if err != nil {
@@ -225,8 +231,9 @@
 		d.Balancer = s.Name
 		c.broadcast(KindSuspicionReport, d)
 	}
-	for _, tag := range d.Tags {
-		if id, changed := c.directory.ReportSuspicion(c.now(), tag, d.Balancer); changed {
+	now := c.now()
+	for i, tag := range d.Tags {
+		if id, changed := c.directory.ReportSuspicion(now, now-d.age(i), tag, d.Balancer); changed {
 			c.log.Info("upstream ejected", "upstream", id, "last", d.Balancer)
 		}
 	}
--- a/internal/process/controller/group_test.go
+++ b/internal/process/controller/group_test.go
@@ -444,6 +444,15 @@
 	f.reportSuspicions()
 }
 
+// TestSuspicionsReportedDuringStartEjectUpstream does not wait for links and
+// records: a report may reach a controller before it is connected to the others,
+// or before it knows the upstream.
+func TestSuspicionsReportedDuringStartEjectUpstream(t *testing.T) {
+	f := newCluster(t)
+	f.announceThree()
+	f.reportSuspicions()
+}
+
 // announceThree announces three upstreams to the first controller.
 func (f *cluster) announceThree() {
 	f.t.Helper()
--- a/internal/process/controller/message.go
+++ b/internal/process/controller/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"heatherport/internal/process/stream"
 	"heatherport/internal/version/directory"
@@ -92,4 +93,30 @@
 	// the report on.
 	Balancer string   `cbor:"1,keyasint,omitempty"`
 	Tags     []uint32 `cbor:"2,keyasint"`
+	// AgesMillis holds the age of each suspicion. If it is empty, they are new.
+	AgesMillis []uint32 `cbor:"3,keyasint,omitempty"`
+}
+
+// age returns the age of the suspicion with an index.
+func (r *SuspicionReport) age(i int) time.Duration {
+	if i >= len(r.AgesMillis) {
+		return 0
+	}
+	return time.Duration(r.AgesMillis[i]) * time.Millisecond
+}
+
+// suspicionReports returns the messages that pass suspicions on, one for each
+// balancer.
+func suspicionReports(now time.Duration, suspicions []directory.Suspicion) map[string]*SuspicionReport {
+	out := make(map[string]*SuspicionReport)
+	for _, s := range suspicions {
+		r := out[s.Balancer]
+		if r == nil {
+			r = &SuspicionReport{Balancer: s.Balancer}
+			out[s.Balancer] = r
+		}
+		r.Tags = append(r.Tags, s.Tag)
+		r.AgesMillis = append(r.AgesMillis, uint32((now - s.At).Milliseconds()))
+	}
+	return out
 }
--- a/internal/version/directory/directory.go
+++ b/internal/version/directory/directory.go
@@ -14,6 +14,7 @@
 package directory
 
 import (
+	"container/list"
 	"net/netip"
 	"time"
 
@@ -96,9 +97,16 @@
 	LastUpdate time.Duration // when the record was last confirmed
 	Revision   uint64        // directory revision of its last change
 	Ended      time.Duration // when it became Gone
-	suspicion  suspicionState
+
+	tag        uint32        // of the incarnation
+	lastQuorum time.Duration // last time at which a quorum suspected it
+	change     *list.Element // position in Directory.changes
 }
 
+// Tag returns the tag of the incarnation, as Record.Tag does, without computing
+// it again.
+func (e *Entry) Tag() uint32 { return e.tag }
+
 // Config sets the expiry of entries.
 type Config struct {
 	// LapseAfter is the time without an announcement after which an upstream is
@@ -115,11 +123,30 @@
 	rev       uint64
 	entries   map[string]*Entry
 	byAddress map[netip.AddrPort]*Entry // latest incarnation, ended or not
+	byTag     map[uint32]*Entry
+	changes   *list.List // of *Entry, by Revision
+	// reports holds the recent suspicions by tag, also of upstreams whose record
+	// has not arrived.
+	reports map[uint32]reports
 }
 
 // New returns an empty directory.
 func New(cfg Config) *Directory {
-	return &Directory{cfg: cfg, entries: make(map[string]*Entry), byAddress: make(map[netip.AddrPort]*Entry)}
+	return &Directory{
+		cfg: cfg, entries: make(map[string]*Entry), byAddress: make(map[netip.AddrPort]*Entry),
+		byTag: make(map[uint32]*Entry), changes: list.New(), reports: make(map[uint32]reports),
+	}
+}
+
+// markChanged gives an entry the next revision.
+func (d *Directory) markChanged(e *Entry) {
+	d.rev++
+	e.Revision = d.rev
+	if e.change == nil {
+		e.change = d.changes.PushBack(e)
+		return
+	}
+	d.changes.MoveToBack(e.change)
 }
 
 // Revision returns the revision, which grows with each change.
@@ -169,8 +196,7 @@
 }
 
 func (d *Directory) put(now time.Duration, old *Entry, r Record) {
-	d.rev++
-	e := &Entry{Record: r, LastUpdate: now, Revision: d.rev}
+	e := &Entry{Record: r, tag: r.Tag(), LastUpdate: now}
 	if r.State == Gone {
 		e.Ended = now
 	}
@@ -178,27 +204,32 @@
 		d.release(old)
 	}
 	d.entries[r.ID] = e
+	d.byTag[e.tag] = e
+	d.markChanged(e)
+	d.applyReports(now, e)
 	if holder := d.byAddress[r.Address]; holder == nil || holder.StartMillis <= r.StartMillis {
 		d.byAddress[r.Address] = e
 	}
 }
 
-// release removes an entry from the index by address if it is the latest at its
-// address.
+// release removes an entry from the indexes.
 func (d *Directory) release(e *Entry) {
 	if d.byAddress[e.Address] == e {
 		delete(d.byAddress, e.Address)
 	}
+	if d.byTag[e.tag] == e {
+		delete(d.byTag, e.tag)
+	}
+	d.changes.Remove(e.change)
 }
 
 func (d *Directory) end(now time.Duration, e *Entry) {
 	if e.State == Gone {
 		return
 	}
-	d.rev++
 	e.State = Gone
-	e.Revision = d.rev
 	e.Ended = now
+	d.markChanged(e)
 }
 
 // Withdraw ends the current incarnation of an identifier.
@@ -214,12 +245,9 @@
 // Renew confirms the incarnations with the given tags, which announced
 // themselves at another controller.
 func (d *Directory) Renew(now time.Duration, tags []uint32) (changed bool) {
-	known := make(map[uint32]bool, len(tags))
 	for _, tag := range tags {
-		known[tag] = true
-	}
-	for _, e := range d.entries {
-		if e.State == Gone || !known[e.Tag()] {
+		e := d.byTag[tag]
+		if e == nil || e.State == Gone {
 			continue
 		}
 		e.LastUpdate = now
@@ -231,6 +259,7 @@
 // Tick marks upstreams without recent announcements as lapsed or ended, ends
 // expired ejections and evicts upstreams whose retention has passed.
 func (d *Directory) Tick(now time.Duration) (changed bool) {
+	changed = d.tickReports(now)
 	for id, e := range d.entries {
 		changed = d.expireEjection(now, e) || changed
 		switch {
@@ -254,9 +283,8 @@
 	if e.Lapsed == lapsed {
 		return false
 	}
-	d.rev++
 	e.Lapsed = lapsed
-	e.Revision = d.rev
+	d.markChanged(e)
 	return true
 }
 
@@ -269,16 +297,16 @@
 	return out
 }
 
-// Since returns the records that changed after the given revision.
+// Since returns the records that changed after the given revision, the last
+// change first.
 func (d *Directory) Since(rev uint64) []Record {
-	if rev == d.rev {
-		return nil
-	}
 	var out []Record
-	for _, e := range d.entries {
-		if e.Revision > rev {
-			out = append(out, e.Record)
+	for c := d.changes.Back(); c != nil; c = c.Prev() {
+		e := c.Value.(*Entry)
+		if e.Revision <= rev {
+			break
 		}
+		out = append(out, e.Record)
 	}
 	return out
 }
--- a/internal/version/directory/directory_test.go
+++ b/internal/version/directory/directory_test.go
@@ -151,3 +151,20 @@
 	c := serving("a", 9, 10, 8)
 	must.Eq(t, a.Tag(), c.Tag())
 }
+
+// Since must not visit the entries that have not changed.
+func TestSinceReturnsChangesOnly(t *testing.T) {
+	d := newServingDirectory(100)
+	before := d.Revision()
+	must.SliceEmpty(t, d.Since(before))
+	d.Withdraw(0, "i-7")
+	d.Withdraw(0, "i-3")
+	changed := d.Since(before)
+	must.Len(t, 2, changed)
+	must.Eq(t, "i-3", changed[0].ID)
+	must.Eq(t, "i-7", changed[1].ID)
+	must.Len(t, 100, d.Since(0))
+	d.Tick(retention + 1)
+	must.Len(t, 98, d.Since(0))
+	must.Eq(t, 98, len(d.byTag))
+}
--- a/internal/version/directory/ejection.go
+++ b/internal/version/directory/ejection.go
@@ -18,45 +18,88 @@
 	maxEjectedShare = 1.0 / 3
 )
 
-// suspicionState holds the suspicions that balancers reported of an upstream.
-type suspicionState struct {
-	reports    map[string]time.Duration // time of the last report, by balancer
-	lastQuorum time.Duration            // last time at which a quorum suspected it
+// reports holds the time of the last suspicion of an upstream, by balancer.
+type reports map[string]time.Duration
+
+// expire deletes reports that are older than reportWindow.
+func (r reports) expire(now time.Duration) {
+	for balancer, at := range r {
+		if now-at > reportWindow {
+			delete(r, balancer)
+		}
+	}
 }
 
-// ReportSuspicion records that a balancer suspects the incarnation with a tag
-// of not answering. It reports whether the upstream became ejected by this.
-func (d *Directory) ReportSuspicion(now time.Duration, tag uint32, balancer string) (id string, changed bool) {
-	e := d.byTag(tag)
-	if e == nil || e.State == Gone {
+// ReportSuspicion records that a balancer suspected the incarnation with a tag
+// of not answering at a time that is not after now. It reports whether the
+// upstream became ejected by this. Suspicions of an incarnation whose record has
+// not arrived count once it does.
+func (d *Directory) ReportSuspicion(now, at time.Duration, tag uint32, balancer string) (id string, changed bool) {
+	r := d.reports[tag]
+	if r == nil {
+		r = make(reports)
+		d.reports[tag] = r
+	}
+	if last, ok := r[balancer]; !ok || at > last {
+		r[balancer] = at
+	}
+	e := d.byTag[tag]
+	if e == nil {
 		return "", false
 	}
-	if e.suspicion.reports == nil {
-		e.suspicion.reports = make(map[string]time.Duration)
+	return e.ID, d.applyReports(now, e)
+}
+
+// applyReports ejects an upstream if a quorum suspects it. It reports whether
+// the upstream became ejected.
+func (d *Directory) applyReports(now time.Duration, e *Entry) (changed bool) {
+	r := d.reports[e.tag]
+	r.expire(now)
+	if e.State == Gone || len(r) < ejectionQuorum {
+		return false
 	}
-	e.suspicion.reports[balancer] = now
-	for name, at := range e.suspicion.reports {
-		if now-at > reportWindow {
-			delete(e.suspicion.reports, name)
-		}
+	for _, at := range r {
+		e.lastQuorum = max(e.lastQuorum, at)
 	}
-	if len(e.suspicion.reports) < ejectionQuorum {
-		return e.ID, false
+	return !e.Ejected && d.mayEject(e.Service) && d.setEjected(e, true)
+}
+
+// tickReports expires reports, and ejects upstreams that could not be ejected
+// when they were reported because few upstreams of the service were known.
+func (d *Directory) tickReports(now time.Duration) (changed bool) {
+	d.expireReports(now)
+	for tag, r := range d.reports {
+		if e := d.byTag[tag]; e != nil && !e.Ejected && len(r) >= ejectionQuorum {
+			changed = d.applyReports(now, e) || changed
+		}
 	}
-	e.suspicion.lastQuorum = now
-	if e.Ejected || !d.mayEject(e.Service) {
-		return e.ID, false
+	return changed
+}
+
+// Suspicion is a recent suspicion of an incarnation.
+type Suspicion struct {
+	Balancer string
+	Tag      uint32
+	At       time.Duration
+}
+
+// Suspicions returns the suspicions of the last reportWindow.
+func (d *Directory) Suspicions(now time.Duration) (out []Suspicion) {
+	d.expireReports(now)
+	for tag, r := range d.reports {
+		for balancer, at := range r {
+			out = append(out, Suspicion{Balancer: balancer, Tag: tag, At: at})
+		}
 	}
-	return e.ID, d.setEjected(e, true)
+	return out
 }
 
-func (d *Directory) byTag(tag uint32) *Entry {
-	for _, e := range d.entries {
-		if e.Tag() == tag {
-			return e
+func (d *Directory) expireReports(now time.Duration) {
+	for tag, r := range d.reports {
+		if r.expire(now); len(r) == 0 {
+			delete(d.reports, tag)
 		}
 	}
-	return nil
 }
 
 // mayEject reports whether one more upstream of a service may be ejected.
@@ -76,12 +119,11 @@
 
 // expireEjection ends an ejection after ejectionTime.
 func (d *Directory) expireEjection(now time.Duration, e *Entry) (changed bool) {
-	return e.Ejected && now-e.suspicion.lastQuorum > ejectionTime && d.setEjected(e, false)
+	return e.Ejected && now-e.lastQuorum > ejectionTime && d.setEjected(e, false)
 }
 
 func (d *Directory) setEjected(e *Entry, ejected bool) bool {
-	d.rev++
 	e.Ejected = ejected
-	e.Revision = d.rev
+	d.markChanged(e)
 	return true
 }
--- a/internal/version/directory/ejection_test.go
+++ b/internal/version/directory/ejection_test.go
@@ -20,7 +20,7 @@
 
 func (d *Directory) suspect(now time.Duration, id, balancer string) bool {
 	r := d.Get(id).Record
-	_, changed := d.ReportSuspicion(now, r.Tag(), balancer)
+	_, changed := d.ReportSuspicion(now, now, r.Tag(), balancer)
 	return changed
 }
 
@@ -86,6 +86,55 @@
 	d.Withdraw(0, "i-1")
 	must.False(t, d.suspect(0, "i-1", "a"))
 	must.False(t, d.suspect(0, "i-1", "b"))
-	_, changed := d.ReportSuspicion(0, 12345, "a")
+	_, changed := d.ReportSuspicion(0, 0, 12345, "a")
 	must.False(t, changed)
 }
+
+// A report may arrive before the record, from another controller.
+func TestSuspicionsOfAnUpstreamCountWhenItsRecordArrives(t *testing.T) {
+	d := newServingDirectory(6)
+	late := serving("i-late", 50, 1, 1)
+	for _, balancer := range []string{"a", "b"} {
+		_, changed := d.ReportSuspicion(0, 0, late.Tag(), balancer)
+		must.False(t, changed)
+	}
+	d.Merge(reportWindow, late)
+	must.True(t, d.Get("i-late").Ejected)
+
+	later := serving("i-later", 51, 1, 1)
+	d.ReportSuspicion(0, 0, later.Tag(), "a")
+	d.ReportSuspicion(0, 0, later.Tag(), "b")
+	d.Merge(reportWindow+1, later)
+	must.False(t, d.Get("i-later").Ejected)
+}
+
+// A report that is passed on twice keeps its time.
+func TestRepeatedReportDoesNotExtendASuspicion(t *testing.T) {
+	d := newServingDirectory(6)
+	tag := d.Get("i-1").Tag()
+	d.ReportSuspicion(0, 0, tag, "a")
+	d.ReportSuspicion(reportWindow, 0, tag, "a")
+	must.Len(t, 1, d.Suspicions(reportWindow))
+	must.SliceEmpty(t, d.Suspicions(reportWindow+1))
+	must.False(t, d.suspect(reportWindow+1, "i-1", "b"))
+}
+
+func TestReportsOfUnknownUpstreamsExpire(t *testing.T) {
+	d := newServingDirectory(1)
+	d.ReportSuspicion(0, 0, 12345, "a")
+	d.Tick(reportWindow + 1)
+	must.MapEmpty(t, d.reports)
+}
+
+// The share of ejected upstreams is bounded by the upstreams that are known.
+func TestUpstreamIsEjectedOnceEnoughOthersAreKnown(t *testing.T) {
+	d := newServingDirectory(1)
+	d.suspect(0, "i-0", "a")
+	must.False(t, d.suspect(0, "i-0", "b"))
+	d.Merge(0, serving("i-1", 1, 1, 1))
+	d.Merge(0, serving("i-2", 2, 1, 1))
+	must.True(t, d.Tick(time.Second))
+	must.True(t, d.Get("i-0").Ejected)
+	d.Tick(ejectionTime + 1)
+	must.False(t, d.Get("i-0").Ejected)
+}
