cmd: wait until a paused leader has stopped

Cause (KNOWN-RED, TestPausedLeaderServesNoStaleRead): SIGSTOP takes effect up to 38 ms later under load; until then the leader accepts sheet 2 from a follower, and no election is needed. With the signal delayed by 38 ms the test failed likewise, sheet 2 accepted in the term of the first leader. Change: the test waits until all threads are stopped before it submits.

--- a/cmd/heatherport/pause_test.go
+++ b/cmd/heatherport/pause_test.go
@@ -2,7 +2,13 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -21,7 +27,7 @@
 	c := newCluster(t)
 	c.mustSubmit(1)
 	leader := c.leader()
-	c.signal(leader, syscall.SIGSTOP)
+	c.pause(leader)
 	others := c.operatorClient(slices.Concat(c.vms[:leader], c.vms[leader+1:])...)
 	c.waitFor("sheet accepted by a new leader", func() bool { return c.submitBy(others, 2) == nil })
 
@@ -43,6 +49,29 @@
 	must.NotEq(t, leader, c.leader())
 }
 
+// pause stops VM i and waits until none of its threads runs. Under load that
+// takes tens of milliseconds, in which a leader could still accept a sheet.
+func (c *cluster) pause(i int) {
+	c.signal(i, syscall.SIGSTOP)
+	tasks := fmt.Sprintf("/proc/%d/task/*/stat", c.vms[i].process.Process.Pid)
+	c.waitFor("all threads stopped", func() bool {
+		files, err := filepath.Glob(tasks)
+		must.NoError(c.t, err)
+		return len(files) > 0 && !slices.ContainsFunc(files, func(f string) bool { return !isStopped(f) })
+	})
+}
+
+// isStopped reports whether a thread is stopped, by its stat file in /proc.
+func isStopped(file string) bool {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return errors.Is(err, fs.ErrNotExist) // the thread has ended
+	}
+	// The state follows the name, which is in parentheses.
+	_, state, _ := strings.Cut(string(b), ") ")
+	return strings.HasPrefix(state, "T")
+}
+
 // leader waits for a leader and returns its index.
 func (c *cluster) leader() int {
 	i := -1
