Invite balancers after a restart; feed equal subscribers with one frame

Opening the log took 87 ms, most of it up to 256 old configurations. Ruled out: the election, as balancers forward without a confirmed state. Change: controllers remember the addresses of balancers, share and save them, and send each an invitation after a restart. Updates are encoded once for all subscribers with the same state, the full state at most each 0.2 s. A starting balancer takes one feed, the second a second later. A full state has one log line. The log keeps 64 entries instead of 256.

--- a/internal/process/balancer/balancer.go
+++ b/internal/process/balancer/balancer.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -58,6 +59,8 @@
 	stopTimeout time.Duration
 	started     time.Time
 	forwarder   *forwarder
+	link        netip.AddrPort // receives invitations; invalid for none
+	invitations invitations
 	events      chan func()
 	ctx         context.Context
 	cancel      context.CancelFunc
@@ -72,6 +75,7 @@
 	table          *routing.Table
 	retired        *routing.RetiredTargets
 	routesSince    time.Duration // when the first routes arrived
+	firstFeed      time.Duration // when the first feed opened
 	lastRebalance  time.Duration
 	lastPublish    time.Duration
 	reported       []reportedSuspicion
@@ -86,6 +90,7 @@
 		log: cfg.Log, metrics: cfg.Metrics, name: s.VM.Name, domain: s.VM.Domain,
 		lifetime: s.Lifetime, stopTimeout: s.VM.StopTimeout,
 		started:   time.Now(),
+		link:      s.Link.Listen,
 		events:    make(chan func(), eventQueue),
 		directory: directory.New(directory.Config{Retention: s.Lifetime}),
 	}
@@ -112,6 +117,11 @@
 	if err := b.forwarder.start(); err != nil {
 		return err
 	}
+	if b.link.IsValid() {
+		if err := b.listenInvitations(b.link); err != nil {
+			return err
+		}
+	}
 	go b.run()
 	return nil
 }
@@ -139,12 +149,16 @@
 		}
 		select {
 		case <-ctx.Done():
-			b.cancel()
-			return b.forwarder.stop()
+			return b.shutDown()
 		case <-time.After(controlInterval):
 		}
 	}
+	return b.shutDown()
+}
+
+func (b *Balancer) shutDown() error {
 	b.cancel()
+	b.invitations.close()
 	return b.forwarder.stop()
 }
 
--- a/internal/process/balancer/feeds.go
+++ b/internal/process/balancer/feeds.go
@@ -10,6 +10,7 @@
 
 	"heatherport/internal/process/controller"
 	"heatherport/internal/process/stream"
+	"heatherport/internal/version/directory"
 	"heatherport/internal/version/routing"
 )
 
@@ -18,6 +19,11 @@
 	// second one keeps delivering changes until the loss of the first is
 	// detected.
 	feedCount = 2
+	// settleTime is the time after the first feed has opened in which no second
+	// one is taken: the full state of each costs a starting balancer much of its
+	// processor. emptyTime is the part of it that a feed without routes is given.
+	settleTime = time.Second
+	emptyTime  = 200 * time.Millisecond
 	// hedgeDelay is the time after which another controller is tried in parallel
 	// to a pending attempt to connect. It is many round trips.
 	hedgeDelay = 60 * time.Millisecond
@@ -55,7 +61,17 @@
 	ejected map[string]bool
 }
 
-// openFeeds opens feeds up to feedCount. A slow attempt does not delay the next
+// wantedFeeds returns the number of feeds to take now.
+func (b *Balancer) wantedFeeds() int {
+	since := b.now() - b.firstFeed
+	if b.firstFeed == 0 || since < emptyTime || b.table != nil && since < settleTime {
+		return 1
+	}
+	return feedCount
+}
+
+// openFeeds opens feeds up to feedCount. Until the first is open, it tries two
+// controllers at a time. A slow attempt does not delay the next
 // one, because a VM without power does not answer at all.
 func (b *Balancer) openFeeds() {
 	open, pending := 0, 0
@@ -67,7 +83,11 @@
 			pending++
 		}
 	}
-	for open+pending < feedCount {
+	wanted := b.wantedFeeds()
+	if open == 0 {
+		wanted = feedCount
+	}
+	for open+pending < wanted {
 		s := b.pickSource()
 		if s == nil {
 			return
@@ -77,18 +97,20 @@
 	}
 }
 
-// closeExcessFeed closes the last open feed in the list if there are more than
-// feedCount.
-func (b *Balancer) closeExcessFeed() {
-	var open []*feed
-	for _, f := range b.feeds {
-		if f.conn != nil {
-			open = append(open, f)
-		}
+// feedOpened subscribes to a feed that has connected, or closes it if it is not
+// wanted.
+func (b *Balancer) feedOpened(f *feed, conn *stream.Conn) {
+	if b.openFeedCount() >= b.wantedFeeds() {
+		f.cancel()
+		return
 	}
-	if len(open) > feedCount {
-		open[len(open)-1].cancel()
+	b.log.Info("feed open", "controller", f.source.address, "domain", f.source.domain)
+	if b.firstFeed == 0 {
+		b.firstFeed = b.now()
 	}
+	f.conn = conn
+	b.subscribe(conn)
+	b.repeatSuspicions(conn)
 }
 
 // pickSource returns the source to connect to, or nil. It prefers a controller
@@ -127,13 +149,7 @@
 	b.feeds = append(b.feeds, f)
 	go stream.DialOnce(ctx, s.address, stream.Callbacks{
 		Open: func(conn *stream.Conn) {
-			b.post(func() {
-				b.log.Info("feed open", "controller", s.address, "domain", s.domain)
-				f.conn = conn
-				b.subscribe(conn)
-				b.repeatSuspicions(conn)
-				b.closeExcessFeed()
-			})
+			b.post(func() { b.feedOpened(f, conn) })
 		},
 		Handle: func(_ *stream.Conn, kind stream.Kind, body []byte) {
 			if kind != controller.KindFeedUpdate {
@@ -185,19 +201,34 @@
 	if m.Routes != nil {
 		b.applyRoutes(f, *m.Routes)
 	}
-	for _, r := range m.Upstreams {
-		if b.directory.Merge(now, r) || f.lapsed[r.ID] != r.Lapsed || f.ejected[r.ID] != r.Ejected {
-			b.log.Info("upstream changed", "upstream", r.ID, "service", r.Service, "address", r.Address, "state", r.State.String(),
-				"lapsed", r.Lapsed, "doubted", r.Ejected, "born", r.StartMillis, "seq", r.Seq, "controller", f.source.address)
-		}
-		f.lapsed[r.ID], f.ejected[r.ID] = r.Lapsed, r.Ejected
-	}
+	b.applyUpstreams(f, m.Upstreams)
 	for _, c := range m.Controllers {
 		b.addSource(c.Link, c.Domain)
 	}
 	b.changed = true
 }
 
+// maxUpstreamLines is the number of changed upstreams up to which each has its
+// own log line. The first update of a feed carries all upstreams.
+const maxUpstreamLines = 16
+
+func (b *Balancer) applyUpstreams(f *feed, records []directory.Record) {
+	changed := 0
+	for _, r := range records {
+		if b.directory.Merge(b.now(), r) || f.lapsed[r.ID] != r.Lapsed || f.ejected[r.ID] != r.Ejected {
+			changed++
+			if len(records) <= maxUpstreamLines {
+				b.log.Info("upstream changed", "upstream", r.ID, "service", r.Service, "address", r.Address, "state", r.State.String(),
+					"lapsed", r.Lapsed, "doubted", r.Ejected, "born", r.StartMillis, "seq", r.Seq, "controller", f.source.address)
+			}
+		}
+		f.lapsed[r.ID], f.ejected[r.ID] = r.Lapsed, r.Ejected
+	}
+	if len(records) > maxUpstreamLines {
+		b.log.Info("upstreams received", "records", len(records), "changed", changed, "known", b.directory.Len(), "controller", f.source.address)
+	}
+}
+
 func (b *Balancer) applyRoutes(f *feed, d routing.Delta) {
 	table, err := f.table.Apply(d)
 	if err != nil {
@@ -215,16 +246,37 @@
 }
 
 // addSource adds a controller to the sources, or sets the failure domain of a
-// known one.
-func (b *Balancer) addSource(address netip.AddrPort, domain string) {
-	i := slices.IndexFunc(b.sources, func(s *source) bool { return s.address == address })
-	if i < 0 {
+// known one. It reports whether the controller is new.
+func (b *Balancer) addSource(address netip.AddrPort, domain string) (isNew bool) {
+	s := b.sourceAt(address)
+	if s == nil {
 		b.sources = append(b.sources, &source{address: address, domain: domain})
-		return
+		return true
 	}
 	if domain != "" {
-		b.sources[i].domain = domain
+		s.domain = domain
+	}
+	return false
+}
+
+// sourceAt returns the source with an address, or nil.
+func (b *Balancer) sourceAt(address netip.AddrPort) *source {
+	for _, s := range b.sources {
+		if s.address == address {
+			return s
+		}
+	}
+	return nil
+}
+
+// openFeedCount returns the number of feeds that are connected.
+func (b *Balancer) openFeedCount() (open int) {
+	for _, f := range b.feeds {
+		if f.conn != nil {
+			open++
+		}
 	}
+	return open
 }
 
 // rebalanceFeeds closes a feed that another controller should replace: one
--- a/internal/process/balancer/feeds_test.go
+++ b/internal/process/balancer/feeds_test.go
@@ -340,3 +340,86 @@
 		return u != nil && u.Ended
 	})
 }
+
+// startInvitable starts a balancer that receives invitations at the returned
+// address. Its seed is a VM that is off.
+func startInvitable(t *testing.T) (*Balancer, netip.AddrPort) {
+	network, err := loopback.Reserve()
+	must.NoError(t, err)
+	t.Cleanup(network.Release)
+	off := &fakeController{t: t, address: netip.AddrPortFrom(network.Host(200), linkPort)}
+	b := startBalancer(t, off)
+	link := netip.AddrPortFrom(network.Host(100), linkPort)
+	must.NoError(t, b.listenInvitations(link))
+	t.Cleanup(b.invitations.close)
+	return b, link
+}
+
+// invite sends an invitation on behalf of a controller.
+func invite(t *testing.T, from netip.Addr, to, link netip.AddrPort) {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.AddrPortFrom(from, 0)))
+	must.NoError(t, err)
+	defer conn.Close()
+	frame, err := stream.Encode(controller.KindInvitation, controller.Invitation{Link: link, Domain: "akure"})
+	must.NoError(t, err)
+	_, err = conn.WriteToUDPAddrPort(frame, to)
+	must.NoError(t, err)
+}
+
+// TestInvitationOpensFeed checks that a balancer whose seeds are off is fed by a
+// controller that it does not know.
+func TestInvitationOpensFeed(t *testing.T) {
+	f := startFakes(t, 2)
+	b, link := startInvitable(t)
+	// An invitation in the name of another VM is ignored.
+	invite(t, f[1].address.Addr(), link, f[0].address)
+	invite(t, f[1].address.Addr(), link, f[1].address)
+	f[1].feed(fullUpdate(t, 3, true))
+	eventually(t, "in force", func() bool { return b.number() == 3 })
+	sources := make(chan int, 1)
+	b.post(func() { sources <- len(b.sources) })
+	must.Eq(t, 2, <-sources)
+}
+
+func TestMalformedInvitationsAreIgnored(t *testing.T) {
+	b, link := startInvitable(t)
+	conn, err := net.DialUDP("udp", nil, net.UDPAddrFromAddrPort(link))
+	must.NoError(t, err)
+	defer conn.Close()
+	for _, datagram := range [][]byte{{}, {1, 2, 3}, {0, 0, 0, 9, byte(controller.KindInvitation), 1}, {0, 0, 0, 1, byte(controller.KindInvitation), 0xff}} {
+		_, err := conn.Write(datagram)
+		must.NoError(t, err)
+	}
+	f := startFakes(t, 1)
+	invite(t, f[0].address.Addr(), link, f[0].address)
+	f[0].feed(fullUpdate(t, 1, true))
+	eventually(t, "in force", func() bool { return b.number() == 1 })
+}
+
+// TestOneFeedUntilStateHasArrived checks that a starting balancer takes the full
+// state from one controller only, and the second feed later.
+func TestOneFeedUntilStateHasArrived(t *testing.T) {
+	f := startFakes(t, 3)
+	b := startBalancer(t, f...)
+	first := time.Now()
+	eventually(t, "a subscription", func() bool { return subscriptions(f) > 0 })
+	for _, c := range f {
+		if len(c.subscribed) > 0 {
+			c.feed(fullUpdate(t, 1, true))
+		}
+	}
+	eventually(t, "in force", func() bool { return b.number() == 1 })
+	for time.Since(first) < settleTime/2 {
+		must.Eq(t, 0, subscriptions(f))
+		time.Sleep(10 * time.Millisecond)
+	}
+	eventually(t, "two feeds", func() bool { return b.countOpenFeeds() == 2 })
+}
+
+// subscriptions returns the number of subscriptions that no feed answered.
+func subscriptions(f []*fakeController) (n int) {
+	for _, c := range f {
+		n += len(c.subscribed)
+	}
+	return n
+}
--- a/internal/process/controller/consensus.go
+++ b/internal/process/controller/consensus.go
@@ -27,10 +27,10 @@
 	// learnerLag is the number of entries by which a learner may trail when it
 	// is promoted.
 	learnerLag = 8
-	// compactEntries and compactBytes bound the log after a snapshot. A disk
-	// holds many times as much.
-	compactEntries = 256
-	compactBytes   = 4 << 20
+	// compactEntries and compactBytes bound the log after a snapshot. A start
+	// reads all of it.
+	compactEntries = 64
+	compactBytes   = 512 << 10
 	// reopenInterval is the time between attempts to open the log after a
 	// storage failure.
 	reopenInterval = 500 * time.Millisecond
--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -68,36 +68,43 @@
 	consensus *consensus
 	peers     *peerTable
 	links     *links
-	store     *upstreamStore
+	upstreams *hintStore[directory.Record]
+	addresses *hintStore[netip.Addr] // of balancers
 	events    chan func()
 	cancel    context.CancelFunc
 	listener  net.Listener
 	diskTasks sync.WaitGroup // goroutines that use the data folder
 
 	// The fields below belong to the control goroutine.
-	directory      *directory.Directory
-	table          *routing.Table
-	subscribers    map[*stream.Conn]*subscriber
-	renewed        []uint32 // tags announced here since the last Renewals message
-	recordsNumber  uint64   // number of the last Records message
-	ackWaiters     map[uint64][]chan struct{}
-	unacked        map[string]uint64 // number of the Records message with the unacknowledged end of an upstream, by ID
-	sharedRevision uint64            // revision of the directory sent to peers
-	lastRenewal    time.Duration
-	lastHello      time.Duration
+	directory           *directory.Directory
+	table               *routing.Table
+	subscribers         map[*stream.Conn]*subscriber
+	lastFeed            feedFrames // updates to the last state that was fed
+	fullFeed            fullFeed
+	renewed             []uint32 // tags announced here since the last Renewals message
+	recordsNumber       uint64   // number of the last Records message
+	ackWaiters          map[uint64][]chan struct{}
+	unacked             map[string]uint64 // number of the Records message with the unacknowledged end of an upstream, by ID
+	sharedRevision      uint64            // revision of the directory sent to peers
+	lastRenewal         time.Duration
+	lastHello           time.Duration
+	balancers           *balancerTable
+	lastBalancerRefresh time.Duration
 }
 
 // New returns a controller that is not started.
 func New(cfg Config) *Controller {
 	s := cfg.Settings
 	c := &Controller{
-		cfg:     cfg,
-		log:     cfg.Log,
-		self:    Member{Domain: s.VM.Domain, Link: s.Link.Advertise, API: s.API},
-		started: time.Now(),
-		peers:   newPeerTable(),
-		store:   newUpstreamStore(s.VM.DataDir, cfg.Log.Named("upstreams")),
-		events:  make(chan func(), eventQueue),
+		cfg:       cfg,
+		log:       cfg.Log,
+		self:      Member{Domain: s.VM.Domain, Link: s.Link.Advertise, API: s.API},
+		started:   time.Now(),
+		peers:     newPeerTable(),
+		upstreams: newHintStore[directory.Record](s.VM.DataDir, upstreamsFile, cfg.Log.Named("upstreams")),
+		addresses: newHintStore[netip.Addr](s.VM.DataDir, balancersFile, cfg.Log.Named("balancers")),
+		balancers: newBalancerTable(),
+		events:    make(chan func(), eventQueue),
 		directory: directory.New(directory.Config{
 			LapseAfter: lapseHeartbeats * s.Heartbeat,
 			Retention:  s.Lifetime,
@@ -145,14 +152,20 @@
 	c.listener = l
 	c.cancel = cancel
 	c.links = newLinks(ctx, c.self.Link, c.linkCallbacks)
-	for _, r := range c.store.load() {
+	for _, r := range c.upstreams.load() {
 		c.directory.Merge(c.now(), r)
 	}
-	c.diskTasks.Go(func() { c.store.run(ctx.Done()) })
+	invited := c.addresses.load()
+	c.balancers.add(c.now(), invited...)
+	c.diskTasks.Go(func() { c.upstreams.run(ctx.Done()) })
+	c.diskTasks.Go(func() { c.addresses.run(ctx.Done()) })
 	c.diskTasks.Go(func() { c.consensus.run(ctx) })
 	go c.run(ctx)
 	go stream.Serve(ctx, l, stream.Callbacks{Handle: c.handleMessage, Close: c.removeSubscriber})
 	c.links.connect(seedLinks(c.cfg.Settings)...)
+	if len(invited) > 0 {
+		go c.invite(ctx, invited)
+	}
 	return nil
 }
 
@@ -223,7 +236,9 @@
 func (c *Controller) tick() {
 	now := c.now()
 	c.directory.Tick(now)
-	c.store.save(now, c.directory)
+	c.upstreams.save(now, c.directory.Revision(), func() []directory.Record { return c.directory.Since(0) })
+	c.addresses.save(now, c.balancers.revision, c.balancers.addresses)
+	c.refreshBalancers(now)
 	c.updateGauges()
 	if now-c.lastRenewal >= renewInterval {
 		c.lastRenewal = now
--- a/internal/process/controller/exchange.go
+++ b/internal/process/controller/exchange.go
@@ -73,8 +73,8 @@
 	}
 }
 
-// sendFullState sends a Hello, all records of the directory and the suspicions
-// that were reported recently.
+// sendFullState sends a Hello, all records of the directory, the known balancers
+// and the suspicions that were reported recently.
 func (c *Controller) sendFullState(conn *stream.Conn) {
 	c.recordsNumber++
 	type message struct {
@@ -84,6 +84,7 @@
 	messages := []message{
 		{KindHello, c.hello()},
 		{KindRecords, Records{Number: c.recordsNumber, Records: c.directory.Since(0)}},
+		{KindBalancers, Balancers{Addresses: c.balancers.addresses()}},
 	}
 	now := c.now()
 	for _, r := range suspicionReports(now, c.directory.Suspicions(now)) {
@@ -152,6 +153,11 @@
 		if c.decode(body, &d) {
 			c.post(func() { c.handleSuspicions(conn, d) })
 		}
+	case KindBalancers:
+		var b Balancers
+		if c.decode(body, &b) {
+			c.post(func() { c.balancers.add(c.now(), b.Addresses...) })
+		}
 	case KindSubmit:
 		var s Submit
 		if c.decode(body, &s) {
--- a/internal/process/controller/feed.go
+++ b/internal/process/controller/feed.go
@@ -1,7 +1,9 @@
 package controller
 
 import (
+	"net/netip"
 	"slices"
+	"time"
 
 	"heatherport/internal/process/stream"
 	"heatherport/internal/version/routing"
@@ -11,16 +13,16 @@
 // last sent to it.
 type subscriber struct {
 	Subscribe
-	started     bool
-	revision    uint64
-	table       *routing.Table
-	confirmed   bool
-	controllers []Member
+	address netip.Addr
+	started bool // an update was sent
+	state   feedState
 }
 
 func (c *Controller) subscribe(conn *stream.Conn, s Subscribe) {
 	c.log.Info("balancer subscribed", "balancer", s.Name, "domain", s.Domain)
-	c.subscribers[conn] = &subscriber{Subscribe: s}
+	sub := &subscriber{Subscribe: s, address: conn.RemoteAddr()}
+	c.subscribers[conn] = sub
+	c.noteBalancer(sub)
 }
 
 func (c *Controller) removeSubscriber(conn *stream.Conn, cause error) {
@@ -32,32 +34,105 @@
 	})
 }
 
-// feedAll sends each subscriber the changes since its last update.
+// feedAll sends each subscriber the changes since its last update. Subscribers
+// that hold the same state are sent the same frame.
 func (c *Controller) feedAll() {
 	if len(c.subscribers) == 0 {
 		return
 	}
-	confirmed := c.consensus.Status().Leader != ""
-	known := append(c.peers.members(peerMaxAge), c.member())
+	now := feedState{
+		table: c.table, revision: c.directory.Revision(),
+		confirmed: c.consensus.Status().Leader != "", controllers: append(c.peers.members(peerMaxAge), c.member()),
+	}
+	if !now.equal(&c.lastFeed.state) {
+		c.lastFeed = feedFrames{state: now, frames: make(map[feedBase][]byte)}
+	}
 	for conn, s := range c.subscribers {
-		f := FeedUpdate{Confirmed: confirmed}
-		changed := !s.started || s.confirmed != confirmed
-		if s.table != c.table {
-			d := c.table.Diff(s.table)
-			f.Routes = &d
-			changed = true
-		}
-		if f.Upstreams = c.directory.Since(s.revision); len(f.Upstreams) > 0 {
-			changed = true
+		if !s.started {
+			c.sendFull(conn, s, &now)
 		}
-		if !slices.Equal(s.controllers, known) {
-			f.Controllers = known
-			changed = true
-		}
-		if !changed {
+		if s.state.equal(&now) {
 			continue
 		}
-		s.started, s.confirmed, s.table, s.revision, s.controllers = true, confirmed, c.table, c.directory.Revision(), known
-		c.reply(conn, KindFeedUpdate, f)
+		if frame := c.feedFrame(&s.state, &now); frame != nil {
+			conn.Send(frame)
+			s.state = now
+		}
+	}
+}
+
+// fullMaxAge is the time for which the encoded full state is reused. When many
+// balancers subscribe at once, each is sent the same full state and then the
+// changes since.
+const fullMaxAge = 200 * time.Millisecond
+
+// fullFeed is an encoded full state.
+type fullFeed struct {
+	state feedState
+	frame []byte
+	at    time.Duration
+}
+
+// sendFull sends a new subscriber the full state, which may be fullMaxAge old.
+func (c *Controller) sendFull(conn *stream.Conn, s *subscriber, now *feedState) {
+	s.started = true
+	full := &c.fullFeed
+	if full.frame == nil || full.state.table != now.table || c.now()-full.at > fullMaxAge {
+		var empty feedState
+		*full = fullFeed{state: *now, frame: c.feedFrame(&empty, now), at: c.now()}
+	}
+	if full.frame != nil {
+		conn.Send(full.frame)
+		s.state = full.state
+	}
+}
+
+// feedState is the state that a feed carries to a balancer.
+type feedState struct {
+	table       *routing.Table
+	revision    uint64 // of the directory
+	confirmed   bool
+	controllers []Member
+}
+
+func (s *feedState) equal(o *feedState) bool {
+	return s.table == o.table && s.revision == o.revision && s.confirmed == o.confirmed && slices.Equal(s.controllers, o.controllers)
+}
+
+// feedBase is what an update starts from, as far as its content depends on it.
+type feedBase struct {
+	table           *routing.Table
+	revision        uint64
+	sameControllers bool
+}
+
+// feedFrames holds the encoded updates to a state.
+type feedFrames struct {
+	state  feedState
+	frames map[feedBase][]byte
+}
+
+// feedFrame returns the frame that takes a subscriber from one state to another,
+// or nil if it cannot be encoded.
+func (c *Controller) feedFrame(from, to *feedState) []byte {
+	base := feedBase{table: from.table, revision: from.revision, sameControllers: slices.Equal(from.controllers, to.controllers)}
+	if frame, ok := c.lastFeed.frames[base]; ok {
+		return frame
+	}
+	f := FeedUpdate{Confirmed: to.confirmed, Upstreams: c.directory.Since(from.revision)}
+	if from.table != to.table {
+		d := to.table.Diff(from.table)
+		f.Routes = &d
+	}
+	if !base.sameControllers {
+		f.Controllers = to.controllers
+	}
+	frame, err := stream.Encode(KindFeedUpdate, f)
+	if err != nil {
+		c.log.Error("failed to encode feed update", "error", err)
+		return nil
 	}
+	c.cfg.Metrics.FeedUpdates.Inc()
+	c.lastFeed.frames[base] = frame
+	return frame
 }
--- /dev/null
+++ b/internal/process/controller/hintstore.go
@@ -0,0 +1,101 @@
+package controller
+
+import (
+	"io/fs"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/hashicorp/go-hclog"
+
+	"heatherport/internal/result"
+	"heatherport/internal/version/vfs"
+)
+
+const (
+	// upstreamsFile keeps the directory across a restart of all controllers.
+	// Without it, most upstreams would be unknown until their next announcement.
+	upstreamsFile = "upstreams"
+	// balancersFile keeps the addresses of the balancers, which are invited after
+	// a restart.
+	balancersFile = "balancers"
+	// saveInterval limits the writes to the disk, which the replicated log
+	// shares.
+	saveInterval = time.Second
+)
+
+// hintStore saves soft state to disk on its own goroutine, because the disk may
+// stall. The state is only a hint: nothing depends on its being up to date.
+type hintStore[T any] struct {
+	dir, file     string
+	log           hclog.Logger
+	queue         chan []T
+	savedRevision uint64        // revision that was last queued
+	savedAt       time.Duration // time at which it was queued
+}
+
+func newHintStore[T any](dir, file string, log hclog.Logger) *hintStore[T] {
+	return &hintStore[T]{dir: dir, file: file, log: log, queue: make(chan []T, 1)}
+}
+
+// load returns the entries that an earlier process saved.
+func (s *hintStore[T]) load() []T {
+	entries, err := s.read()
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		s.log.Warn("failed to read saved state; starting without it", "file", s.file, "error", err)
+	}
+	return entries
+}
+
+func (s *hintStore[T]) read() ([]T, error) {
+	folder, err := vfs.Dir(s.dir)
+	if err != nil {
+		return nil, err
+	}
+	data, err := readFile(folder, s.file)
+	if err != nil {
+		return nil, err
+	}
+	var entries []T
+	if err := cbor.Unmarshal(data, &entries); err != nil {
+		return nil, result.Wrapf(err, result.StorageCorrupt, "decode %s", s.file)
+	}
+	return entries, nil
+}
+
+// save queues the entries of a revision for writing if it has changed. While a
+// write is in progress and another one is queued, it does nothing.
+func (s *hintStore[T]) save(now time.Duration, revision uint64, entries func() []T) {
+	if revision == s.savedRevision || now-s.savedAt < saveInterval || len(s.queue) == cap(s.queue) {
+		return
+	}
+	s.queue <- entries() // the control goroutine is the only sender
+	s.savedRevision = revision
+	s.savedAt = now
+}
+
+// run writes the queued entries until done is closed.
+func (s *hintStore[T]) run(done <-chan struct{}) {
+	for {
+		select {
+		case <-done:
+			return
+		case entries := <-s.queue:
+			if err := s.write(entries); err != nil {
+				s.log.Warn("failed to save state", "file", s.file, "error", err)
+			}
+		}
+	}
+}
+
+func (s *hintStore[T]) write(entries []T) error {
+	folder, err := vfs.Dir(s.dir)
+	if err != nil {
+		return err
+	}
+	data, err := cbor.Marshal(entries)
+	if err != nil {
+		return result.Wrapf(err, result.Internal, "encode %s", s.file)
+	}
+	return replaceFile(folder, s.file, data)
+}
--- a/internal/process/controller/message.go
+++ b/internal/process/controller/message.go
@@ -21,6 +21,8 @@
 	KindSubscribe                              // balancer to controller: Subscribe
 	KindFeedUpdate                             // controller to balancer: FeedUpdate
 	KindSuspicionReport                        // balancer to controller, and between controllers: SuspicionReport
+	KindBalancers                              // controller to controller: Balancers
+	KindInvitation                             // controller to balancer, in a datagram: Invitation
 )
 
 // Member describes a controller to others.
@@ -37,6 +39,17 @@
 	Known []netip.AddrPort `cbor:"2,keyasint"` // link addresses of known controllers
 }
 
+// Balancers lists balancers that are fed by a controller.
+type Balancers struct {
+	Addresses []netip.Addr `cbor:"1,keyasint"`
+}
+
+// Invitation tells a balancer of a controller that can feed it.
+type Invitation struct {
+	Link   netip.AddrPort `cbor:"1,keyasint"`
+	Domain string         `cbor:"2,keyasint"`
+}
+
 // Records are changes of the directory. The first Records message on a link
 // carries the whole directory.
 type Records struct {
--- a/internal/process/metrics/programs.go
+++ b/internal/process/metrics/programs.go
@@ -104,6 +104,7 @@
 	LogFailures         prometheus.Counter
 	LinksLost           prometheus.Counter
 	Subscribers         prometheus.Gauge
+	FeedUpdates         prometheus.Counter
 	Upstreams           prometheus.Gauge
 	ConfigurationNumber prometheus.Gauge
 	IsLeader            prometheus.Gauge
@@ -121,6 +122,7 @@
 		LeaderChanges:       r.counter("leader_changes_total", "Leader changes observed by this controller."),
 		LogFailures:         r.counter("log_failures_total", "Disk failures that closed the log."),
 		LinksLost:           r.counter("links_lost_total", "Lost links to other controllers."),
+		FeedUpdates:         r.counter("feed_updates_encoded_total", "Feed updates encoded; one may be sent to many balancers."),
 		Subscribers:         r.gauge("subscribers", "Balancers subscribed to this controller's feed."),
 		Upstreams:           r.gauge("upstreams", "Known upstreams, including ended ones."),
 		ConfigurationNumber: r.gauge("configuration_number", "Number of the configuration in force."),
--- a/internal/process/stream/stream.go
+++ b/internal/process/stream/stream.go
@@ -56,7 +56,8 @@
 	once  sync.Once
 }
 
-func newConn(c net.Conn) *Conn {
+// NewConn returns a connection that is not served: messages are queued only.
+func NewConn(c net.Conn) *Conn {
 	return &Conn{conn: c, queue: make(chan []byte, queueLength), done: make(chan struct{})}
 }
 
@@ -81,6 +82,15 @@
 	return nil
 }
 
+// DecodeFrame returns the kind and the body of the message in a datagram. It
+// reports false if the datagram does not hold one whole frame.
+func DecodeFrame(datagram []byte) (kind Kind, body []byte, ok bool) {
+	if len(datagram) < headerSize || int64(binary.BigEndian.Uint32(datagram)) != int64(len(datagram)-headerSize) {
+		return 0, nil, false
+	}
+	return Kind(datagram[4]), datagram[headerSize:], true
+}
+
 // Send queues a frame. It reports false when the connection has ended. A
 // connection whose queue is full is closed.
 func (c *Conn) Send(frame []byte) bool {
@@ -98,6 +108,20 @@
 	}
 }
 
+// RemoteAddr returns the address of the other VM.
+func (c *Conn) RemoteAddr() netip.Addr { return addrOf(c.conn.RemoteAddr()) }
+
+// LocalAddr returns the address of this VM on the connection.
+func (c *Conn) LocalAddr() netip.Addr { return addrOf(c.conn.LocalAddr()) }
+
+// addrOf returns the IP address of an address of TCP, or the zero Addr.
+func addrOf(a net.Addr) netip.Addr {
+	if tcp, ok := a.(*net.TCPAddr); ok {
+		return tcp.AddrPort().Addr().Unmap()
+	}
+	return netip.Addr{}
+}
+
 // Close ends the connection.
 func (c *Conn) Close() {
 	c.once.Do(func() {
@@ -174,7 +198,7 @@
 
 // run runs a connection until it ends or ctx is done.
 func (callbacks Callbacks) run(ctx context.Context, conn net.Conn) {
-	c := newConn(conn)
+	c := NewConn(conn)
 	stop := context.AfterFunc(ctx, c.Close)
 	defer stop()
 	if callbacks.Open != nil {
--- a/internal/process/stream/stream_test.go
+++ b/internal/process/stream/stream_test.go
@@ -159,7 +159,7 @@
 func TestFullQueueEndsTheConnection(t *testing.T) {
 	near, far := net.Pipe()
 	defer far.Close()
-	c := newConn(near) // no goroutine reads from its queue
+	c := NewConn(near) // no goroutine reads from its queue
 	for range queueLength {
 		must.True(t, c.Send([]byte{0}))
 	}
