Feeds resume: a balancer tells a new feed what it holds

Cause: each feed began with the whole state. Ruled out: sending only the number of the routes; upstreams are a third of the bytes. Change: Subscribe carries the number of the routes and 64 digests of the upstreams; the controller sends what differs.

--- a/internal/process/balancer/feeds.go
+++ b/internal/process/balancer/feeds.go
@@ -55,6 +55,7 @@
 	unconfirmedSince time.Duration // last change of confirmed, or start
 	openedAt         time.Duration
 	table            *routing.Table // base of the next delta
+	offered          *routing.Table // table of the Subscribe message
 	// lapsed and ejected hold the state of each upstream according to this
 	// controller.
 	lapsed  map[string]bool
@@ -109,7 +110,7 @@
 		b.firstFeed = b.now()
 	}
 	f.conn = conn
-	b.subscribe(conn)
+	b.subscribe(f)
 	b.repeatSuspicions(conn)
 }
 
@@ -168,13 +169,20 @@
 	})
 }
 
-func (b *Balancer) subscribe(conn *stream.Conn) {
-	frame, err := stream.Encode(controller.KindSubscribe, controller.Subscribe{Name: b.name, Domain: b.domain})
+// subscribe tells a controller what this balancer holds, so that it sends the
+// rest.
+func (b *Balancer) subscribe(f *feed) {
+	m := controller.Subscribe{Name: b.name, Domain: b.domain}
+	if f.offered = b.table; f.offered != nil {
+		m.Routes = f.offered.Number
+		m.Digests = b.directory.Digests()
+	}
+	frame, err := stream.Encode(controller.KindSubscribe, m)
 	if err != nil {
 		b.log.Error("failed to encode subscription", "error", err)
 		return
 	}
-	conn.Send(frame)
+	f.conn.Send(frame)
 }
 
 func (b *Balancer) removeFeed(f *feed, cause error) {
@@ -198,9 +206,15 @@
 		f.confirmed = m.Confirmed
 		f.unconfirmedSince = now
 	}
+	if m.SameRoutes {
+		f.table = f.offered
+	}
 	if m.Routes != nil {
 		b.applyRoutes(f, *m.Routes)
 	}
+	if m.Resumed {
+		b.resumeUpstreams(f, m)
+	}
 	b.applyUpstreams(f, m.Upstreams)
 	for _, c := range m.Controllers {
 		b.addSource(c.Link, c.Domain)
@@ -208,6 +222,20 @@
 	b.changed = true
 }
 
+// resumeUpstreams sets the state of the upstreams that a controller did not send
+// because it knows that this balancer holds them. An upstream that the controller
+// has forgotten counts as lapsed.
+func (b *Balancer) resumeUpstreams(f *feed, m *controller.FeedUpdate) {
+	for _, e := range b.directory.Entries() {
+		f.lapsed[e.ID], f.ejected[e.ID] = false, false
+	}
+	missing := b.directory.Missing(m.DifferingBuckets, m.Upstreams)
+	for _, id := range missing {
+		f.lapsed[id] = true
+	}
+	b.log.Info("feed resumed", "controller", f.source.address, "same_routes", m.SameRoutes, "received", len(m.Upstreams), "forgotten", len(missing))
+}
+
 // maxUpstreamLines is the number of changed upstreams up to which each has its
 // own log line. The first update of a feed carries all upstreams.
 const maxUpstreamLines = 16
--- a/internal/process/balancer/feeds_test.go
+++ b/internal/process/balancer/feeds_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -36,8 +37,12 @@
 	listener   net.Listener
 	subscribed chan *stream.Conn
 	suspicions chan controller.SuspicionReport
+	last       atomic.Pointer[controller.Subscribe]
 }
 
+// lastSubscribe returns the last subscription.
+func (f *fakeController) lastSubscribe() controller.Subscribe { return *f.last.Load() }
+
 // startFakes starts n fake controllers at one port and different addresses.
 func startFakes(t *testing.T, n int) []*fakeController {
 	var out []*fakeController
@@ -52,8 +57,10 @@
 		f := &fakeController{t: t, address: address, stop: cancel, listener: l, subscribed: make(chan *stream.Conn, 10), suspicions: make(chan controller.SuspicionReport, 10)}
 		go stream.Serve(ctx, l, stream.Callbacks{Handle: func(c *stream.Conn, kind stream.Kind, body []byte) {
 			var d controller.SuspicionReport
+			var s controller.Subscribe
 			switch {
-			case kind == controller.KindSubscribe:
+			case kind == controller.KindSubscribe && stream.Decode(body, &s) == nil:
+				f.last.Store(&s)
 				f.subscribed <- c
 			case kind == controller.KindSuspicionReport && stream.Decode(body, &d) == nil:
 				f.suspicions <- d
@@ -423,3 +430,54 @@
 	}
 	return n
 }
+
+// TestSecondFeedResumes checks that a balancer tells its second feed what it
+// holds, and applies deltas to the routes that it offered.
+func TestSecondFeedResumes(t *testing.T) {
+	f := startFakes(t, 2)
+	b := startBalancer(t, f[0])
+	m := fullUpdate(t, 3, true)
+	m.Upstreams = []directory.Record{upstreamRecord(true)}
+	first := f[0].feed(m)
+	eventually(t, "in force", func() bool { return b.number() == 3 })
+	digests := make(chan []uint64, 1)
+	b.post(func() {
+		digests <- b.directory.Digests()
+		b.addSource(f[1].address, "")
+	})
+	second := f[1].feed(controller.FeedUpdate{Confirmed: true, SameRoutes: true, Resumed: true})
+	must.Eq(t, controller.Subscribe{Name: b.name, Domain: b.domain, Routes: 3, Digests: <-digests}, f[1].lastSubscribe())
+	// The upstream is not lapsed at the second controller.
+	eventually(t, "not lapsed", func() bool {
+		r := upstreamRecord(false)
+		u := b.view.Load().Upstream(r.Tag())
+		return u != nil && !u.Lapsed
+	})
+	first.Close()
+	next := routes(t, 4).Diff(routes(t, 3))
+	f[1].send(second, controller.FeedUpdate{Confirmed: true, Routes: &next})
+	eventually(t, "version 4", func() bool { return b.number() == 4 })
+}
+
+// TestForgottenUpstreamLapses checks that an upstream which the only controller
+// no longer knows is the last choice: it ended while the balancer was cut off.
+func TestForgottenUpstreamLapses(t *testing.T) {
+	f := startFakes(t, 2)
+	b := startBalancer(t, f[0])
+	m := fullUpdate(t, 3, true)
+	m.Upstreams = []directory.Record{upstreamRecord(false)}
+	f[0].feed(m)
+	eventually(t, "in force", func() bool { return b.number() == 3 })
+	f[0].end()
+	b.post(func() { b.addSource(f[1].address, "") })
+	var all []int
+	for bucket := range directory.DigestBuckets {
+		all = append(all, bucket)
+	}
+	f[1].feed(controller.FeedUpdate{Confirmed: true, SameRoutes: true, Resumed: true, DifferingBuckets: all})
+	eventually(t, "lapsed", func() bool {
+		r := upstreamRecord(false)
+		u := b.view.Load().Upstream(r.Tag())
+		return u != nil && u.Lapsed
+	})
+}
--- a/internal/process/controller/feed.go
+++ b/internal/process/controller/feed.go
@@ -49,7 +49,8 @@
 	}
 	for conn, s := range c.subscribers {
 		if !s.started {
-			c.sendFull(conn, s, &now)
+			s.started = true
+			c.sendFirst(conn, s, &now)
 		}
 		if s.state.equal(&now) {
 			continue
@@ -73,9 +74,28 @@
 	at    time.Duration
 }
 
+// sendFirst sends a new subscriber the state that it does not hold.
+func (c *Controller) sendFirst(conn *stream.Conn, s *subscriber, now *feedState) {
+	if len(s.Digests) == 0 || now.table == nil {
+		c.sendFull(conn, s, now)
+		return
+	}
+	f := FeedUpdate{
+		Confirmed: now.confirmed, Controllers: now.controllers,
+		SameRoutes: s.Routes == now.table.Number, Resumed: true,
+	}
+	f.Upstreams, f.DifferingBuckets = c.directory.Differing(s.Digests)
+	if !f.SameRoutes {
+		d := now.table.Diff(nil)
+		f.Routes = &d
+	}
+	c.log.Info("feed resumed", "balancer", s.Name, "number", s.Routes, "same_routes", f.SameRoutes, "differing", len(f.Upstreams))
+	c.reply(conn, KindFeedUpdate, f)
+	s.state = *now
+}
+
 // sendFull sends a new subscriber the full state, which may be fullMaxAge old.
 func (c *Controller) sendFull(conn *stream.Conn, s *subscriber, now *feedState) {
-	s.started = true
 	full := &c.fullFeed
 	if full.frame == nil || full.state.table != now.table || c.now()-full.at > fullMaxAge {
 		var empty feedState
--- a/internal/process/controller/feed_test.go
+++ b/internal/process/controller/feed_test.go
@@ -89,6 +89,36 @@
 	}
 }
 
+// TestResumedFeedCarriesTheDifference checks what a balancer is sent that holds
+// most of the state already.
+func TestResumedFeedCarriesTheDifference(t *testing.T) {
+	f := newCluster(t)
+	f.submit(f.vms[0], 7)
+	f.announceThree()
+	b := f.subscribe(f.vms[0], "balancer-1")
+	b.await("the state", func() bool { return b.table != nil && len(b.records) == 3 })
+
+	held := directory.New(directory.Config{})
+	for _, id := range []string{"i-1", "i-2"} {
+		held.Merge(0, b.records[id])
+	}
+	resumed := f.subscribeWith(f.vms[0], Subscribe{Name: "balancer-2", Routes: 7, Digests: held.Digests()})
+	m := <-resumed.feeds
+	must.True(t, m.SameRoutes)
+	must.True(t, m.Resumed)
+	must.Nil(t, m.Routes)
+	for _, r := range m.Upstreams {
+		held.Merge(0, r)
+	}
+	must.Eq(t, 3, held.Len())
+
+	behind := f.subscribeWith(f.vms[0], Subscribe{Name: "balancer-3", Routes: 6, Digests: held.Digests()})
+	m = <-behind.feeds
+	must.False(t, m.SameRoutes)
+	must.Eq(t, 7, m.Routes.Number)
+	must.SliceEmpty(t, m.Upstreams)
+}
+
 // discardConn returns a connection whose messages nobody reads.
 func discardConn(t *testing.T) *stream.Conn {
 	conn, other := net.Pipe()
--- a/internal/process/controller/group_test.go
+++ b/internal/process/controller/group_test.go
@@ -369,12 +369,16 @@
 	records map[string]directory.Record
 }
 
-// subscribe connects to a VM as a balancer does.
+// subscribe connects to a VM as a starting balancer does.
 func (f *cluster) subscribe(v *vm, name string) *testSubscriber {
+	return f.subscribeWith(v, Subscribe{Name: name, Domain: "a"})
+}
+
+func (f *cluster) subscribeWith(v *vm, s Subscribe) *testSubscriber {
 	b := &testSubscriber{t: f.t, feeds: make(chan FeedUpdate, 100), open: make(chan *stream.Conn, 1), records: make(map[string]directory.Record)}
 	go stream.DialLoop(f.t.Context(), v.address, stream.Callbacks{
 		Open: func(c *stream.Conn) {
-			frame, err := stream.Encode(KindSubscribe, Subscribe{Name: name, Domain: "a"})
+			frame, err := stream.Encode(KindSubscribe, s)
 			if err == nil {
 				c.Send(frame)
 			}
--- a/internal/process/controller/message.go
+++ b/internal/process/controller/message.go
@@ -82,14 +82,19 @@
 	Accepted bool   `cbor:"2,keyasint"`
 }
 
-// Subscribe starts the feed of a balancer.
+// Subscribe starts the feed of a balancer. What the balancer holds already, from
+// another controller, is not sent again.
 type Subscribe struct {
 	Name   string `cbor:"1,keyasint"`
 	Domain string `cbor:"2,keyasint"`
+	// Routes is the number of the table that the balancer holds, or zero.
+	Routes uint64 `cbor:"3,keyasint,omitempty"`
+	// Digests are those of its directory.
+	Digests []uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // FeedUpdate carries the changes since the last update on the same connection.
-// The first one carries the whole state.
+// The first one carries the state that the Subscribe message does not show.
 type FeedUpdate struct {
 	// Confirmed reports that the controller has recently been in contact with a
 	// leader, so that the state is as new as any that was acknowledged.
@@ -97,6 +102,13 @@
 	Routes      *routing.Delta     `cbor:"2,keyasint,omitempty"`
 	Upstreams   []directory.Record `cbor:"3,keyasint,omitempty"`
 	Controllers []Member           `cbor:"4,keyasint,omitempty"`
+	// SameRoutes reports, in the first update, that the table of the Subscribe
+	// message is in force.
+	SameRoutes bool `cbor:"5,keyasint,omitempty"`
+	// Resumed reports that Upstreams holds only the records of DifferingBuckets,
+	// and those that are lapsed or ejected.
+	Resumed          bool  `cbor:"6,keyasint,omitempty"`
+	DifferingBuckets []int `cbor:"7,keyasint,omitempty"`
 }
 
 // SuspicionReport lists the tags of upstreams that a balancer suspects of not
