affinity: a copy right after a placement is no sign of silence

Ruled out: lost packets; the upstreams answered again at once. Change: a copy within 100 ms of a placement goes to the same upstream and raises no suspicion.

--- a/internal/connection/affinity/affinity.go
+++ b/internal/connection/affinity/affinity.go
@@ -108,6 +108,10 @@
 	// connection that may have opened at one of several upstreams is kept for
 	// Config.Lifetime.
 	entryTimeout = 4 * time.Second
+	// minSilence is the time after the placement of an opening before which a copy
+	// of it says nothing of the upstream. Answers take a few milliseconds; callers
+	// repeat after 200 ms.
+	minSilence = 100 * time.Millisecond
 	// maxTried bounds the upstreams that one opening packet and its copies are
 	// sent to. A caller sends two copies.
 	maxTried = 3
@@ -216,9 +220,12 @@
 // placeCopy chooses the upstream of a repeated opening packet. It prefers one
 // that earlier copies were not sent to.
 func (e *Engine) placeCopy(now time.Duration, v *View, p *Packet, c *entry) Verdict {
+	silence := now - c.lastPacket
 	c.lastPacket = now
 	u := v.Upstream(c.cookie)
-	if c.pinned {
+	// The opening may have waited here and been placed only just before its copy
+	// arrived.
+	if c.pinned || silence < minSilence {
 		return forwardTo(v, p, u)
 	}
 	if p.Copies > 0 {
--- a/internal/connection/affinity/late_test.go
+++ b/internal/connection/affinity/late_test.go
@@ -105,3 +105,18 @@
 		must.Eq(t, !held, len(suspicions) == 1)
 	}
 }
+
+// TestCopyJustAfterAHeldOpening replays the arrival of a copy right after the
+// opening was placed that had waited: the upstream had no time to answer.
+func TestCopyJustAfterAHeldOpening(t *testing.T) {
+	c := newCallers(t, 3)
+	c.port++
+	first := c.packet(c.port, Packet{Opening: true, Sequence: 1, Held: true}).Upstream
+	c.now += minSilence - 1
+	again := c.packet(c.port, Packet{Opening: true, Sequence: 1, Copies: 1})
+	must.Eq(t, first.ID, again.Upstream.ID)
+	must.SliceEmpty(t, c.Tick(c.now, c.view()))
+	c.now += minSilence
+	must.NotEq(t, first.ID, c.packet(c.port, Packet{Opening: true, Sequence: 1, Copies: 2}).Upstream.ID)
+	must.Len(t, 1, c.Tick(c.now, c.view()))
+}
