Log and count packets that wait; a copy never goes to an ended upstream

Cause: the log did not say that a packet waited. Change: packet waits, with waited_ms and held at the placement, and a counter.

--- a/internal/connection/affinity/affinity.go
+++ b/internal/connection/affinity/affinity.go
@@ -163,7 +163,7 @@
 // started.
 func (e *Engine) Decide(now time.Duration, v *View, p *Packet) Verdict {
 	if v.Routes == nil {
-		return Verdict{Wait: true, Code: result.DropNotReady}
+		return Verdict{Wait: true}
 	}
 	if p.Opening {
 		return e.placeOpening(now, v, p)
@@ -225,7 +225,8 @@
 	u := v.Upstream(c.cookie)
 	// The opening may have waited here and been placed only just before its copy
 	// arrived.
-	if c.pinned || silence < minSilence {
+	tooSoon := silence < minSilence && u != nil && u.isEligible()
+	if c.pinned || tooSoon {
 		return forwardTo(v, p, u)
 	}
 	if p.Copies > 0 {
--- a/internal/connection/affinity/late.go
+++ b/internal/connection/affinity/late.go
@@ -55,7 +55,7 @@
 	case p.Waited > r.Timeout:
 		return &Verdict{Code: result.DropExpired}
 	case !l.takeCredit(now):
-		return &Verdict{Wait: true, Code: result.DropExpired}
+		return &Verdict{Wait: true}
 	}
 	return nil
 }
--- a/internal/connection/affinity/late_test.go
+++ b/internal/connection/affinity/late_test.go
@@ -8,6 +8,7 @@
 	"github.com/shoenig/test/must"
 
 	"heatherport/internal/result"
+	"heatherport/internal/version/directory"
 )
 
 // late sends an opening packet whose caller has waited.
@@ -120,3 +121,15 @@
 	must.NotEq(t, first.ID, c.packet(c.port, Packet{Opening: true, Sequence: 1, Copies: 2}).Upstream.ID)
 	must.Len(t, 1, c.Tick(c.now, c.view()))
 }
+
+func TestCopyJustAfterAPlacementLeavesAnEndedUpstream(t *testing.T) {
+	c := newCallers(t, 2)
+	port, first := c.open()
+	for i := range c.fixture.upstreams {
+		if c.fixture.upstreams[i].ID == first.ID {
+			c.fixture.upstreams[i].State = directory.Gone
+		}
+	}
+	c.now += time.Millisecond
+	must.NotEq(t, first.ID, c.packet(port, Packet{Opening: true, Sequence: 1, Copies: 1}).Upstream.ID)
+}
--- a/internal/process/balancer/forwarder.go
+++ b/internal/process/balancer/forwarder.go
@@ -137,7 +137,10 @@
 	}
 	if !f.waiting.Add(item) {
 		f.drop(&p, result.DropNotReady)
+		return
 	}
+	f.metrics.Waited.Inc()
+	f.reportWaiting(&p)
 }
 
 // decide carries out the verdict on the packet p, which begins at buf[head]. It
--- a/internal/process/balancer/report.go
+++ b/internal/process/balancer/report.go
@@ -26,7 +26,7 @@
 		if f.flowLog.Allow(time.Now()) {
 			u := v.Upstream
 			f.flowLog.Info("connection placed", "flow", flowID(p), "upstream", u.ID, "address", u.Address, "service", c.Service,
-				"copies", p.Copies, "tried", c.Tried, "candidates", c.Candidates, "load", c.Load, "doubt", c.Penalty,
+				"copies", p.Copies, "waited_ms", p.Waited.Milliseconds(), "held", p.Held, "tried", c.Tried, "candidates", c.Candidates, "load", c.Load, "doubt", c.Penalty,
 				"known_ms", (now - u.LastUpdate).Milliseconds(), "routes", view.Routes.Number, "confirmed", view.Confirmed)
 		}
 	}
@@ -46,6 +46,19 @@
 	}
 }
 
+// reportWaiting logs that a packet waits: for the first routes, or because it is a
+// late opening and upstreams are behind.
+func (f *forwarder) reportWaiting(p *affinity.Packet) {
+	if !f.flowLog.Allow(time.Now()) {
+		return
+	}
+	number := uint64(0)
+	if routes := f.view.Load().Routes; routes != nil {
+		number = routes.Number
+	}
+	f.flowLog.Info("packet waits", "flow", flowID(p), "opening", p.Opening, "copies", p.Copies, "waited_ms", p.Waited.Milliseconds(), "routes", number)
+}
+
 // refusalFields returns the log fields that explain a refusal.
 func refusalFields(view *affinity.View, p *affinity.Packet, v *affinity.Verdict) []any {
 	number := uint64(0)
--- a/internal/process/metrics/programs.go
+++ b/internal/process/metrics/programs.go
@@ -51,6 +51,7 @@
 type Balancer struct {
 	Received            prometheus.Counter
 	Forwarded           prometheus.Counter
+	Waited              prometheus.Counter
 	Placed              prometheus.Counter
 	Copies              prometheus.Counter
 	Suspicions          *prometheus.CounterVec // by cause
@@ -72,6 +73,7 @@
 	r := registrar{registry}
 	return &Balancer{
 		Received:            r.counter("cookie_packets_received_total", "Packets received from the routers."),
+		Waited:              r.counter("cookie_packets_waited_total", "Packets that waited for routes, or as late openings."),
 		Forwarded:           r.counter("cookie_packets_forwarded_total", "Packets forwarded to upstreams."),
 		Placed:              r.counter("cookie_connections_placed_total", "Connections for which an upstream was chosen."),
 		Copies:              r.counter("cookie_opening_copies_total", "Repeated opening packets."),
