--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -79,8 +79,11 @@
 	directory           *directory.Directory
 	table               *routing.Table
 	subscribers         map[*stream.Conn]*subscriber
-	lastFeed            feedFrames // updates to the last state that was fed
+	encoded             feedFrames // updates to the last state that was sent
+	lastFed             feedState  // at lastFeedTime
 	fullFeed            fullFeed
+	lastFeedTime        time.Duration
+	stall               stall
 	renewed             []uint32 // tags announced here since the last Renewals message
 	recordsNumber       uint64   // number of the last Records message
 	ackWaiters          map[uint64][]chan struct{}
@@ -219,12 +222,15 @@
 func (c *Controller) run(ctx context.Context) {
 	ticker := time.NewTicker(controlInterval)
 	defer ticker.Stop()
+	feedTicker := time.NewTicker(urgentFeedInterval)
+	defer feedTicker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 			c.tick()
+		case <-feedTicker.C:
 		case event := <-c.events:
 			event()
 		}
@@ -235,6 +241,10 @@
 
 func (c *Controller) tick() {
 	now := c.now()
+	if gap := c.stall.tick(now); gap > 0 {
+		c.log.Warn("process stalled", "for", gap)
+		c.directory.Excuse(gap)
+	}
 	c.directory.Tick(now)
 	c.upstreams.save(now, c.directory.Revision(), func() []directory.Record { return c.directory.Since(0) })
 	c.addresses.save(now, c.balancers.revision, c.balancers.addresses)
--- a/internal/process/controller/feed.go
+++ b/internal/process/controller/feed.go
@@ -44,24 +44,56 @@
 		table: c.table, revision: c.directory.Revision(),
 		confirmed: c.consensus.Status().Leader != "", controllers: append(c.peers.members(peerMaxAge), c.member()),
 	}
-	if !now.equal(&c.lastFeed.state) {
-		c.lastFeed = feedFrames{state: now, frames: make(map[feedBase][]byte)}
-	}
 	for conn, s := range c.subscribers {
 		if !s.started {
 			s.started = true
 			c.sendFirst(conn, s, &now)
+			c.sendUpdate(conn, s, &now)
 		}
-		if s.state.equal(&now) {
-			continue
-		}
-		if frame := c.feedFrame(&s.state, &now); frame != nil {
-			conn.Send(frame)
-			s.state = now
-		}
+	}
+	if !c.isFeedDue(&now) {
+		return
+	}
+	c.lastFed, c.lastFeedTime = now, c.now()
+	for conn, s := range c.subscribers {
+		c.sendUpdate(conn, s, &now)
+	}
+}
+
+// sendUpdate sends a subscriber what changed since its last update.
+func (c *Controller) sendUpdate(conn *stream.Conn, s *subscriber, now *feedState) {
+	if s.state.equal(now) {
+		return
+	}
+	if frame := c.feedFrame(&s.state, now); frame != nil {
+		conn.Send(frame)
+		s.state = *now
 	}
 }
 
+const (
+	// feedInterval is the time between updates that only carry which upstreams
+	// are lapsed or ejected. An overload ejects many within a second; an update
+	// for each would take the processor of small balancers and add to it.
+	feedInterval = 200 * time.Millisecond
+	// urgentFeedInterval is the time between other updates.
+	urgentFeedInterval = 20 * time.Millisecond
+)
+
+// isFeedDue reports whether subscribers are sent an update now.
+func (c *Controller) isFeedDue(now *feedState) bool {
+	since := c.now() - c.lastFeedTime
+	last := &c.lastFed
+	switch {
+	case now.equal(last):
+		return false
+	case now.table != last.table, now.confirmed != last.confirmed, !slices.Equal(now.controllers, last.controllers),
+		c.directory.UrgentRevision() > last.revision:
+		return since >= urgentFeedInterval
+	}
+	return since >= feedInterval
+}
+
 // fullMaxAge is the time for which the encoded full state is reused. When many
 // balancers subscribe at once, each is sent the same full state and then the
 // changes since.
@@ -135,8 +167,11 @@
 // feedFrame returns the frame that takes a subscriber from one state to another,
 // or nil if it cannot be encoded.
 func (c *Controller) feedFrame(from, to *feedState) []byte {
+	if !to.equal(&c.encoded.state) {
+		c.encoded = feedFrames{state: *to, frames: make(map[feedBase][]byte)}
+	}
 	base := feedBase{table: from.table, revision: from.revision, sameControllers: slices.Equal(from.controllers, to.controllers)}
-	if frame, ok := c.lastFeed.frames[base]; ok {
+	if frame, ok := c.encoded.frames[base]; ok {
 		return frame
 	}
 	f := FeedUpdate{Confirmed: to.confirmed, Upstreams: c.directory.Since(from.revision)}
@@ -153,6 +188,6 @@
 		return nil
 	}
 	c.cfg.Metrics.FeedUpdates.Inc()
-	c.lastFeed.frames[base] = frame
+	c.encoded.frames[base] = frame
 	return frame
 }
--- a/internal/process/controller/feed_test.go
+++ b/internal/process/controller/feed_test.go
@@ -29,6 +29,7 @@
 		Settings: &settings.Program{VM: settings.VM{Name: "c", Domain: "a", DataDir: t.TempDir()}, Link: settings.Endpoint{Advertise: address}, API: address},
 		Log:      hclog.NewNullLogger(), Metrics: metrics.NewController(prometheus.NewRegistry()),
 	})
+	c.links = newLinks(t.Context(), c.self.Link, c.linkCallbacks)
 	var err error
 	c.table, err = routing.New(1, 0, nil, nil)
 	must.NoError(t, err)
@@ -54,9 +55,10 @@
 	must.Eq(t, 1, c.encodedUpdates()) // the full state
 	full := len(c.fullFeed.frame)
 	c.directory.Withdraw(0, "i-7")
+	c.lastFeedTime -= urgentFeedInterval
 	c.feedAll()
 	must.Eq(t, 2, c.encodedUpdates())
-	for _, frame := range c.lastFeed.frames {
+	for _, frame := range c.encoded.frames {
 		must.Less(t, full/100, len(frame))
 	}
 	c.feedAll()
@@ -74,13 +76,14 @@
 		c.subscribers[conn] = s
 		c.directory.Withdraw(0, fmt.Sprint("i-", i))
 		i++
+		c.lastFeedTime -= urgentFeedInterval
 		c.feedAll()
 	}
 	// Each change is encoded for those that hold the state before it, and for the
 	// new subscriber, which holds the full state.
 	must.LessEq(t, 1+2*balancers, c.encodedUpdates())
 	size := 0
-	for _, frame := range c.lastFeed.frames {
+	for _, frame := range c.encoded.frames {
 		size = max(size, len(frame))
 	}
 	must.Less(t, len(c.fullFeed.frame), size)
--- a/internal/version/directory/directory.go
+++ b/internal/version/directory/directory.go
@@ -121,6 +121,7 @@
 type Directory struct {
 	cfg       Config
 	rev       uint64
+	urgentRev uint64 // revision of the last change of a state
 	entries   map[string]*Entry
 	byAddress map[netip.AddrPort]*Entry // latest incarnation, ended or not
 	byTag     map[uint32]*Entry
@@ -138,10 +139,13 @@
 	}
 }
 
-// markChanged gives an entry the next revision.
-func (d *Directory) markChanged(e *Entry) {
+// markChanged gives an entry the next revision. Changes of its state are urgent.
+func (d *Directory) markChanged(e *Entry, urgent bool) {
 	d.rev++
 	e.Revision = d.rev
+	if urgent {
+		d.urgentRev = d.rev
+	}
 	if e.change == nil {
 		e.change = d.changes.PushBack(e)
 		return
@@ -152,6 +156,10 @@
 // Revision returns the revision, which grows with each change.
 func (d *Directory) Revision() uint64 { return d.rev }
 
+// UrgentRevision returns the revision of the last change other than of Lapsed and
+// Ejected, which only order the choice of upstreams.
+func (d *Directory) UrgentRevision() uint64 { return d.urgentRev }
+
 // Len returns the number of upstreams, ended ones included.
 func (d *Directory) Len() int { return len(d.entries) }
 
@@ -205,7 +213,7 @@
 	}
 	d.entries[r.ID] = e
 	d.byTag[e.tag] = e
-	d.markChanged(e)
+	d.markChanged(e, true)
 	d.applyReports(now, e)
 	if holder := d.byAddress[r.Address]; holder == nil || holder.StartMillis <= r.StartMillis {
 		d.byAddress[r.Address] = e
@@ -229,7 +237,7 @@
 	}
 	e.State = Gone
 	e.Ended = now
-	d.markChanged(e)
+	d.markChanged(e, true)
 }
 
 // Withdraw ends the current incarnation of an identifier.
@@ -256,6 +264,14 @@
 	return changed
 }
 
+// Excuse extends the time until upstreams lapse or count as ended by a stall of
+// this process, in which it read no announcements.
+func (d *Directory) Excuse(stall time.Duration) {
+	for _, e := range d.entries {
+		e.LastUpdate += stall
+	}
+}
+
 // Tick marks upstreams without recent announcements as lapsed or ended, ends
 // expired ejections and evicts upstreams whose retention has passed.
 func (d *Directory) Tick(now time.Duration) (changed bool) {
@@ -284,7 +300,7 @@
 		return false
 	}
 	e.Lapsed = lapsed
-	d.markChanged(e)
+	d.markChanged(e, false)
 	return true
 }
 
--- a/internal/version/directory/directory_test.go
+++ b/internal/version/directory/directory_test.go
@@ -168,3 +168,31 @@
 	must.Len(t, 98, d.Since(0))
 	must.Eq(t, 98, len(d.byTag))
 }
+
+func TestOnlyChangesOfStateAreUrgent(t *testing.T) {
+	d := newServingDirectory(6)
+	d.lapseAll(t)
+	urgent := d.UrgentRevision()
+	must.Less(t, d.Revision(), urgent)
+	d.suspect(0, "i-1", "a")
+	d.suspect(0, "i-1", "b")
+	must.Eq(t, urgent, d.UrgentRevision())
+	d.Withdraw(0, "i-2")
+	must.Eq(t, d.Revision(), d.UrgentRevision())
+}
+
+// lapseAll marks all upstreams as lapsed.
+func (d *Directory) lapseAll(t *testing.T) {
+	for _, e := range d.Entries() {
+		must.True(t, d.setLapsed(e, true))
+	}
+}
+
+// A process that stood still read no announcements meanwhile.
+func TestStallOfTheProcessLapsesNoUpstream(t *testing.T) {
+	d := newTestDirectory()
+	d.Merge(0, serving("a", 1, 10, 5))
+	d.Excuse(10 * time.Second)
+	must.False(t, d.Tick(10*time.Second+lapseAfter))
+	must.True(t, d.Tick(10*time.Second+lapseAfter+1))
+}
--- a/internal/version/directory/ejection.go
+++ b/internal/version/directory/ejection.go
@@ -124,6 +124,6 @@
 
 func (d *Directory) setEjected(e *Entry, ejected bool) bool {
 	e.Ejected = ejected
-	d.markChanged(e)
+	d.markChanged(e, false)
 	return true
 }
