--- a/internal/process/balancer/feeds_test.go
+++ b/internal/process/balancer/feeds_test.go
@@ -403,32 +403,33 @@
 	eventually(t, "in force", func() bool { return b.number() == 1 })
 }
 
-// TestOneFeedUntilStateHasArrived checks that a starting balancer takes the full
-// state from one controller only, and the second feed later.
-func TestOneFeedUntilStateHasArrived(t *testing.T) {
+// TestSecondFeedIsTakenOnceTheFirstHasSettled checks that a starting balancer
+// takes the full state from one controller only, unless that one has none.
+func TestSecondFeedIsTakenOnceTheFirstHasSettled(t *testing.T) {
+	b := New(Config{Settings: &settings.Program{Lifetime: time.Minute}, Log: hclog.NewNullLogger(), Codec: testCodec{}, Metrics: metrics.NewBalancer(prometheus.NewRegistry())})
+	must.Eq(t, 1, b.wantedFeeds()) // none has opened
+	b.firstFeed = b.now() + time.Hour
+	must.Eq(t, 1, b.wantedFeeds())
+	b.firstFeed = b.now() - emptyTime
+	must.Eq(t, feedCount, b.wantedFeeds())
+	b.table = routes(t, 1)
+	b.firstFeed = b.now() + time.Hour
+	must.Eq(t, 1, b.wantedFeeds())
+	b.firstFeed = b.now() - settleTime
+	must.Eq(t, feedCount, b.wantedFeeds())
+}
+
+func TestStartingBalancerGetsTwoFeeds(t *testing.T) {
 	f := startFakes(t, 3)
 	b := startBalancer(t, f...)
-	first := time.Now()
-	eventually(t, "a subscription", func() bool { return subscriptions(f) > 0 })
-	for _, c := range f {
-		if len(c.subscribed) > 0 {
-			c.feed(fullUpdate(t, 1, true))
+	eventually(t, "two feeds", func() bool {
+		for _, c := range f {
+			if len(c.subscribed) > 0 {
+				c.feed(fullUpdate(t, 1, true))
+			}
 		}
-	}
-	eventually(t, "in force", func() bool { return b.number() == 1 })
-	for time.Since(first) < settleTime/2 {
-		must.Eq(t, 0, subscriptions(f))
-		time.Sleep(10 * time.Millisecond)
-	}
-	eventually(t, "two feeds", func() bool { return b.countOpenFeeds() == 2 })
-}
-
-// subscriptions returns the number of subscriptions that no feed answered.
-func subscriptions(f []*fakeController) (n int) {
-	for _, c := range f {
-		n += len(c.subscribed)
-	}
-	return n
+		return b.countOpenFeeds() == 2
+	})
 }
 
 // TestSecondFeedResumes checks that a balancer tells its second feed what it
