Never refuse an opening that waited; detect suspensions of a controller

An opening that waited at a balancer could be refused with a reset although its copy had opened the connection through another one: a refusal that says not run must be true. It is dropped now, like a copy. The stall of a controller was measured by a clock that stands still while a VM is suspended; the reports read afterwards would have counted as new. Both programs use one detector on the boot clock, package stall; upstreams are excused by the directory's own clock.

--- a/internal/connection/affinity/affinity.go
+++ b/internal/connection/affinity/affinity.go
@@ -57,6 +57,11 @@
 	Held bool
 }
 
+// isFirst reports whether it is certain that no balancer forwarded a copy of an
+// opening packet: the caller had sent none, and the packet did not wait here while
+// a copy may have passed through another balancer.
+func (p *Packet) isFirst() bool { return p.Copies == 0 && !p.Held }
+
 // Verdict is the decision about a packet. A packet is dropped if Upstream is
 // nil. Refuse means that the caller is sent a reset, Wait that the packet is
 // decided on again later.
@@ -183,12 +188,12 @@
 	}
 	route := v.route(p.Service)
 	if route == nil {
-		return refusal(result.RefusedNoRoute, v.Current && p.Copies == 0)
+		return refusal(result.RefusedNoRoute, v.Current && p.isFirst())
 	}
 	service := route.PickService(e.cfg.Rand.Uint64())
 	// A copy is not refused: another balancer may have forwarded the packet
 	// before it.
-	if l := e.limiter(service); p.Copies == 0 && !l.admits(now, route) {
+	if l := e.limiter(service); p.isFirst() && !l.admits(now, route) {
 		return Verdict{Code: result.RefusedOverloaded, Refuse: true, Overload: l.overload()}
 	}
 	if e.isLate(route, p) {
@@ -198,7 +203,7 @@
 	}
 	u, choice := e.choose(now, v, service, nil)
 	if u == nil {
-		return refusal(result.RefusedNoUpstream, v.Current && p.Copies == 0)
+		return refusal(result.RefusedNoUpstream, v.Current && p.isFirst())
 	}
 	c = &entry{service: service, sequence: p.Sequence, started: now}
 	// The caller of an opening that waited here may have given it up; that no
--- a/internal/connection/affinity/late_test.go
+++ b/internal/connection/affinity/late_test.go
@@ -133,3 +133,15 @@
 	c.now += time.Millisecond
 	must.NotEq(t, first.ID, c.packet(port, Packet{Opening: true, Sequence: 1, Copies: 1}).Upstream.ID)
 }
+
+// The caller may have sent a copy through another balancer while the opening
+// waited here, and that copy may have opened the connection.
+func TestHeldOpeningIsNotRefused(t *testing.T) {
+	f := newFixture(0, 1)
+	p := opening(0)
+	must.True(t, newEngine(1).Decide(0, f.view(), p).Refuse)
+	p.Held = true
+	must.False(t, newEngine(1).Decide(0, f.view(), p).Refuse)
+	p.Service = netip.MustParseAddrPort("198.51.100.9:1")
+	must.False(t, newEngine(1).Decide(0, f.view(), p).Refuse)
+}
--- a/internal/process/balancer/balancer.go
+++ b/internal/process/balancer/balancer.go
@@ -17,6 +17,7 @@
 	"heatherport/internal/process/logging"
 	"heatherport/internal/process/metrics"
 	"heatherport/internal/process/settings"
+	"heatherport/internal/process/stall"
 	"heatherport/internal/version/directory"
 	"heatherport/internal/version/routing"
 )
@@ -100,7 +101,7 @@
 	}
 	b.forwarder = &forwarder{
 		codec: cfg.Codec, listen: s.Packets, log: cfg.Log, view: &b.view, started: b.started,
-		flowLog: logging.NewRateLimited(cfg.Log), metrics: cfg.Metrics, clock: bootClock,
+		flowLog: logging.NewRateLimited(cfg.Log), metrics: cfg.Metrics, clock: stall.Clock, stall: stall.NewDetector(stallLimit, stallDrain),
 		engine: affinity.New(affinity.Config{
 			Domain:   s.VM.Domain,
 			Capacity: tableCapacity,
--- a/internal/process/balancer/forwarder.go
+++ b/internal/process/balancer/forwarder.go
@@ -15,6 +15,7 @@
 	"heatherport/internal/connection/backlog"
 	"heatherport/internal/process/logging"
 	"heatherport/internal/process/metrics"
+	"heatherport/internal/process/stall"
 	"heatherport/internal/result"
 )
 
@@ -38,6 +39,19 @@
 // truncated and then rejected by the codec.
 const maxDatagram = 2048
 
+const (
+	// stallLimit is the time without a tick after which the process counts as
+	// stalled. Opening packets that waited meanwhile may have been forwarded by
+	// another balancer, to an upstream that it chose; placing them here would move
+	// their connections to a second upstream. Routers move connections to another
+	// balancer after a second, and callers send their last copy of an opening
+	// packet after 0.6 s.
+	stallLimit = 600 * time.Millisecond
+	// stallDrain is the time after a stall in which the packets that queued up
+	// meanwhile are read.
+	stallDrain = 50 * time.Millisecond
+)
+
 // repeatMargin is the time by which a repeated packet may arrive late.
 const repeatMargin = 50 * time.Millisecond
 
@@ -50,10 +64,10 @@
 	metrics *metrics.Balancer
 	view    *atomic.Pointer[affinity.View]
 	started time.Time
-	clock   func() time.Duration // bootClock except in tests
+	clock   func() time.Duration // stall.Clock except in tests
 
 	conn         *net.UDPConn
-	stall        stall
+	stall        *stall.Detector
 	lastPacketAt atomic.Int64 // time of the last packet, relative to started
 
 	mu      sync.Mutex // guards the fields below and flowLog
@@ -79,7 +93,7 @@
 
 // tick does the periodic work and returns the new suspicions against upstreams.
 func (f *forwarder) tick() []affinity.Suspicion {
-	gap := f.stall.tick(f.clock())
+	gap := f.stall.Tick(f.clock())
 	if gap > 0 {
 		f.log.Warn("process stalled", "for", gap)
 	}
@@ -123,7 +137,7 @@
 		f.drop(&p, result.CodeOf(err))
 		return
 	}
-	if p.Opening && !f.stall.isOver(f.clock()) {
+	if p.Opening && !f.stall.IsOver(f.clock()) {
 		f.drop(&p, result.DropStale)
 		return
 	}
--- a/internal/process/balancer/forwarder_test.go
+++ b/internal/process/balancer/forwarder_test.go
@@ -16,6 +16,7 @@
 	"heatherport/internal/connection/affinity"
 	"heatherport/internal/process/logging"
 	"heatherport/internal/process/metrics"
+	"heatherport/internal/process/stall"
 	"heatherport/internal/result"
 	"heatherport/internal/version/directory"
 	"heatherport/internal/version/routing"
@@ -96,9 +97,10 @@
 		codec: testCodec{netip.MustParseAddrPort(h.caller.LocalAddr().String()).Port()}, listen: netip.MustParseAddrPort("127.0.0.1:0"),
 		log: log, flowLog: logging.NewRateLimited(log), metrics: metrics.NewBalancer(prometheus.NewRegistry()), view: &current, started: time.Now(),
 		clock:  func() time.Duration { return time.Hour },
+		stall:  stall.NewDetector(stallLimit, stallDrain),
 		engine: affinity.New(affinity.Config{Capacity: 10, Lifetime: time.Minute, Rand: rand.New(rand.NewPCG(1, 1))}),
 	}
-	h.stall.tick(time.Hour - idle)
+	h.stall.Tick(time.Hour - idle)
 	must.NoError(t, h.start())
 	t.Cleanup(func() { _ = h.forwarder.stop() })
 	return h
@@ -147,17 +149,6 @@
 	must.Eq(t, 1, h.engine.Len())
 }
 
-func TestStallDetection(t *testing.T) {
-	var s stall
-	must.True(t, s.isOver(time.Hour)) // before the first tick
-	must.Eq(t, 0, s.tick(100*time.Millisecond))
-	must.True(t, s.isOver(200*time.Millisecond))
-	must.False(t, s.isOver(101*time.Millisecond+stallLimit))
-	must.Eq(t, 2*time.Second, s.tick(2100*time.Millisecond))
-	must.False(t, s.isOver(2101*time.Millisecond))
-	must.True(t, s.isOver(2100*time.Millisecond+stallDrain))
-}
-
 // TestPacketsBeforeTheFirstRoutesAreForwardedLater checks that the packets that
 // arrive at a starting balancer are forwarded when its routes arrive, those of
 // open connections first.
--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -19,6 +19,7 @@
 
 	"heatherport/internal/process/metrics"
 	"heatherport/internal/process/settings"
+	"heatherport/internal/process/stall"
 	"heatherport/internal/process/stream"
 	"heatherport/internal/result"
 	"heatherport/internal/version/directory"
@@ -45,6 +46,14 @@
 	// peerMaxAge is the longest time since the last message of a controller for
 	// which upstreams and balancers are still sent to it.
 	peerMaxAge = 1500 * time.Millisecond
+	// stallLimit is the time between two ticks from which the process counts as
+	// stalled. Suspicions of several seconds, read at once, would seem to be a
+	// quorum, and upstreams would seem silent because their announcements were not
+	// read.
+	stallLimit = time.Second
+	// stallDrain is the time after a stall in which what arrived during it is
+	// read.
+	stallDrain = 500 * time.Millisecond
 )
 
 // Config configures a Controller.
@@ -83,7 +92,9 @@
 	lastFed             feedState  // at lastFeedTime
 	fullFeed            fullFeed
 	lastFeedTime        time.Duration
-	stall               stall
+	stall               *stall.Detector
+	clock               func() time.Duration // stall.Clock except in tests
+	lastTick            time.Duration
 	renewed             []uint32 // tags announced here since the last Renewals message
 	recordsNumber       uint64   // number of the last Records message
 	ackWaiters          map[uint64][]chan struct{}
@@ -107,6 +118,8 @@
 		upstreams: newHintStore[directory.Record](s.VM.DataDir, upstreamsFile, cfg.Log.Named("upstreams")),
 		addresses: newHintStore[netip.Addr](s.VM.DataDir, balancersFile, cfg.Log.Named("balancers")),
 		balancers: newBalancerTable(),
+		stall:     stall.NewDetector(stallLimit, stallDrain),
+		clock:     stall.Clock,
 		events:    make(chan func(), eventQueue),
 		directory: directory.New(directory.Config{
 			LapseAfter: lapseHeartbeats * s.Heartbeat,
@@ -241,10 +254,14 @@
 
 func (c *Controller) tick() {
 	now := c.now()
-	if gap := c.stall.tick(now); gap > 0 {
+	if gap := c.stall.Tick(c.clock()); gap > 0 {
 		c.log.Warn("process stalled", "for", gap)
+	}
+	// The clock of the directory stands still while the VM is suspended.
+	if gap := now - c.lastTick; gap > stallLimit {
 		c.directory.Excuse(gap)
 	}
+	c.lastTick = now
 	c.directory.Tick(now)
 	c.upstreams.save(now, c.directory.Revision(), func() []directory.Record { return c.directory.Since(0) })
 	c.addresses.save(now, c.balancers.revision, c.balancers.addresses)
--- a/internal/process/controller/exchange.go
+++ b/internal/process/controller/exchange.go
@@ -229,7 +229,7 @@
 // handleSuspicions handles a suspicion report of a balancer or, passed on, of
 // another controller.
 func (c *Controller) handleSuspicions(conn *stream.Conn, d SuspicionReport) {
-	if !c.stall.isOver(c.now()) {
+	if !c.stall.IsOver(c.clock()) {
 		c.log.Info("suspicions ignored after a stall", "balancer", d.Balancer, "suspicions", len(d.Tags))
 		return
 	}
--- a/internal/process/controller/stall_test.go
+++ b/internal/process/controller/stall_test.go
@@ -10,27 +10,16 @@
 	"heatherport/internal/version/directory"
 )
 
-func TestStallIsDetected(t *testing.T) {
-	var s stall
-	must.Zero(t, s.tick(controlInterval))
-	must.True(t, s.isOver(2*controlInterval))
-	// Messages may be handled before the first tick after the stall.
-	must.False(t, s.isOver(5*time.Second))
-	must.Eq(t, 5*time.Second-controlInterval, s.tick(5*time.Second))
-	must.False(t, s.isOver(5*time.Second+stallDrain-1))
-	s.tick(5*time.Second + stallDrain)
-	must.True(t, s.isOver(5*time.Second+stallDrain))
-}
-
 // TestSuspicionsReadAfterAStallDoNotCount replays a controller that stood still
 // while balancers reported suspicions.
 func TestSuspicionsReadAfterAStallDoNotCount(t *testing.T) {
 	for _, stalled := range []bool{false, true} {
 		c := fedController(t, 6)
-		if !stalled {
-			c.stall.tick(c.now())
-		} else {
-			c.stall.lastTick = c.now() - 10*time.Second
+		now := time.Hour
+		c.clock = func() time.Duration { return now }
+		c.stall.Tick(now)
+		if stalled {
+			now += 10 * time.Second
 		}
 		tag := (&directory.Record{ID: "i-1", StartMillis: 1}).Tag()
 		n := 0
