--- a/internal/connection/backlog/backlog.go
+++ b/internal/connection/backlog/backlog.go
@@ -1,11 +1,11 @@
-// Package backlog holds packets that a balancer cannot forward yet: those that
-// arrive before its routes and upstreams do. A caller whose packet is dropped
-// repeats it only after a retransmission timeout, which is longer than most
-// starts take.
+// Package backlog holds packets that a balancer does not forward yet: those that
+// arrive before its routes and upstreams do, and late openings while upstreams
+// are behind. A caller whose packet is dropped repeats it only after a
+// retransmission timeout, which is longer than most starts take.
 //
 // When packets can be forwarded, those of open connections come first, then
 // opening packets in the order in which their callers began to wait, the latest
-// first: they can still be answered in time, and the others no longer.
+// first: those can still be answered in time.
 package backlog
 
 import (
--- a/internal/process/balancer/feeds.go
+++ b/internal/process/balancer/feeds.go
@@ -72,8 +72,8 @@
 }
 
 // openFeeds opens feeds up to feedCount. Until the first is open, it tries two
-// controllers at a time. A slow attempt does not delay the next
-// one, because a VM without power does not answer at all.
+// controllers at a time. A slow attempt does not delay the next one, because a VM
+// without power does not answer at all.
 func (b *Balancer) openFeeds() {
 	open, pending := 0, 0
 	for _, f := range b.feeds {
