--- a/internal/connection/affinity/affinity.go
+++ b/internal/connection/affinity/affinity.go
@@ -151,6 +151,7 @@
 	answers    map[netip.AddrPort]*answerTime // by address of the service
 	limiters   map[string]*limiter            // by service
 	suspicions []Suspicion                    // since the last Tick
+	cold       coldStarts
 }
 
 // New returns an engine with an empty table.
@@ -158,6 +159,7 @@
 	return &Engine{
 		cfg: cfg, table: make(map[key]*entry), upstreams: make(map[uint32]*upstreamState),
 		answers: make(map[netip.AddrPort]*answerTime), limiters: make(map[string]*limiter),
+		cold: make(coldStarts),
 	}
 }
 
@@ -201,9 +203,9 @@
 			return *deferred
 		}
 	}
-	u, choice := e.choose(now, v, service, nil)
+	u, choice := e.choose(now, v, route, service, nil)
 	if u == nil {
-		return refusal(result.RefusedNoUpstream, v.Current && p.isFirst())
+		return refusal(v.refusalCause(route, service), v.Current && p.isFirst())
 	}
 	c = &entry{service: service, sequence: p.Sequence, started: now}
 	// The caller of an opening that waited here may have given it up; that no
@@ -239,12 +241,12 @@
 	}
 	verdict := Verdict{}
 	if len(c.tried) < maxTried {
-		if other, choice := e.choose(now, v, c.service, c.tried); other != nil && !e.isSuspect(now, other.Cookie) {
+		if other, choice := e.choose(now, v, v.route(p.Service), c.service, c.tried); other != nil && !e.isSuspect(now, other.Cookie) {
 			u = other
 			verdict.Choice = choice
 		}
 	}
-	if u == nil || u.State == directory.Gone {
+	if u == nil || u.State == directory.Gone || u.Evacuated || !e.isAllowed(now, v.route(p.Service), u) {
 		verdict.Code = result.DropUpstreamGone
 		return verdict
 	}
@@ -324,6 +326,7 @@
 		c.cookie = u.Cookie
 		c.tried = append(c.tried, u.Cookie)
 	}
+	e.cold.add(now, u)
 	e.countLoad(c)
 	c.lastPacket = now
 }
@@ -367,6 +370,7 @@
 		}
 	}
 	e.removeStale(now, v)
+	e.cold.expire(now)
 	out := e.suspicions
 	e.suspicions = nil
 	return out
--- a/internal/connection/affinity/choose.go
+++ b/internal/connection/affinity/choose.go
@@ -3,6 +3,9 @@
 import (
 	"slices"
 	"time"
+
+	"heatherport/internal/result"
+	"heatherport/internal/version/routing"
 )
 
 // maxAvoidedShare is the share of a service's upstreams that may be avoided
@@ -10,28 +13,52 @@
 // overloaded, and avoiding upstreams would make the overload worse.
 const maxAvoidedShare = 1.0 / 3
 
-// choose returns the eligible upstream of a service with the least load, or
-// nil. Upstreams that are suspected or whose announcements have lapsed are
+// choose returns the eligible upstream of a service with the least load that a
+// connection to a route may go to, or nil. Upstreams that are suspected or whose announcements have lapsed are
 // chosen only when there is no other.
-func (e *Engine) choose(now time.Duration, v *View, service string, excluded []uint32) (*Upstream, *Choice) {
+func (e *Engine) choose(now time.Duration, v *View, r *routing.Route, service string, excluded []uint32) (*Upstream, *Choice) {
 	var best *Upstream
 	bestRank := rank{}
 	candidates := 0
 	upstreams := v.byService[service]
 	avoidSlow := e.mayAvoidSlow(now, upstreams)
 	for _, u := range upstreams {
-		if slices.Contains(excluded, u.Cookie) {
+		if slices.Contains(excluded, u.Cookie) || !e.isAllowed(now, r, u) {
 			continue
 		}
 		candidates++
-		r := e.rank(now, u, avoidSlow)
-		if best == nil || r.less(bestRank) {
-			best, bestRank = u, r
+		if rank := e.rank(now, u, avoidSlow); best == nil || rank.less(bestRank) {
+			best, bestRank = u, rank
 		}
 	}
 	return best, &Choice{Service: service, Candidates: candidates, Penalty: bestRank.penalty, Load: bestRank.load, Tried: len(excluded)}
 }
 
+// isAllowed reports whether a new connection to a route may go to an upstream: it is
+// in an allowed region, and a slow start has room for it.
+func (e *Engine) isAllowed(now time.Duration, r *routing.Route, u *Upstream) bool {
+	return isInRegion(r, u) && (now >= u.ColdUntil || u.Owned && e.cold.admits(now, u))
+}
+
+func isInRegion(r *routing.Route, u *Upstream) bool {
+	return r == nil || len(r.Regions) == 0 || slices.Contains(r.Regions, u.Region)
+}
+
+// refusalCause returns the code of a refusal because no upstream of a service is
+// allowed.
+func (v *View) refusalCause(r *routing.Route, service string) result.Code {
+	upstreams := v.byService[service]
+	switch {
+	case len(upstreams) == 0 && v.evacuated[service]:
+		return result.RefusedEvacuated
+	case len(upstreams) == 0:
+		return result.RefusedNoUpstream
+	case !slices.ContainsFunc(upstreams, func(u *Upstream) bool { return isInRegion(r, u) }):
+		return result.RefusedRegion
+	}
+	return result.RefusedCold
+}
+
 // mayAvoidSlow reports whether at most maxAvoidedShare of the upstreams are
 // slow.
 func (e *Engine) mayAvoidSlow(now time.Duration, upstreams []*Upstream) bool {
--- /dev/null
+++ b/internal/connection/affinity/cold_test.go
@@ -0,0 +1,132 @@
+package affinity
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"heatherport/internal/result"
+)
+
+// coldLimit is the limit of the services in these tests, in connections a second.
+const coldLimit = 5
+
+func TestEvacuatedUpstreamKeepsItsConnections(t *testing.T) {
+	f := newFixture(2, 0)
+	e := newEngine(1)
+	first := e.Decide(0, f.view(), opening(0)).Upstream
+	for i := range f.upstreams {
+		f.upstreams[i].Evacuated = f.upstreams[i].ID == first.ID
+	}
+	must.Eq(t, first.ID, e.Decide(1, f.view(), data(first.Cookie)).Upstream.ID)
+	for port := range uint16(50) {
+		p := opening(0)
+		p.Caller = netip.AddrPortFrom(callerAddr.Addr(), 1000+port)
+		must.NotEq(t, first.ID, e.Decide(1, f.view(), p).Upstream.ID)
+	}
+}
+
+func TestCopyNeverGoesToAnEvacuatedUpstream(t *testing.T) {
+	f := newFixture(1, 0)
+	e := newEngine(1)
+	must.NotNil(t, e.Decide(0, f.view(), opening(0)).Upstream)
+	f.upstreams[0].Evacuated = true
+	must.Nil(t, e.Decide(200*time.Millisecond, f.view(), opening(1)).Upstream)
+}
+
+// Each cause of a refusal has its own code, so that operators know what to change.
+func TestRefusalsOfExcludedUpstreams(t *testing.T) {
+	for _, c := range []struct {
+		change func(u *Upstream)
+		want   result.Code
+	}{
+		{func(u *Upstream) { u.Evacuated = true }, result.RefusedEvacuated},
+		{func(u *Upstream) { u.Region = "south" }, result.RefusedRegion},
+		{func(u *Upstream) { u.Region = "" }, result.RefusedRegion},
+		{func(u *Upstream) { u.Region, u.ColdUntil = "north", time.Second }, result.RefusedCold},
+	} {
+		f := newFixture(3, 0)
+		f.routes.Route(permitsAddr).Regions = []string{"north"}
+		for i := range f.upstreams {
+			c.change(&f.upstreams[i])
+		}
+		must.Eq(t, Verdict{Code: c.want, Refuse: true}, newEngine(1).Decide(0, f.view(), opening(0)))
+	}
+}
+
+func TestRouteStaysInItsRegions(t *testing.T) {
+	f := newFixture(4, 0)
+	f.routes.Route(permitsAddr).Regions = []string{"north"}
+	f.upstreams[2].Region = "north"
+	f.upstreams[3].Region = "south"
+	e := newEngine(1)
+	for port := range uint16(20) {
+		p := opening(0)
+		p.Caller = netip.AddrPortFrom(callerAddr.Addr(), 1000+port)
+		must.Eq(t, f.upstreams[2].ID, e.Decide(0, f.view(), p).Upstream.ID)
+	}
+}
+
+// A domain returns cold as a whole while all other upstreams are loaded. No upstream
+// may get more than its limit in any second, from all balancers together, whatever
+// their views are; those whose slow start is owned must not stay idle.
+func TestSlowStartLimitOverAllBalancers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const slowStart = 3 * time.Second
+		f := newFixture(6, 0)
+		balancers := rapid.IntRange(1, 8).Draw(t, "balancers")
+		engines := make([]*Engine, balancers)
+		views := make([]*View, balancers)
+		cold := 3
+		// The first and the last announcement of an upstream may have reached two
+		// controllers that chose different owners. A balancer may hold either record.
+		var owners [3][2]int
+		for i := range cold {
+			owners[i] = [2]int{rapid.IntRange(0, balancers-1).Draw(t, "owner"), rapid.IntRange(0, balancers-1).Draw(t, "second owner")}
+		}
+		for b := range engines {
+			engines[b] = newEngine(uint64(b))
+			for i := range cold {
+				u := &f.upstreams[i]
+				u.ColdUntil, u.ColdRate = slowStart, coldLimit/2
+				u.Owned = owners[i][rapid.IntRange(0, 1).Draw(t, "record")] == b
+			}
+			views[b] = f.view()
+		}
+		taken := map[string][]time.Duration{}
+		for i := range 600 {
+			now := time.Duration(i) * 5 * time.Millisecond
+			b := rapid.IntRange(0, balancers-1).Draw(t, "balancer")
+			p := opening(0)
+			p.Caller = netip.AddrPortFrom(callerAddr.Addr(), 1000+uint16(i))
+			if u := engines[b].Decide(now, views[b], p).Upstream; u != nil && now < u.ColdUntil {
+				taken[u.ID] = append(taken[u.ID], now)
+			}
+		}
+		for id, times := range taken {
+			for i := range times {
+				if i+coldLimit < len(times) {
+					must.Greater(t, time.Second, times[i+coldLimit]-times[i], must.Sprint(id))
+				}
+			}
+		}
+	})
+}
+
+func TestOwnedSlowStartIsUsedUnderLoad(t *testing.T) {
+	f := newFixture(2, 0)
+	f.upstreams[0].ColdUntil, f.upstreams[0].ColdRate, f.upstreams[0].Owned = 3*time.Second, coldLimit/2, true
+	e := newEngine(1)
+	placed := 0
+	for i := range 100 {
+		p := opening(0)
+		p.Caller = netip.AddrPortFrom(callerAddr.Addr(), 1000+uint16(i))
+		if e.Decide(time.Duration(i)*20*time.Millisecond, f.view(), p).Upstream.ID == f.upstreams[0].ID {
+			placed++
+		}
+	}
+	must.Eq(t, 4, placed) // two in each window of 1.2 s
+}
--- a/internal/connection/affinity/view.go
+++ b/internal/connection/affinity/view.go
@@ -18,10 +18,19 @@
 	// Ended reports that the incarnation ended so long ago that none of its
 	// packets are in flight. Its connections are lost.
 	Ended bool
+	// Evacuated reports that the upstream's failure domain is evacuated.
+	Evacuated bool
+	Region    string // of its failure domain; empty if unknown
+	// ColdUntil is the time until which the upstream takes at most ColdRate new
+	// connections in any second, and only from the balancer that owns its slow start.
+	// It is zero for a service without a limit.
+	ColdUntil time.Duration
+	ColdRate  int
+	Owned     bool // this balancer owns the slow start
 }
 
 // isEligible reports whether the upstream takes new connections.
-func (u *Upstream) isEligible() bool { return u.State == directory.Serving }
+func (u *Upstream) isEligible() bool { return u.State == directory.Serving && !u.Evacuated }
 
 // View is an immutable snapshot of routes and upstreams.
 type View struct {
@@ -36,6 +45,9 @@
 	Current   bool
 	byCookie  map[uint32]*Upstream
 	byService map[string][]*Upstream
+	// evacuated holds the services that have serving upstreams in evacuated failure
+	// domains.
+	evacuated map[string]bool
 }
 
 // Index sets the upstreams of a new view. If two incarnations have the same
@@ -44,6 +56,7 @@
 func (v *View) Index(upstreams []Upstream) *View {
 	v.byCookie = make(map[uint32]*Upstream, len(upstreams))
 	v.byService = make(map[string][]*Upstream)
+	v.evacuated = make(map[string]bool)
 	for i := range upstreams {
 		u := &upstreams[i]
 		if holder := v.byCookie[u.Cookie]; holder != nil && holder.StartMillis <= u.StartMillis {
@@ -53,8 +66,12 @@
 	}
 	for i := range upstreams {
 		u := &upstreams[i]
-		if v.byCookie[u.Cookie] == u && u.isEligible() {
+		switch {
+		case v.byCookie[u.Cookie] != u:
+		case u.isEligible():
 			v.byService[u.Service] = append(v.byService[u.Service], u)
+		case u.Evacuated && u.State == directory.Serving:
+			v.evacuated[u.Service] = true
 		}
 	}
 	return v
--- a/internal/process/balancer/balancer.go
+++ b/internal/process/balancer/balancer.go
@@ -56,6 +56,9 @@
 	metrics     *metrics.Balancer
 	name        string
 	domain      string
+	regions     map[string]string // region of each failure domain
+	coldExcess  float64
+	coldSlack   float64
 	lifetime    time.Duration
 	stopTimeout time.Duration
 	started     time.Time
@@ -75,6 +78,7 @@
 	directory      *directory.Directory
 	table          *routing.Table
 	retired        *routing.RetiredTargets
+	evacuations    evacuations
 	routesSince    time.Duration // when the first routes arrived
 	firstFeed      time.Duration // when the first feed opened
 	lastRebalance  time.Duration
@@ -89,6 +93,7 @@
 	s := cfg.Settings
 	b := &Balancer{
 		log: cfg.Log, metrics: cfg.Metrics, name: s.VM.Name, domain: s.VM.Domain,
+		regions: s.Domains, coldExcess: s.ColdExcess, coldSlack: s.ColdSlack,
 		lifetime: s.Lifetime, stopTimeout: s.VM.StopTimeout,
 		started:   time.Now(),
 		link:      s.Link.Listen,
@@ -252,6 +257,9 @@
 		}
 		out[i].Lapsed = b.isLapsed(e.ID)
 		out[i].Ejected = b.isEjected(e.ID)
+		out[i].Region = b.regions[e.Domain]
+		out[i].Evacuated = b.evacuations.isActive(e.Domain)
+		b.limitSlowStart(&out[i], e)
 	}
 	return out
 }
--- a/internal/process/balancer/feeds.go
+++ b/internal/process/balancer/feeds.go
@@ -212,6 +212,9 @@
 	if m.Routes != nil {
 		b.applyRoutes(f, *m.Routes)
 	}
+	if b.evacuations.apply(now, m.Evacuations) {
+		b.log.Info("evacuations in force", "index", m.Evacuations.Index, "failure_domains", m.Evacuations.Domains, "controller", f.source.address)
+	}
 	if m.Resumed {
 		b.resumeUpstreams(f, m)
 	}
--- a/internal/process/controller/calls.go
+++ b/internal/process/controller/calls.go
@@ -74,20 +74,31 @@
 	}()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	type answer struct {
-		document register.Document
-		ok       bool
+	err = c.read(ctx, func(state *register.Register) { d = state.Document() })
+	if err == nil && d.Number == 0 {
+		err = result.Errorf(result.NoLeader, "no configuration yet")
 	}
-	answers := make(chan answer, 1)
-	c.consensus.readLatest(func(d register.Document, ok bool) { answers <- answer{d, ok} })
+	return d, err
+}
+
+// read calls take with the state after a linearizable read. It fails when the read
+// cannot be confirmed.
+func (c *Controller) read(ctx context.Context, take func(state *register.Register)) error {
+	done := make(chan bool, 1)
+	c.consensus.readLatest(func(state *register.Register) {
+		if state != nil && ctx.Err() == nil {
+			take(state)
+		}
+		done <- state != nil
+	})
 	select {
-	case a := <-answers:
-		if a.ok && a.document.Number > 0 {
-			return a.document, nil
+	case confirmed := <-done:
+		if !confirmed {
+			return result.Errorf(result.NoLeader, "cannot confirm that the state is the newest")
 		}
-		return register.Document{}, result.Errorf(result.NoLeader, "cannot confirm the newest configuration")
+		return nil
 	case <-ctx.Done():
-		return register.Document{}, result.Errorf(result.NoLeader, "cannot confirm the newest configuration in time")
+		return result.Errorf(result.NoLeader, "cannot confirm in time that the state is the newest")
 	}
 }
 
@@ -102,6 +113,7 @@
 		if c.table != nil && !c.table.HasService(r.Service) {
 			return false, result.Errorf(result.BadAnnouncement, "upstream %s announces unknown service %q", r.ID, r.Service)
 		}
+		c.assignOwner(&r)
 		changed, err := c.directory.Announce(c.now(), r)
 		if err != nil {
 			return false, err
--- a/internal/process/controller/consensus.go
+++ b/internal/process/controller/consensus.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"heatherport/internal/process/metrics"
+	"heatherport/internal/result"
 	"heatherport/internal/version/raft"
 	"heatherport/internal/version/register"
 	"heatherport/internal/version/replica"
@@ -55,6 +56,8 @@
 	Send func(m raft.Message)
 	// InForce is called with each document that comes into force.
 	InForce func(register.Document)
+	// Evacuated is called with the evacuations when they change.
+	Evacuated func(*register.Evacuations)
 	// Controllers returns the known controllers by ID.
 	Controllers func() map[string]candidate
 }
@@ -67,6 +70,8 @@
 	LogOpen  bool // the replicated log is open
 	Term     uint64
 	Number   uint64
+	// Evacuations are those that this replica has applied.
+	Evacuations *register.Evacuations
 }
 
 // consensus runs the replicated log. A single goroutine owns the replica,
@@ -90,6 +95,7 @@
 	lastReopen      time.Time
 	logBytes        int
 	publishedNumber uint64 // number of the last document passed to InForce
+	publishedIndex  uint64 // index of the last evacuations passed to Evacuated
 	snapshotIndex   uint64 // index of the last snapshot
 }
 
@@ -313,7 +319,11 @@
 		data = nil
 	}
 	_, err := c.register.Apply(e.Index, data)
-	if err != nil {
+	switch {
+	case err == nil:
+	case result.CodeOf(err) == result.VersionStale:
+		c.cfg.Log.Info("order superseded", "index", e.Index, "error", err)
+	default:
 		c.cfg.Log.Error("invalid log entry skipped", "index", e.Index, "error", err)
 	}
 	i := slices.IndexFunc(c.proposals, func(p proposal) bool { return p.index == e.Index })
@@ -325,9 +335,13 @@
 	p.done(p.term == e.Term && err == nil)
 }
 
-// publishInForce passes on the newest document. Documents that it supersedes
-// are skipped; while a log is replayed after a start, most are.
+// publishInForce passes on the newest document and the evacuations. Documents that
+// it supersedes are skipped; while a log is replayed after a start, most are.
 func (c *consensus) publishInForce() {
+	if e := c.register.Evacuations(); e.Index() > c.publishedIndex {
+		c.publishedIndex = e.Index()
+		c.cfg.Evacuated(e)
+	}
 	d := c.register.Document()
 	if d.Number <= c.publishedNumber {
 		return
@@ -341,7 +355,11 @@
 	if c.replica == nil || index-c.snapshotIndex < compactEntries && c.logBytes < compactBytes || index == c.snapshotIndex {
 		return
 	}
-	if err := c.replica.Compact(index, c.register.Snapshot()); err != nil {
+	snapshot, err := c.register.Snapshot()
+	if err == nil {
+		err = c.replica.Compact(index, snapshot)
+	}
+	if err != nil {
 		c.fail(err)
 		return
 	}
@@ -374,7 +392,7 @@
 }
 
 func (c *consensus) publish() {
-	s := &replicaStatus{ID: c.identity.Name, Number: c.register.Document().Number}
+	s := &replicaStatus{ID: c.identity.Name, Number: c.register.Document().Number, Evacuations: c.register.Evacuations()}
 	if c.replica != nil {
 		s.LogOpen = true
 		s.Leader = c.soft.Leader
--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -87,6 +87,7 @@
 	// The fields below belong to the control goroutine.
 	directory           *directory.Directory
 	table               *routing.Table
+	evacuations         *Evacuations
 	subscribers         map[*stream.Conn]*subscriber
 	encoded             feedFrames // updates to the last state that was sent
 	lastFed             feedState  // at lastFeedTime
@@ -138,7 +139,7 @@
 	}
 	c.consensus = newConsensus(consensusConfig{
 		DataDir: s.VM.DataDir, Self: c.self, InitialVoters: initialVoters, ToleratedDiskLosses: s.ToleratedDiskLosses,
-		Log: cfg.Log.Named("log"), Metrics: cfg.Metrics, Send: c.sendLog, InForce: c.inForce, Controllers: c.peers.candidates,
+		Log: cfg.Log.Named("log"), Metrics: cfg.Metrics, Send: c.sendLog, InForce: c.inForce, Evacuated: c.evacuated, Controllers: c.peers.candidates,
 	})
 	return c
 }
--- /dev/null
+++ b/internal/process/controller/evacuation.go
@@ -0,0 +1,77 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"heatherport/internal/result"
+	"heatherport/internal/version/register"
+)
+
+// Evacuate starts or ends the evacuation of a failure domain. by is the address
+// that ordered it. It returns nil once the order, or one that asks for the same, is
+// durable on a majority. After an error of ClassUnknown or ClassUnavailable the
+// order may be given again to any controller.
+func (c *Controller) Evacuate(ctx context.Context, domain string, evacuate bool, by string) (err error) {
+	defer func() { c.cfg.Metrics.Call("evacuate", err) }()
+	if !c.isDomain(domain) {
+		return result.Errorf(result.UnknownDomain, "no failure domain %q", domain)
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	for {
+		// An order that arrived while this process stood still may have been given
+		// again to another controller, and been taken back, since.
+		if !c.stall.IsOver(c.clock()) {
+			return result.Errorf(result.NotReady, "the process stood still; the order may be old")
+		}
+		s := c.consensus.Status()
+		order := register.Order{Domain: domain, Evacuate: evacuate, After: s.Evacuations.IndexOf(domain), By: by, AtMillis: time.Now().UnixMilli()}
+		data, err := order.Encode()
+		if err != nil {
+			return err
+		}
+		if ctx.Err() == nil && c.submitOnce(ctx, &s, data) {
+			c.log.Info("evacuation ordered", "failure_domain", domain, "evacuate", evacuate, "by", by, "after", order.After, "leader", s.Leader)
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			c.log.Warn("evacuation outcome unknown", "failure_domain", domain, "evacuate", evacuate, "by", by, "leader", s.Leader, "term", s.Term)
+			return result.Errorf(result.OutcomeUnknown, "order for %s: not confirmed by leader %q in time", domain, s.Leader)
+		case <-time.After(callRetry):
+		}
+	}
+}
+
+// isDomain reports whether a failure domain exists: the settings list it, or, when
+// they list none, a known controller is in it.
+func (c *Controller) isDomain(name string) bool {
+	if domains := c.cfg.Settings.Domains; len(domains) > 0 {
+		_, ok := domains[name]
+		return ok
+	}
+	_, ok := c.peers.inDomain(name, peerMaxAge)
+	return ok || name == c.self.Domain
+}
+
+// Evacuations returns the evacuations in force by a linearizable read.
+func (c *Controller) Evacuations(ctx context.Context) (active []register.Evacuation, err error) {
+	defer func() { c.cfg.Metrics.Call("read", err) }()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err = c.read(ctx, func(state *register.Register) { active = state.Evacuations().Active() })
+	return active, err
+}
+
+// evacuated takes a change of the evacuations.
+func (c *Controller) evacuated(e *register.Evacuations) {
+	active := e.Active()
+	domains := make([]string, 0, len(active))
+	for _, d := range active {
+		domains = append(domains, d.Domain)
+	}
+	c.log.Info("evacuations in force", "index", e.Index(), "failure_domains", domains)
+	c.cfg.Metrics.Evacuations.Set(float64(len(domains)))
+	c.events <- func() { c.evacuations = &Evacuations{Index: e.Index(), Domains: domains, Ended: e.Ended()} }
+}
--- /dev/null
+++ b/internal/process/controller/evacuation_test.go
@@ -0,0 +1,154 @@
+package controller
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"heatherport/internal/process/stream"
+	"heatherport/internal/result"
+	"heatherport/internal/version/directory"
+	"heatherport/internal/version/routing"
+)
+
+// evacuate gives an order at a VM until it is acknowledged.
+func (f *cluster) evacuate(v *vm, domain string, evacuate bool) {
+	f.t.Helper()
+	f.eventually("the order", func() bool {
+		return v.Evacuate(context.Background(), domain, evacuate, "operator") == nil
+	})
+}
+
+// expectEvacuated reads at a VM until a read succeeds, and checks the domains.
+func (f *cluster) expectEvacuated(v *vm, domains ...string) {
+	f.t.Helper()
+	f.eventually("read of evacuations", func() bool {
+		active, err := v.Evacuations(context.Background())
+		if err != nil {
+			return false
+		}
+		var got []string
+		for _, e := range active {
+			got = append(got, e.Domain)
+		}
+		must.Eq(f.t, domains, got)
+		return true
+	})
+}
+
+func TestEvacuationsAreTakenAtAnyController(t *testing.T) {
+	f := newCluster(t)
+	domain := f.vms[0].self.Domain
+	for i := range 6 {
+		f.evacuate(f.vms[i%3], domain, true)
+		f.evacuate(f.vms[(i+1)%3], domain, true)
+		f.expectEvacuated(f.vms[(i+2)%3], domain)
+		f.evacuate(f.vms[(i+2)%3], domain, false)
+		f.expectEvacuated(f.vms[i%3])
+	}
+}
+
+func TestUnknownDomainChangesNothing(t *testing.T) {
+	f := newCluster(t)
+	f.submit(f.vms[0], 1)
+	err := f.vms[0].Evacuate(context.Background(), "nowhere", true, "operator")
+	must.Eq(t, result.UnknownDomain, result.CodeOf(err))
+	f.expectEvacuated(f.vms[0])
+}
+
+// An acknowledged order survives a power failure of all VMs with the loss of one disk
+// right after the acknowledgement.
+func TestEvacuationSurvivesRestartOfAllAndALostDisk(t *testing.T) {
+	f := newCluster(t)
+	f.submit(f.vms[0], 1)
+	domain := f.vms[1].self.Domain
+	f.evacuate(f.vms[0], domain, true)
+	for _, v := range f.vms {
+		f.stop(v)
+	}
+	f.vms[2].dir = t.TempDir()
+	for _, v := range f.vms {
+		f.start(v, false)
+	}
+	for _, v := range f.vms {
+		f.expectEvacuated(v, domain)
+	}
+	f.expect(f.vms[2], 1)
+}
+
+// A controller that stood still may read an order that its operator has since given to
+// another controller and taken back.
+func TestOrderReadAfterAStallIsRefused(t *testing.T) {
+	c := fedController(t, 0)
+	c.stall.Tick(time.Second)
+	c.clock = func() time.Duration { return time.Second + stallLimit + 1 }
+	err := c.Evacuate(context.Background(), c.self.Domain, true, "operator")
+	must.Eq(t, result.NotReady, result.CodeOf(err))
+}
+
+func TestOrderOfADisconnectedOperatorIsDropped(t *testing.T) {
+	f := newCluster(t)
+	f.submit(f.vms[0], 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	err := f.vms[0].Evacuate(ctx, f.vms[0].self.Domain, true, "operator")
+	must.Eq(t, result.OutcomeUnknown, result.CodeOf(err))
+	f.expectEvacuated(f.vms[1])
+}
+
+// A snapshot must carry the evacuations: the log before it is deleted.
+func TestEvacuationSurvivesCompaction(t *testing.T) {
+	f := newCluster(t)
+	domain := f.vms[1].self.Domain
+	f.evacuate(f.vms[0], domain, true)
+	for number := range uint64(compactEntries + 10) {
+		f.submit(f.vms[0], number+1)
+	}
+	v := f.vms[2]
+	f.stop(v)
+	v.dir = t.TempDir()
+	f.start(v, false)
+	f.expectEvacuated(v, domain)
+}
+
+func TestFirstControllerAssignsOwnerOfSlowStart(t *testing.T) {
+	c := fedController(t, 0)
+	c.table = &routing.Table{SlowStarts: map[string]routing.SlowStart{"permits": {Duration: 2 * time.Second}}}
+	near := &subscriber{Subscribe: Subscribe{Name: "near", Domain: "akure"}}
+	c.subscribers[discardConn(t)] = near
+	cold := func(seq uint64, left time.Duration) directory.Record {
+		r := announcement(directory.Serving, seq)
+		r.SlowStart = left
+		c.assignOwner(&r)
+		return r
+	}
+	first := cold(1, time.Second)
+	must.Eq(t, "near", first.Owner)
+	// Later announcements keep the owner: two owners would open twice the connections.
+	c.directory.Merge(c.now(), first)
+	near.Name = "other"
+	must.Eq(t, "near", cold(2, time.Second/2).Owner)
+	// A warm upstream and a service without a limit need none.
+	must.Eq(t, "", cold(3, 0).Owner)
+	c.table = &routing.Table{}
+	must.Eq(t, "", cold(4, time.Second).Owner)
+}
+
+func TestFeedCarriesEvacuations(t *testing.T) {
+	c := fedController(t, 3)
+	c.feedAll()
+	c.evacuations = &Evacuations{Index: 7, Domains: []string{"akure"}}
+	c.lastFeedTime -= urgentFeedInterval
+	c.feedAll()
+	must.MapLen(t, 1, c.encoded.frames)
+	for _, frame := range c.encoded.frames {
+		kind, body, ok := stream.DecodeFrame(frame)
+		must.True(t, ok)
+		must.Eq(t, KindFeedUpdate, kind)
+		var m FeedUpdate
+		must.NoError(t, stream.Decode(body, &m))
+		must.Eq(t, c.evacuations, m.Evacuations)
+	}
+}
--- a/internal/process/controller/feed.go
+++ b/internal/process/controller/feed.go
@@ -42,7 +42,7 @@
 	}
 	now := feedState{
 		table: c.table, revision: c.directory.Revision(),
-		confirmed: c.consensus.Status().Leader != "", controllers: append(c.peers.members(peerMaxAge), c.member()),
+		evacuations: c.evacuations, confirmed: c.consensus.Status().Leader != "", controllers: append(c.peers.members(peerMaxAge), c.member()),
 	}
 	for conn, s := range c.subscribers {
 		if !s.started {
@@ -87,7 +87,7 @@
 	switch {
 	case now.equal(last):
 		return false
-	case now.table != last.table, now.confirmed != last.confirmed, !slices.Equal(now.controllers, last.controllers),
+	case now.table != last.table, now.evacuations != last.evacuations, now.confirmed != last.confirmed, !slices.Equal(now.controllers, last.controllers),
 		c.directory.UrgentRevision() > last.revision:
 		return since >= urgentFeedInterval
 	}
@@ -114,7 +114,7 @@
 	}
 	f := FeedUpdate{
 		Confirmed: now.confirmed, Controllers: now.controllers,
-		SameRoutes: s.Routes == now.table.Number, Resumed: true,
+		SameRoutes: s.Routes == now.table.Number, Resumed: true, Evacuations: now.evacuations,
 	}
 	f.Upstreams, f.DifferingBuckets = c.directory.Differing(s.Digests)
 	if !f.SameRoutes {
@@ -129,7 +129,7 @@
 // sendFull sends a new subscriber the full state, which may be fullMaxAge old.
 func (c *Controller) sendFull(conn *stream.Conn, s *subscriber, now *feedState) {
 	full := &c.fullFeed
-	if full.frame == nil || full.state.table != now.table || c.now()-full.at > fullMaxAge {
+	if full.frame == nil || full.state.table != now.table || full.state.evacuations != now.evacuations || c.now()-full.at > fullMaxAge {
 		var empty feedState
 		*full = fullFeed{state: *now, frame: c.feedFrame(&empty, now), at: c.now()}
 	}
@@ -142,18 +142,20 @@
 // feedState is the state that a feed carries to a balancer.
 type feedState struct {
 	table       *routing.Table
-	revision    uint64 // of the directory
+	evacuations *Evacuations // replaced, never modified
+	revision    uint64       // of the directory
 	confirmed   bool
 	controllers []Member
 }
 
 func (s *feedState) equal(o *feedState) bool {
-	return s.table == o.table && s.revision == o.revision && s.confirmed == o.confirmed && slices.Equal(s.controllers, o.controllers)
+	return s.table == o.table && s.evacuations == o.evacuations && s.revision == o.revision && s.confirmed == o.confirmed && slices.Equal(s.controllers, o.controllers)
 }
 
 // feedBase is what an update starts from, as far as its content depends on it.
 type feedBase struct {
 	table           *routing.Table
+	evacuations     *Evacuations
 	revision        uint64
 	sameControllers bool
 }
@@ -170,7 +172,7 @@
 	if !to.equal(&c.encoded.state) {
 		c.encoded = feedFrames{state: *to, frames: make(map[feedBase][]byte)}
 	}
-	base := feedBase{table: from.table, revision: from.revision, sameControllers: slices.Equal(from.controllers, to.controllers)}
+	base := feedBase{table: from.table, evacuations: from.evacuations, revision: from.revision, sameControllers: slices.Equal(from.controllers, to.controllers)}
 	if frame, ok := c.encoded.frames[base]; ok {
 		return frame
 	}
@@ -182,6 +184,9 @@
 	if !base.sameControllers {
 		f.Controllers = to.controllers
 	}
+	if from.evacuations != to.evacuations {
+		f.Evacuations = to.evacuations
+	}
 	frame, err := stream.Encode(KindFeedUpdate, f)
 	if err != nil {
 		c.log.Error("failed to encode feed update", "error", err)
--- a/internal/process/controller/message.go
+++ b/internal/process/controller/message.go
@@ -109,6 +109,18 @@
 	// and those that are lapsed or ejected.
 	Resumed          bool  `cbor:"6,keyasint,omitempty"`
 	DifferingBuckets []int `cbor:"7,keyasint,omitempty"`
+	// Evacuations are set when they changed. A balancer ignores those with a lower
+	// index than it holds, which come from a controller that is behind.
+	Evacuations *Evacuations `cbor:"8,keyasint,omitempty"`
+}
+
+// Evacuations lists the failure domains that get no new connections.
+type Evacuations struct {
+	Index   uint64   `cbor:"1,keyasint"` // log index of the last change
+	Domains []string `cbor:"2,keyasint,omitempty"`
+	// Ended holds the log index of the end of earlier evacuations, by domain. Upstreams
+	// there may be in a slow start that they have not announced yet.
+	Ended map[string]uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // SuspicionReport lists the tags of upstreams that a balancer suspects of not
--- a/internal/process/controller/proposal.go
+++ b/internal/process/controller/proposal.go
@@ -8,7 +8,7 @@
 	"heatherport/internal/version/register"
 )
 
-// proposal is a document in the log with a caller that waits for the outcome.
+// proposal is an entry in the log with a caller that waits for the outcome.
 type proposal struct {
 	index, term uint64
 	done        func(accepted bool)
@@ -18,7 +18,9 @@
 type read struct {
 	index uint64 // zero until leadership is confirmed
 	since time.Time
-	done  func(d register.Document, ok bool)
+	// done is called with the state, or with nil if it cannot be confirmed. It must
+	// not keep the state.
+	done func(state *register.Register)
 }
 
 // failProposals reports an unknown outcome for all pending proposals.
@@ -30,18 +32,18 @@
 	}
 }
 
-// propose appends an encoded document to the log if this member leads. done is
+// propose appends an encoded entry to the log if this member leads. done is
 // called with the outcome; false means that it is unknown.
 func (c *consensus) propose(data []byte, done func(accepted bool)) {
 	ok := c.post(func() {
 		if err := c.checkVoterCount(); err != nil {
-			c.cfg.Log.Info("failed to propose configuration", "error", err)
+			c.cfg.Log.Info("failed to propose entry", "error", err)
 			done(false)
 			return
 		}
 		index, term, err := c.replica.Propose(data)
 		if err != nil {
-			c.cfg.Log.Info("failed to propose configuration", "error", err)
+			c.cfg.Log.Info("failed to propose entry", "error", err)
 			done(false)
 			return
 		}
@@ -69,23 +71,23 @@
 	return nil
 }
 
-// readLatest calls done with the document in force, once it is confirmed that
-// no newer document was acknowledged before the call.
-func (c *consensus) readLatest(done func(d register.Document, ok bool)) {
+// readLatest calls done with the state, once it is confirmed that it holds all that
+// was acknowledged before the call.
+func (c *consensus) readLatest(done func(state *register.Register)) {
 	ok := c.post(func() {
 		if c.replica == nil {
-			done(register.Document{}, false)
+			done(nil)
 			return
 		}
 		c.nextRead++
 		if err := c.replica.ReadIndex(c.nextRead); err != nil {
-			done(register.Document{}, false)
+			done(nil)
 			return
 		}
 		c.reads[c.nextRead] = read{since: time.Now(), done: done}
 	})
 	if !ok {
-		done(register.Document{}, false)
+		done(nil)
 	}
 }
 
@@ -100,7 +102,7 @@
 	for context, r := range c.reads {
 		if r.index != 0 && r.index <= c.register.Index() {
 			delete(c.reads, context)
-			r.done(c.register.Document(), true)
+			r.done(&c.register)
 		}
 	}
 }
@@ -110,7 +112,7 @@
 	for context, r := range c.reads {
 		if time.Since(r.since) > callTimeout {
 			delete(c.reads, context)
-			r.done(register.Document{}, false)
+			r.done(nil)
 		}
 	}
 }
@@ -119,6 +121,6 @@
 	reads := c.reads
 	c.reads = make(map[uint64]read)
 	for _, r := range reads {
-		r.done(register.Document{}, false)
+		r.done(nil)
 	}
 }
--- a/internal/process/metrics/programs.go
+++ b/internal/process/metrics/programs.go
@@ -110,6 +110,7 @@
 	Upstreams           prometheus.Gauge
 	ConfigurationNumber prometheus.Gauge
 	IsLeader            prometheus.Gauge
+	Evacuations         prometheus.Gauge
 
 	calls *prometheus.CounterVec
 }
@@ -129,6 +130,7 @@
 		Upstreams:           r.gauge("upstreams", "Known upstreams, including ended ones."),
 		ConfigurationNumber: r.gauge("configuration_number", "Number of the configuration in force."),
 		IsLeader:            r.gauge("leads", "1 while this controller is the leader."),
+		Evacuations:         r.gauge("evacuations", "Failure domains that are evacuated."),
 		calls:               r.counterVec("calls_total", "Calls by kind and the name of the result code.", "call", "result"),
 	}
 }
--- a/internal/process/settings/program.go
+++ b/internal/process/settings/program.go
@@ -23,7 +23,14 @@
 	ToleratedDiskLosses int              // number of disks that may be lost at the same time
 	Heartbeat           time.Duration    // interval of an upstream's announcements
 	Lifetime            time.Duration    // maximum lifetime of a connection
-	Log                 Log
+	// Domains holds the region of each failure domain; it is empty if the settings
+	// list none.
+	Domains map[string]string
+	// ColdExcess and ColdSlack bound the new connections that an upstream gets in a
+	// second of its slow start: rate of the service × ColdExcess + ColdSlack.
+	ColdExcess float64
+	ColdSlack  float64
+	Log        Log
 }
 
 // The defaults and bounds of optional keys of a Program.
@@ -35,6 +42,9 @@
 	maxHeartbeat           = time.Minute
 	minLifetime            = time.Second
 	maxLifetime            = 24 * time.Hour
+	defaultColdExcess      = 1.0
+	maxColdExcess          = 100
+	maxColdSlack           = 10_000
 )
 
 // The programs of a fleet.
@@ -69,6 +79,9 @@
 		ToleratedDiskLosses: int(r.integer("controllers", "losses_borne", 1, 0, maxToleratedDiskLosses)),
 		Heartbeat:           r.duration("upstreams", "heartbeat", defaultHeartbeat, minHeartbeat, maxHeartbeat),
 		Lifetime:            r.duration("connections", "lifetime", defaultLifetime, minLifetime, maxLifetime),
+		Domains:             r.domains(),
+		ColdExcess:          r.number("upstreams", "cold_excess", defaultColdExcess, 1, maxColdExcess),
+		ColdSlack:           r.number("upstreams", "cold_slack", 0, 0, maxColdSlack),
 		Log:                 r.log(),
 	}
 	switch program {
@@ -88,6 +101,23 @@
 	return p, nil
 }
 
+// domains reads the optional list of failure domains with their regions.
+func (r *reader) domains() map[string]string {
+	out := make(map[string]string)
+	for _, v := range strings.Split(r.raw("vm", "domains"), ",") {
+		if v = strings.TrimSpace(v); v == "" {
+			continue
+		}
+		domain, region, _ := strings.Cut(v, "=")
+		r.checkName("vm", "domains", domain)
+		if region != "" {
+			r.checkName("vm", "domains", region)
+		}
+		out[domain] = region
+	}
+	return out
+}
+
 // seeds reads the required list of seed addresses.
 func (r *reader) seeds() []netip.AddrPort {
 	var out []netip.AddrPort
--- a/internal/process/settings/reader.go
+++ b/internal/process/settings/reader.go
@@ -151,6 +151,20 @@
 	return n
 }
 
+// number reads an optional number within [lo, hi].
+func (r *reader) number(section, key string, def, lo, hi float64) float64 {
+	v := r.raw(section, key)
+	if v == "" {
+		return def
+	}
+	n, err := strconv.ParseFloat(v, 64)
+	if err != nil || !(n >= lo && n <= hi) {
+		r.faultf(section, key, "%q is not a number within %g and %g", v, lo, hi)
+		return def
+	}
+	return n
+}
+
 // duration reads an optional duration within [lo, hi].
 func (r *reader) duration(section, key string, def, lo, hi time.Duration) time.Duration {
 	v := r.raw(section, key)
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -41,6 +41,7 @@
 	BadMessage       Code = 106
 	UnsupportedProto Code = 107
 	BadRoutes        Code = 108
+	UnknownDomain    Code = 109
 
 	SheetConflict       Code = 201
 	SheetStale          Code = 202
@@ -101,6 +102,9 @@
 	DropStale           Code = 723
 	RefusedOverloaded   Code = 724
 	DropExpired         Code = 725
+	RefusedEvacuated    Code = 726
+	RefusedRegion       Code = 727
+	RefusedCold         Code = 728
 
 	Internal      Code = 901
 	PromiseBroken Code = 902
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -34,6 +34,7 @@
 	{BadMessage, "bad_message", "a message from a peer could not be decoded", "check that versions match"},
 	{UnsupportedProto, "unsupported_protocol", "the protocol is neither TCP nor UDP", "correct the input"},
 	{BadRoutes, "bad_routes", "the configuration of routes is not valid; nothing changed", "correct the route named"},
+	{UnknownDomain, "unknown_domain", "no failure domain has this name; nothing changed", "check the name"},
 
 	{SheetConflict, "sheet_conflict", "another sheet with this version number is in force", "compare digests, raise the number"},
 	{SheetStale, "sheet_stale", "a newer sheet is in force", "export a newer sheet"},
@@ -94,6 +95,9 @@
 	{RefusedNoRoute, "refused_no_route", "no route at this address", "check the routes"},
 	{DropExpired, "drop_expired", "the caller's timeout ends before an answer can arrive", "none; look for an outage of balancers"},
 	{RefusedOverloaded, "refused_overloaded", "the overloaded service is at its concurrency limit; no request was run", "try again after a second; add upstreams"},
+	{RefusedEvacuated, "refused_evacuated", "all upstreams of the service are in evacuated failure domains; no request was run", "end an evacuation or add upstreams elsewhere"},
+	{RefusedRegion, "refused_region", "no upstream in a region that the route allows; no request was run", "add upstreams there or change the route"},
+	{RefusedCold, "refused_cold", "all upstreams left have just started and take few connections; no request was run", "try again after the service's slow start"},
 
 	{PromiseBroken, "promise_broken", "the demo detected the violation of a guarantee", "report it"},
 	{Internal, "internal", "a defect in heatherport", "report it"},
--- a/internal/version/directory/digest.go
+++ b/internal/version/directory/digest.go
@@ -23,8 +23,8 @@
 }
 
 // Differing returns the records of the buckets whose digests differ from other,
-// with the numbers of these buckets, and all records that are lapsed or ejected,
-// which digests do not cover. If other does not hold DigestBuckets digests, all
+// with the numbers of these buckets, and all records that are lapsed, ejected
+// or in their slow start, which digests do not cover. If other does not hold DigestBuckets digests, all
 // differ.
 func (d *Directory) Differing(other []uint64) (records []Record, buckets []int) {
 	own := d.Digests()
@@ -35,8 +35,8 @@
 		}
 	}
 	for _, e := range d.entries {
-		if differs[e.bucket()] || e.Lapsed || e.Ejected {
-			records = append(records, e.Record)
+		if differs[e.bucket()] || e.Lapsed || e.Ejected || e.ColdUntil > d.now {
+			records = append(records, d.export(e))
 		}
 	}
 	return records, buckets
--- a/internal/version/directory/directory.go
+++ b/internal/version/directory/directory.go
@@ -54,13 +54,17 @@
 	State       State          `cbor:"7,keyasint"`
 	StartMillis int64          `cbor:"8,keyasint"` // start in Unix milliseconds, by its own clock
 	Seq         uint64         `cbor:"9,keyasint"` // sequence number of the announcement
-	// SlowStart is how long the upstream serves requests slowly after its start.
+	// SlowStart is how much longer the upstream serves requests slowly after its
+	// start.
 	SlowStart time.Duration `cbor:"10,keyasint,omitempty"`
 	// Lapsed reports that no announcement arrived within Config.LapseAfter.
 	Lapsed bool `cbor:"11,keyasint,omitempty"`
 	// Ejected reports that several balancers recently suspected the upstream of
 	// not answering.
 	Ejected bool `cbor:"12,keyasint,omitempty"`
+	// Owner is the name of the balancer that alone opens connections to the upstream
+	// during its slow start.
+	Owner string `cbor:"13,keyasint,omitempty"`
 }
 
 // Tag returns the 32-bit tag of the incarnation, which connection cookies
@@ -97,6 +101,7 @@
 	LastUpdate time.Duration // when the record was last confirmed
 	Revision   uint64        // directory revision of its last change
 	Ended      time.Duration // when it became Gone
+	ColdUntil  time.Duration // end of its slow start
 
 	tag        uint32        // of the incarnation
 	lastQuorum time.Duration // last time at which a quorum suspected it
@@ -120,6 +125,7 @@
 // Directory is the merged state. It is not safe for concurrent use.
 type Directory struct {
 	cfg       Config
+	now       time.Duration // time of the last call
 	rev       uint64
 	urgentRev uint64 // revision of the last change of a state
 	entries   map[string]*Entry
@@ -183,6 +189,7 @@
 	// Whether an upstream has lapsed or is ejected is decided by each controller
 	// from the announcements and suspicions that reach it.
 	r.Lapsed, r.Ejected = false, false
+	d.now = now
 	old := d.entries[r.ID]
 	if old != nil && !r.supersedes(&old.Record) {
 		return false
@@ -197,14 +204,14 @@
 	if old != nil && old.StartMillis == r.StartMillis && old.State == r.State && !old.Lapsed {
 		old.Seq = r.Seq
 		old.LastUpdate = now
-		return false
+		return d.extendSlowStart(now, old, &r)
 	}
 	d.put(now, old, r)
 	return true
 }
 
 func (d *Directory) put(now time.Duration, old *Entry, r Record) {
-	e := &Entry{Record: r, tag: r.Tag(), LastUpdate: now}
+	e := &Entry{Record: r, tag: r.Tag(), LastUpdate: now, ColdUntil: now + r.SlowStart}
 	if r.State == Gone {
 		e.Ended = now
 	}
@@ -220,6 +227,37 @@
 	}
 }
 
+// slowStartTolerance is the time by which the end of a slow start may move from one
+// announcement to the next because of delays.
+const slowStartTolerance = 250 * time.Millisecond
+
+// extendSlowStart applies a later announcement of a known incarnation, which may have
+// become cold again, or whose owner another controller has chosen.
+func (d *Directory) extendSlowStart(now time.Duration, e *Entry, r *Record) (changed bool) {
+	if r.SlowStart <= 0 {
+		return false
+	}
+	if until := now + r.SlowStart; until > e.ColdUntil+slowStartTolerance {
+		e.ColdUntil = until
+		changed = true
+	}
+	if r.Owner != "" && r.Owner != e.Owner {
+		e.Owner = r.Owner
+		changed = true
+	}
+	if changed {
+		d.markChanged(e, true)
+	}
+	return changed
+}
+
+// export returns the record of an entry with the rest of its slow start.
+func (d *Directory) export(e *Entry) Record {
+	r := e.Record
+	r.SlowStart = max(e.ColdUntil-d.now, 0)
+	return r
+}
+
 // release removes an entry from the indexes.
 func (d *Directory) release(e *Entry) {
 	if d.byAddress[e.Address] == e {
@@ -269,12 +307,14 @@
 func (d *Directory) Excuse(stall time.Duration) {
 	for _, e := range d.entries {
 		e.LastUpdate += stall
+		e.ColdUntil += stall
 	}
 }
 
 // Tick marks upstreams without recent announcements as lapsed or ended, ends
 // expired ejections and evicts upstreams whose retention has passed.
 func (d *Directory) Tick(now time.Duration) (changed bool) {
+	d.now = now
 	changed = d.tickReports(now)
 	for id, e := range d.entries {
 		changed = d.expireEjection(now, e) || changed
@@ -322,7 +362,7 @@
 		if e.Revision <= rev {
 			break
 		}
-		out = append(out, e.Record)
+		out = append(out, d.export(e))
 	}
 	return out
 }
--- a/internal/version/register/register.go
+++ b/internal/version/register/register.go
@@ -1,7 +1,6 @@
-// Package register implements the replicated state of the operators'
-// configuration: the accepted document with the highest number. It is a pure
-// state machine: it applies the entries of a replicated log and holds the
-// document in force.
+// Package register implements the replicated state of the operators: the accepted
+// document with the highest number and the evacuations of failure domains. It is a
+// pure state machine: it applies the entries of a replicated log.
 package register
 
 import (
@@ -24,13 +23,32 @@
 	Body   []byte
 }
 
-// stored is the encoding of a document in log entries and snapshots.
+// stored is the encoding of log entries and snapshots. An entry holds either a
+// document or an order; a snapshot holds the document and all evacuations.
 type stored struct {
-	Number     uint64 `cbor:"1,keyasint"`
-	Compressed []byte `cbor:"2,keyasint"` // DEFLATE
+	Number      uint64       `cbor:"1,keyasint"`
+	Compressed  []byte       `cbor:"2,keyasint"` // document, DEFLATE
+	Order       *Order       `cbor:"3,keyasint,omitempty"`
+	Evacuations []Evacuation `cbor:"4,keyasint,omitempty"`
 }
 
-// Encode returns the encoding of d for log entries and snapshots.
+func (s *stored) encode() ([]byte, error) {
+	data, err := cbor.Marshal(s)
+	if err != nil {
+		return nil, result.Wrapf(err, result.Internal, "encode log entry")
+	}
+	return data, nil
+}
+
+func decodeStored(data []byte) (*stored, error) {
+	var s stored
+	if err := cbor.Unmarshal(data, &s); err != nil {
+		return nil, result.Wrapf(err, result.StorageCorrupt, "decode log entry")
+	}
+	return &s, nil
+}
+
+// Encode returns the log entry that puts d in force.
 func (d Document) Encode() ([]byte, error) {
 	var buf bytes.Buffer
 	w, err := flate.NewWriter(&buf, flate.BestSpeed)
@@ -43,18 +61,13 @@
 	if err := w.Close(); err != nil {
 		return nil, result.Wrapf(err, result.Internal, "compress document")
 	}
-	data, err := cbor.Marshal(stored{Number: d.Number, Compressed: buf.Bytes()})
-	if err != nil {
-		return nil, result.Wrapf(err, result.Internal, "encode document")
-	}
-	return data, nil
+	return (&stored{Number: d.Number, Compressed: buf.Bytes()}).encode()
 }
 
-// Decode is the inverse of Document.Encode.
-func Decode(data []byte) (Document, error) {
-	var s stored
-	if err := cbor.Unmarshal(data, &s); err != nil {
-		return Document{}, result.Wrapf(err, result.StorageCorrupt, "decode document")
+// document decompresses the document of an entry or a snapshot.
+func (s *stored) document() (Document, error) {
+	if s.Number == 0 {
+		return Document{}, nil
 	}
 	r := flate.NewReader(bytes.NewReader(s.Compressed))
 	body, err := io.ReadAll(io.LimitReader(r, maxDocumentBytes+1))
@@ -67,11 +80,13 @@
 	return Document{Number: s.Number, Body: body}, nil
 }
 
-// Register holds the document in force. The zero Register holds none.
+// Register holds the document in force and the evacuations. The zero Register
+// holds none.
 type Register struct {
-	index    uint64 // of the last entry applied
-	document Document
-	encoded  []byte // document as returned by Document.Encode
+	index       uint64 // of the last entry applied
+	document    Document
+	compressed  []byte // document as in stored
+	evacuations *Evacuations
 }
 
 // Index returns the index of the last entry applied.
@@ -81,33 +96,64 @@
 // none.
 func (r *Register) Document() Document { return r.document }
 
-// Apply applies the log entry at index. It reports whether the document
-// changed: only a document with a higher number replaces the one in force.
+// Evacuations returns the evacuations, nil when none was ever ordered.
+func (r *Register) Evacuations() *Evacuations { return r.evacuations }
+
+// Apply applies the log entry at index. It reports whether the state changed: only
+// a document with a higher number replaces the one in force. An order that another
+// order preceded fails with VersionStale and changes nothing.
 func (r *Register) Apply(index uint64, data []byte) (changed bool, err error) {
 	r.index = index
 	if len(data) == 0 {
 		return false, nil
 	}
-	d, err := Decode(data)
+	s, err := decodeStored(data)
 	if err != nil {
 		return false, err
 	}
-	if d.Number <= r.document.Number {
-		return false, nil
+	if s.Order != nil {
+		next, err := r.evacuations.apply(index, s.Order)
+		changed = err == nil && next != r.evacuations
+		if changed {
+			r.evacuations = next
+		}
+		return changed, err
+	}
+	return r.applyDocument(s)
+}
+
+func (r *Register) applyDocument(s *stored) (changed bool, err error) {
+	d, err := s.document()
+	if err != nil || d.Number <= r.document.Number {
+		return false, err
 	}
 	r.document = d
-	r.encoded = data
+	r.compressed = s.Compressed
 	return true, nil
 }
 
 // Snapshot returns the state in the form that Restore takes.
-func (r *Register) Snapshot() []byte { return r.encoded }
+func (r *Register) Snapshot() ([]byte, error) {
+	s := stored{Number: r.document.Number, Compressed: r.compressed}
+	if r.evacuations != nil {
+		s.Evacuations = r.evacuations.all
+	}
+	return s.encode()
+}
 
 // Restore replaces the state with a snapshot taken at index.
 func (r *Register) Restore(index uint64, data []byte) error {
-	r.index = index
-	r.document = Document{}
-	r.encoded = nil
-	_, err := r.Apply(index, data)
+	*r = Register{index: index}
+	if len(data) == 0 {
+		return nil
+	}
+	s, err := decodeStored(data)
+	if err != nil {
+		return err
+	}
+	if len(s.Evacuations) > 0 {
+		r.evacuations = newEvacuations(s.Evacuations)
+	}
+	_, err = r.applyDocument(s)
 	return err
 }
--- a/internal/version/register/register_test.go
+++ b/internal/version/register/register_test.go
@@ -30,7 +30,9 @@
 			must.Eq(t, string(newest.Body), string(r.Document().Body))
 		}
 		var restored Register
-		must.NoError(t, restored.Restore(r.Index(), r.Snapshot()))
+		snapshot, err := r.Snapshot()
+		must.NoError(t, err)
+		must.NoError(t, restored.Restore(r.Index(), snapshot))
 		must.Eq(t, r.Index(), restored.Index())
 		must.Eq(t, newest.Number, restored.Document().Number)
 		must.Eq(t, string(newest.Body), string(restored.Document().Body))
@@ -43,7 +45,9 @@
 	must.NoError(t, err)
 	must.False(t, changed)
 	must.Eq(t, 7, r.Index())
-	must.NoError(t, (&Register{}).Restore(7, r.Snapshot()))
+	snapshot, err := r.Snapshot()
+	must.NoError(t, err)
+	must.NoError(t, (&Register{}).Restore(7, snapshot))
 }
 
 func TestDamagedEntryIsRejected(t *testing.T) {
--- a/internal/version/routing/routing.go
+++ b/internal/version/routing/routing.go
@@ -29,6 +29,16 @@
 	LatencyObjective time.Duration `cbor:"5,keyasint,omitempty"`
 	// Priority orders routes under overload; zero is the highest priority.
 	Priority int `cbor:"6,keyasint,omitempty"`
+	// Regions are those whose upstreams may take the connections. All may if it is
+	// empty.
+	Regions []string `cbor:"7,keyasint,omitempty"`
+}
+
+// SlowStart limits the new connections to the upstreams of a service that have just
+// started.
+type SlowStart struct {
+	Duration time.Duration `cbor:"1,keyasint"`
+	Rate     float64       `cbor:"2,keyasint"` // connections per second that an upstream can serve
 }
 
 // Allows reports whether the route sends connections to service.
@@ -57,7 +67,7 @@
 }
 
 func (r *Route) equal(o *Route) bool {
-	return r.Name == o.Name && r.Address == o.Address && slices.Equal(r.Targets, o.Targets) &&
+	return r.Name == o.Name && r.Address == o.Address && slices.Equal(r.Targets, o.Targets) && slices.Equal(r.Regions, o.Regions) &&
 		r.Timeout == o.Timeout && r.LatencyObjective == o.LatencyObjective && r.Priority == o.Priority
 }
 
@@ -66,7 +76,9 @@
 	Number      uint64
 	IdleTimeout time.Duration // after which an idle connection may be evicted
 	Services    []string      // sorted
-	routes      map[netip.AddrPort]*Route
+	// SlowStarts holds the limit of each service that has one.
+	SlowStarts map[string]SlowStart
+	routes     map[netip.AddrPort]*Route
 }
 
 // New returns a table of the given routes. It fails if they are inconsistent.
@@ -120,17 +132,18 @@
 // Delta is the difference between two tables. From is the number of the table
 // that it applies to, or zero when Set holds all routes.
 type Delta struct {
-	From        uint64           `cbor:"1,keyasint,omitempty"`
-	Number      uint64           `cbor:"2,keyasint"`
-	IdleTimeout time.Duration    `cbor:"3,keyasint"`
-	Services    []string         `cbor:"4,keyasint"`
-	Set         []Route          `cbor:"5,keyasint,omitempty"`
-	Drop        []netip.AddrPort `cbor:"6,keyasint,omitempty"`
+	From        uint64               `cbor:"1,keyasint,omitempty"`
+	Number      uint64               `cbor:"2,keyasint"`
+	IdleTimeout time.Duration        `cbor:"3,keyasint"`
+	Services    []string             `cbor:"4,keyasint"`
+	Set         []Route              `cbor:"5,keyasint,omitempty"`
+	Drop        []netip.AddrPort     `cbor:"6,keyasint,omitempty"`
+	SlowStarts  map[string]SlowStart `cbor:"7,keyasint,omitempty"`
 }
 
 // Diff returns the delta from old, which may be nil, to t.
 func (t *Table) Diff(old *Table) Delta {
-	d := Delta{Number: t.Number, IdleTimeout: t.IdleTimeout, Services: t.Services}
+	d := Delta{Number: t.Number, IdleTimeout: t.IdleTimeout, Services: t.Services, SlowStarts: t.SlowStarts}
 	if old != nil {
 		d.From = old.Number
 	}
@@ -153,7 +166,7 @@
 // Apply returns the result of applying d to t, which may be nil. It fails with
 // VersionStale when d starts from another table.
 func (t *Table) Apply(d Delta) (*Table, error) {
-	next := &Table{Number: d.Number, IdleTimeout: d.IdleTimeout, Services: d.Services, routes: make(map[netip.AddrPort]*Route, len(d.Set))}
+	next := &Table{Number: d.Number, IdleTimeout: d.IdleTimeout, Services: d.Services, SlowStarts: d.SlowStarts, routes: make(map[netip.AddrPort]*Route, len(d.Set))}
 	if d.From != 0 {
 		if t == nil || t.Number != d.From {
 			return nil, result.Errorf(result.VersionStale, "delta from configuration %d does not apply to this table", d.From)
