Command line for evacuations; list of balancers in the feeds

Cause: operators had no command for evacuations, and balancers did not know how many others use the same upstreams, which the division of slots needs.

Tests: cmd/heatherport-node, platform, fleets and feeds pass.

--- a/cmd/heatherport-node/main.go
+++ b/cmd/heatherport-node/main.go
@@ -34,8 +34,9 @@
 }
 
 type arguments struct {
-	Balancer   *command `arg:"subcommand:balancer" help:"run a balancer for connections with cookies"`
-	Controller *command `arg:"subcommand:controller" help:"run a controller, which feeds balancers"`
+	Balancer   *command         `arg:"subcommand:balancer" help:"run a balancer for connections with cookies"`
+	Controller *command         `arg:"subcommand:controller" help:"run a controller, which feeds balancers"`
+	Evacuation *evacuationGroup `arg:"subcommand:evacuation" help:"start, end or list evacuations of failure domains"`
 }
 
 // run runs one command line and returns the exit code, the class of the result.
@@ -52,6 +53,8 @@
 	switch {
 	case err != nil:
 		err = result.Errorf(result.BadArguments, "%v", err)
+	case a.Evacuation != nil:
+		err = a.Evacuation.run(context.Background(), stdout)
 	case a.Balancer == nil && a.Controller == nil:
 		err = result.Errorf(result.BadArguments, "no program given")
 	default:
--- a/internal/process/balancer/balancer.go
+++ b/internal/process/balancer/balancer.go
@@ -14,6 +14,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"heatherport/internal/connection/affinity"
+	"heatherport/internal/process/controller"
 	"heatherport/internal/process/logging"
 	"heatherport/internal/process/metrics"
 	"heatherport/internal/process/settings"
@@ -79,8 +80,9 @@
 	table          *routing.Table
 	retired        *routing.RetiredTargets
 	evacuations    evacuations
-	routesSince    time.Duration // when the first routes arrived
-	firstFeed      time.Duration // when the first feed opened
+	fleet          *controller.Fleet // balancers of all feeds; kept while there is no feed
+	routesSince    time.Duration     // when the first routes arrived
+	firstFeed      time.Duration     // when the first feed opened
 	lastRebalance  time.Duration
 	lastPublish    time.Duration
 	reported       []reportedSuspicion
--- a/internal/process/balancer/feeds.go
+++ b/internal/process/balancer/feeds.go
@@ -60,6 +60,7 @@
 	// controller.
 	lapsed  map[string]bool
 	ejected map[string]bool
+	fleet   *controller.Fleet // balancers that this controller knows; nil before it says so
 }
 
 // wantedFeeds returns the number of feeds to take now.
@@ -191,6 +192,7 @@
 	f.source.lastFailure = b.now()
 	before := len(b.feeds)
 	b.feeds = slices.DeleteFunc(b.feeds, func(o *feed) bool { return o == f })
+	b.updateFleet()
 	if f.conn != nil && before != len(b.feeds) {
 		b.metrics.FeedsLost.Inc()
 		b.log.Warn("feed lost", "controller", f.source.address, "error", cause, "left", len(b.feeds))
@@ -215,6 +217,10 @@
 	if b.evacuations.apply(now, m.Evacuations) {
 		b.log.Info("evacuations in force", "index", m.Evacuations.Index, "failure_domains", m.Evacuations.Domains, "controller", f.source.address)
 	}
+	if m.Fleet != nil {
+		f.fleet = m.Fleet
+		b.updateFleet()
+	}
 	if m.Resumed {
 		b.resumeUpstreams(f, m)
 	}
--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -88,6 +88,7 @@
 	directory           *directory.Directory
 	table               *routing.Table
 	evacuations         *Evacuations
+	fleets              fleetTable
 	subscribers         map[*stream.Conn]*subscriber
 	encoded             feedFrames // updates to the last state that was sent
 	lastFed             feedState  // at lastFeedTime
@@ -119,6 +120,7 @@
 		upstreams: newHintStore[directory.Record](s.VM.DataDir, upstreamsFile, cfg.Log.Named("upstreams")),
 		addresses: newHintStore[netip.Addr](s.VM.DataDir, balancersFile, cfg.Log.Named("balancers")),
 		balancers: newBalancerTable(),
+		fleets:    fleetTable{byController: make(map[string]*Fleet)},
 		stall:     stall.NewDetector(stallLimit, stallDrain),
 		clock:     stall.Clock,
 		events:    make(chan func(), eventQueue),
@@ -267,6 +269,7 @@
 	c.upstreams.save(now, c.directory.Revision(), func() []directory.Record { return c.directory.Since(0) })
 	c.addresses.save(now, c.balancers.revision, c.balancers.addresses)
 	c.refreshBalancers(now)
+	c.refreshFleet(now)
 	c.updateGauges()
 	if now-c.lastRenewal >= renewInterval {
 		c.lastRenewal = now
--- a/internal/process/controller/exchange.go
+++ b/internal/process/controller/exchange.go
@@ -85,6 +85,7 @@
 		{KindHello, c.hello()},
 		{KindRecords, Records{Number: c.recordsNumber, Records: c.directory.Since(0)}},
 		{KindBalancers, Balancers{Addresses: c.balancers.addresses()}},
+		{KindFleet, c.ownFleet()},
 	}
 	now := c.now()
 	for _, r := range suspicionReports(now, c.directory.Suspicions(now)) {
@@ -158,6 +159,11 @@
 		if c.decode(body, &b) {
 			c.post(func() { c.balancers.add(c.now(), b.Addresses...) })
 		}
+	case KindFleet:
+		var f Fleet
+		if c.decode(body, &f) {
+			c.post(func() { c.handleFleet(&f) })
+		}
 	case KindSubmit:
 		var s Submit
 		if c.decode(body, &s) {
--- a/internal/process/controller/feed.go
+++ b/internal/process/controller/feed.go
@@ -42,7 +42,7 @@
 	}
 	now := feedState{
 		table: c.table, revision: c.directory.Revision(),
-		evacuations: c.evacuations, confirmed: c.consensus.Status().Leader != "", controllers: append(c.peers.members(peerMaxAge), c.member()),
+		evacuations: c.evacuations, fleet: c.fleets.fed, confirmed: c.consensus.Status().Leader != "", controllers: append(c.peers.members(peerMaxAge), c.member()),
 	}
 	for conn, s := range c.subscribers {
 		if !s.started {
@@ -87,7 +87,7 @@
 	switch {
 	case now.equal(last):
 		return false
-	case now.table != last.table, now.evacuations != last.evacuations, now.confirmed != last.confirmed, !slices.Equal(now.controllers, last.controllers),
+	case now.table != last.table, now.evacuations != last.evacuations, now.fleet != last.fleet, now.confirmed != last.confirmed, !slices.Equal(now.controllers, last.controllers),
 		c.directory.UrgentRevision() > last.revision:
 		return since >= urgentFeedInterval
 	}
@@ -114,7 +114,7 @@
 	}
 	f := FeedUpdate{
 		Confirmed: now.confirmed, Controllers: now.controllers,
-		SameRoutes: s.Routes == now.table.Number, Resumed: true, Evacuations: now.evacuations,
+		SameRoutes: s.Routes == now.table.Number, Resumed: true, Evacuations: now.evacuations, Fleet: now.fleet,
 	}
 	f.Upstreams, f.DifferingBuckets = c.directory.Differing(s.Digests)
 	if !f.SameRoutes {
@@ -143,19 +143,21 @@
 type feedState struct {
 	table       *routing.Table
 	evacuations *Evacuations // replaced, never modified
+	fleet       *Fleet       // replaced, never modified
 	revision    uint64       // of the directory
 	confirmed   bool
 	controllers []Member
 }
 
 func (s *feedState) equal(o *feedState) bool {
-	return s.table == o.table && s.evacuations == o.evacuations && s.revision == o.revision && s.confirmed == o.confirmed && slices.Equal(s.controllers, o.controllers)
+	return s.table == o.table && s.evacuations == o.evacuations && s.fleet == o.fleet && s.revision == o.revision && s.confirmed == o.confirmed && slices.Equal(s.controllers, o.controllers)
 }
 
 // feedBase is what an update starts from, as far as its content depends on it.
 type feedBase struct {
 	table           *routing.Table
 	evacuations     *Evacuations
+	fleet           *Fleet
 	revision        uint64
 	sameControllers bool
 }
@@ -172,7 +174,7 @@
 	if !to.equal(&c.encoded.state) {
 		c.encoded = feedFrames{state: *to, frames: make(map[feedBase][]byte)}
 	}
-	base := feedBase{table: from.table, evacuations: from.evacuations, revision: from.revision, sameControllers: slices.Equal(from.controllers, to.controllers)}
+	base := feedBase{table: from.table, evacuations: from.evacuations, fleet: from.fleet, revision: from.revision, sameControllers: slices.Equal(from.controllers, to.controllers)}
 	if frame, ok := c.encoded.frames[base]; ok {
 		return frame
 	}
@@ -187,6 +189,9 @@
 	if from.evacuations != to.evacuations {
 		f.Evacuations = to.evacuations
 	}
+	if from.fleet != to.fleet {
+		f.Fleet = to.fleet
+	}
 	frame, err := stream.Encode(KindFeedUpdate, f)
 	if err != nil {
 		c.log.Error("failed to encode feed update", "error", err)
--- a/internal/process/controller/message.go
+++ b/internal/process/controller/message.go
@@ -23,6 +23,7 @@
 	KindSuspicionReport                        // balancer to controller, and between controllers: SuspicionReport
 	KindBalancers                              // controller to controller: Balancers
 	KindInvitation                             // controller to balancer, in a datagram: Invitation
+	KindFleet                                  // controller to controller: Fleet
 )
 
 // Member describes a controller to others.
@@ -112,6 +113,8 @@
 	// Evacuations are set when they changed. A balancer ignores those with a lower
 	// index than it holds, which come from a controller that is behind.
 	Evacuations *Evacuations `cbor:"8,keyasint,omitempty"`
+	// Fleet is set when it changed.
+	Fleet *Fleet `cbor:"9,keyasint,omitempty"`
 }
 
 // Evacuations lists the failure domains that get no new connections.
