--- a/internal/connection/affinity/cold.go
+++ b/internal/connection/affinity/cold.go
@@ -34,3 +34,14 @@
 		}
 	}
 }
+
+// EvacuatedConnections returns the connections that count as load of evacuated
+// upstreams.
+func (e *Engine) EvacuatedConnections(v *View) (open int) {
+	for cookie, s := range e.upstreams {
+		if u := v.Upstream(cookie); u != nil && u.Evacuated {
+			open += s.open
+		}
+	}
+	return open
+}
--- a/internal/connection/affinity/view.go
+++ b/internal/connection/affinity/view.go
@@ -97,3 +97,18 @@
 	}
 	return v.RetiredTargets.Allowed(address, service)
 }
+
+// SlowStarts returns the number of upstreams in a slow start with a limit, and of
+// those that this balancer owns.
+func (v *View) SlowStarts(now time.Duration) (cold, owned int) {
+	for _, u := range v.byCookie {
+		if u.State != directory.Serving || now >= u.ColdUntil {
+			continue
+		}
+		cold++
+		if u.Owned {
+			owned++
+		}
+	}
+	return cold, owned
+}
--- a/internal/process/balancer/balancer.go
+++ b/internal/process/balancer/balancer.go
@@ -277,6 +277,7 @@
 	if b.table != nil {
 		b.metrics.ConfigurationNumber.Set(float64(b.table.Number))
 	}
+	b.updateExclusionGauges()
 	b.metrics.OmittedLogLines.Add(float64(b.forwarder.flowLog.Omitted() - b.omittedCounted))
 	b.omittedCounted = b.forwarder.flowLog.Omitted()
 }
--- a/internal/process/balancer/evacuations.go
+++ b/internal/process/balancer/evacuations.go
@@ -42,3 +42,14 @@
 	}
 	return 0
 }
+
+// updateExclusionGauges updates the gauges of the upstreams that get no or few new
+// connections.
+func (b *Balancer) updateExclusionGauges() {
+	b.metrics.Evacuations.Set(float64(len(b.evacuations.Domains)))
+	view := b.view.Load()
+	cold, owned := view.SlowStarts(b.now())
+	b.metrics.ColdUpstreams.Set(float64(cold))
+	b.metrics.OwnedSlowStarts.Set(float64(owned))
+	b.metrics.EvacuatedOpen.Set(float64(b.forwarder.evacuatedConnections(view)))
+}
--- a/internal/process/balancer/feeds.go
+++ b/internal/process/balancer/feeds.go
@@ -256,7 +256,7 @@
 			changed++
 			if len(records) <= maxUpstreamLines {
 				b.log.Info("upstream changed", "upstream", r.ID, "service", r.Service, "address", r.Address, "state", r.State.String(),
-					"lapsed", r.Lapsed, "doubted", r.Ejected, "born", r.StartMillis, "seq", r.Seq, "controller", f.source.address)
+					"lapsed", r.Lapsed, "doubted", r.Ejected, "cold_ms", r.SlowStart.Milliseconds(), "owner", r.Owner, "born", r.StartMillis, "seq", r.Seq, "controller", f.source.address)
 			}
 		}
 		f.lapsed[r.ID], f.ejected[r.ID] = r.Lapsed, r.Ejected
--- a/internal/process/balancer/forwarder.go
+++ b/internal/process/balancer/forwarder.go
@@ -219,3 +219,10 @@
 		f.log.Debug("failed to send packet", "to", to, "error", err)
 	}
 }
+
+// evacuatedConnections returns the open connections to evacuated upstreams.
+func (f *forwarder) evacuatedConnections(view *affinity.View) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.engine.EvacuatedConnections(view)
+}
--- a/internal/process/metrics/programs.go
+++ b/internal/process/metrics/programs.go
@@ -63,6 +63,10 @@
 	ConfigurationNumber prometheus.Gauge
 	Feeds               prometheus.Gauge
 	Ready               prometheus.Gauge
+	Evacuations         prometheus.Gauge
+	EvacuatedOpen       prometheus.Gauge
+	ColdUpstreams       prometheus.Gauge
+	OwnedSlowStarts     prometheus.Gauge
 
 	dropped *prometheus.CounterVec
 	refused *prometheus.CounterVec
@@ -86,6 +90,10 @@
 		ConfigurationNumber: r.gauge("configuration_number", "Number of the configuration in force."),
 		Feeds:               r.gauge("feeds", "Feeds from controllers."),
 		Ready:               r.gauge("ready", "1 while routers may send packets here."),
+		Evacuations:         r.gauge("evacuations", "Failure domains that are evacuated."),
+		EvacuatedOpen:       r.gauge("evacuated_connections", "Connections of this balancer to upstreams in evacuated failure domains."),
+		ColdUpstreams:       r.gauge("cold_upstreams", "Upstreams in a slow start with a limit."),
+		OwnedSlowStarts:     r.gauge("owned_slow_starts", "Cold upstreams to which this balancer alone opens connections."),
 		dropped:             r.counterVec("cookie_packets_dropped_total", "Packets dropped, by the name of the result code.", "cause"),
 		refused:             r.counterVec("cookie_connections_refused_total", "Resets sent to callers, by the name of the result code.", "cause"),
 	}
