--- a/cmd/heatherport-node/evacuation.go
+++ b/cmd/heatherport-node/evacuation.go
@@ -10,9 +10,16 @@
 	"time"
 
 	"heatherport/internal/result"
-	"heatherport/platform"
+	"heatherport/internal/version/register"
 )
 
+// operator gives orders to controllers.
+type operator interface {
+	StartEvacuation(ctx context.Context, domain string) error
+	EndEvacuation(ctx context.Context, domain string) error
+	Evacuations(ctx context.Context) ([]register.Evacuation, error)
+}
+
 // evacuationGroup holds the commands on evacuations of failure domains.
 type evacuationGroup struct {
 	Start *evacuationOrder `arg:"subcommand:start" help:"give the upstreams of a failure domain no new connections"`
@@ -39,19 +46,16 @@
 // answer within a second.
 const callTimeout = time.Second
 
-func (a *controllerAddresses) client() *platform.OperatorClient {
-	return &platform.OperatorClient{
-		Controllers: strings.Split(a.Controllers, ","),
-		HTTP:        &http.Client{Timeout: callTimeout},
-	}
+func (a *controllerAddresses) operator() operator {
+	return newOperator(strings.Split(a.Controllers, ","), &http.Client{Timeout: callTimeout})
 }
 
 func (g *evacuationGroup) run(ctx context.Context, stdout io.Writer) error {
 	switch {
 	case g.Start != nil:
-		return g.Start.order(ctx, g.Start.client().StartEvacuation)
+		return g.Start.order(ctx, g.Start.operator().StartEvacuation)
 	case g.End != nil:
-		return g.End.order(ctx, g.End.client().EndEvacuation)
+		return g.End.order(ctx, g.End.operator().EndEvacuation)
 	case g.List != nil:
 		return g.List.write(ctx, stdout)
 	}
@@ -67,18 +71,30 @@
 func (l *evacuationList) write(ctx context.Context, stdout io.Writer) error {
 	ctx, cancel := context.WithTimeout(ctx, l.Timeout)
 	defer cancel()
-	evacuations, err := l.client().Evacuations(ctx)
+	evacuations, err := l.operator().Evacuations(ctx)
 	if err != nil {
 		return err
 	}
+	list := make([]listedEvacuation, 0, len(evacuations))
+	for _, e := range evacuations {
+		list = append(list, listedEvacuation{e.Domain, time.UnixMilli(e.SinceMillis).UTC(), e.By, e.Index})
+	}
 	if l.JSON {
-		if err := json.NewEncoder(stdout).Encode(evacuations); err != nil {
+		if err := json.NewEncoder(stdout).Encode(list); err != nil {
 			return result.Wrapf(err, result.Internal, "write the list")
 		}
 		return nil
 	}
-	for _, e := range evacuations {
-		fmt.Fprintf(stdout, "%s\tsince %s\tby %s\tindex %d\n", e.Zone, e.Since.Format(time.RFC3339), e.By, e.Index)
+	for _, e := range list {
+		fmt.Fprintf(stdout, "%s\tsince %s\tby %s\tindex %d\n", e.Domain, e.Since.Format(time.RFC3339), e.By, e.Index)
 	}
 	return nil
 }
+
+// listedEvacuation is an evacuation in the output of the list command.
+type listedEvacuation struct {
+	Domain string    `json:"failure_domain"`
+	Since  time.Time `json:"since"`
+	By     string    `json:"by"`
+	Index  uint64    `json:"index"`
+}
--- a/cmd/heatherport-node/main.go
+++ b/cmd/heatherport-node/main.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
@@ -97,3 +98,7 @@
 	})
 	return daemon.Service{Component: c, Listen: d.Settings.API, Handler: platform.ControlHandler(c)}
 }
+
+func newOperator(controllers []string, client *http.Client) operator {
+	return &platform.OperatorClient{Controllers: controllers, HTTP: client}
+}
