balancer: not ready while an evacuated domain is cut off

Change: such a balancer reports that it is not ready, so that routers use the balancers of other domains.

--- a/internal/connection/affinity/affinity.go
+++ b/internal/connection/affinity/affinity.go
@@ -152,6 +152,7 @@
 	limiters   map[string]*limiter            // by service
 	suspicions []Suspicion                    // since the last Tick
 	cold       coldStarts
+	unopened   unopened
 }
 
 // New returns an engine with an empty table.
@@ -215,6 +216,7 @@
 		e.table[k] = c
 	}
 	e.assign(now, c, u)
+	e.unopened.add(now)
 	return Verdict{Upstream: u, Choice: choice}
 }
 
@@ -287,6 +289,7 @@
 	var cleared uint32
 	if !c.pinned {
 		cleared = e.pin(c, v, p.Cookie)
+		e.unopened = unopened{}
 		opened = now - c.started
 	}
 	c.lastPacket = now
--- a/internal/connection/affinity/cold_test.go
+++ b/internal/connection/affinity/cold_test.go
@@ -130,3 +130,22 @@
 	}
 	must.Eq(t, 4, placed) // two in each window of 1.2 s
 }
+
+func TestUnopenedConnectionsAreCounted(t *testing.T) {
+	f := newFixture(3, 0)
+	e := newEngine(1)
+	var last *Upstream
+	for i := range 4 {
+		p := opening(0)
+		p.Caller = netip.AddrPortFrom(callerAddr.Addr(), 1000+uint16(i))
+		last = e.Decide(time.Duration(i)*time.Millisecond, f.view(), p).Upstream
+	}
+	count, age := e.Unopened(10 * time.Millisecond)
+	must.Eq(t, 4, count)
+	must.Eq(t, 10*time.Millisecond, age)
+	p := data(last.Cookie)
+	p.Caller = netip.AddrPortFrom(callerAddr.Addr(), 1003)
+	e.Decide(11*time.Millisecond, f.view(), p)
+	count, _ = e.Unopened(12 * time.Millisecond)
+	must.Eq(t, 0, count)
+}
--- a/internal/process/balancer/balancer.go
+++ b/internal/process/balancer/balancer.go
@@ -72,6 +72,7 @@
 	view        atomic.Pointer[affinity.View]
 	ready       atomic.Bool
 	stopping    atomic.Bool
+	reachesNone atomic.Bool // the balancer is isolated
 
 	// The fields below belong to the control goroutine.
 	sources        []*source
@@ -80,6 +81,7 @@
 	table          *routing.Table
 	retired        *routing.RetiredTargets
 	evacuations    evacuations
+	isolation      isolation
 	fleet          *controller.Fleet // balancers of all feeds; kept while there is no feed
 	routesSince    time.Duration     // when the first routes arrived
 	firstFeed      time.Duration     // when the first feed opened
@@ -180,7 +182,9 @@
 }
 
 // Ready reports whether routers may send packets to this balancer.
-func (b *Balancer) Ready() bool { return b.ready.Load() && !b.stopping.Load() }
+func (b *Balancer) Ready() bool {
+	return b.ready.Load() && !b.stopping.Load() && !b.reachesNone.Load()
+}
 
 func (b *Balancer) now() time.Duration { return time.Since(b.started) }
 
@@ -216,6 +220,7 @@
 	b.rebalanceFeeds()
 	b.expireReported(b.now())
 	b.reportSuspicions(b.forwarder.tick())
+	b.updateIsolation(b.now())
 	b.updateGauges()
 	if now := b.now(); !b.ready.Load() || now-b.lastPublish > publishInterval {
 		b.changed = true
--- a/internal/process/balancer/forwarder.go
+++ b/internal/process/balancer/forwarder.go
@@ -226,3 +226,11 @@
 	defer f.mu.Unlock()
 	return f.engine.EvacuatedConnections(view)
 }
+
+// unopened returns the number of connections that were placed since the last one
+// opened, and the age of the first of them.
+func (f *forwarder) unopened(now time.Duration) (count int, age time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.engine.Unopened(now)
+}
