--- a/internal/process/balancer/feeds.go
+++ b/internal/process/balancer/feeds.go
@@ -251,19 +251,47 @@
 
 func (b *Balancer) applyUpstreams(f *feed, records []directory.Record) {
 	changed := 0
+	var health healthChanges
 	for _, r := range records {
-		if b.directory.Merge(b.now(), r) || f.lapsed[r.ID] != r.Lapsed || f.ejected[r.ID] != r.Ejected {
+		isNew := b.directory.Merge(b.now(), r)
+		if isNew || f.lapsed[r.ID] != r.Lapsed || f.ejected[r.ID] != r.Ejected {
 			changed++
-			if len(records) <= maxUpstreamLines {
-				b.log.Info("upstream changed", "upstream", r.ID, "service", r.Service, "address", r.Address, "state", r.State.String(),
-					"lapsed", r.Lapsed, "doubted", r.Ejected, "cold_ms", r.SlowStart.Milliseconds(), "owner", r.Owner, "born", r.StartMillis, "seq", r.Seq, "controller", f.source.address)
-			}
+		}
+		switch {
+		case len(records) > maxUpstreamLines:
+		case isNew:
+			b.log.Info("upstream changed", "upstream", r.ID, "service", r.Service, "address", r.Address, "state", r.State.String(),
+				"lapsed", r.Lapsed, "doubted", r.Ejected, "cold_ms", r.SlowStart.Milliseconds(), "owner", r.Owner, "born", r.StartMillis, "seq", r.Seq, "controller", f.source.address)
+		default:
+			health.add(f, &r)
 		}
 		f.lapsed[r.ID], f.ejected[r.ID] = r.Lapsed, r.Ejected
 	}
 	if len(records) > maxUpstreamLines {
 		b.log.Info("upstreams received", "records", len(records), "changed", changed, "known", b.directory.Len(), "controller", f.source.address)
 	}
+	health.log(b, f)
+}
+
+// healthChanges lists the upstreams of an update that lapsed, were ejected or
+// recovered. An overload ejects and recovers many at a time, which share a log line.
+type healthChanges struct{ lapsed, ejected, recovered []string }
+
+func (h *healthChanges) add(f *feed, r *directory.Record) {
+	switch {
+	case r.Lapsed && !f.lapsed[r.ID]:
+		h.lapsed = append(h.lapsed, r.ID)
+	case r.Ejected && !f.ejected[r.ID]:
+		h.ejected = append(h.ejected, r.ID)
+	case f.lapsed[r.ID] && !r.Lapsed, f.ejected[r.ID] && !r.Ejected:
+		h.recovered = append(h.recovered, r.ID)
+	}
+}
+
+func (h *healthChanges) log(b *Balancer, f *feed) {
+	if len(h.lapsed)+len(h.ejected)+len(h.recovered) > 0 {
+		b.log.Info("upstream health changed", "lapsed", h.lapsed, "ejected", h.ejected, "recovered", h.recovered, "controller", f.source.address)
+	}
 }
 
 func (b *Balancer) applyRoutes(f *feed, d routing.Delta) {
