controller: links begin with digests instead of the whole directory

Each of 100 controllers sends its whole directory on each of its 99 links, 297,000 records for each to merge.

Change: a link begins with 64 digests; the peer names the buckets that differ, and only these records are sent. The addresses of all controllers go with one hello in ten.

--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -40,9 +40,11 @@
 	// lapseHeartbeats is the number of heartbeat intervals without an
 	// announcement after which an upstream is marked as lapsed.
 	lapseHeartbeats = 3
-	// helloInterval is the time between two Hello messages, which also carry the
-	// addresses of other known controllers.
+	// helloInterval is the time between two Hello messages. One in helloKnown carries the
+	// addresses of other known controllers; in each, they would be most of what hundreds
+	// of controllers send.
 	helloInterval = time.Second
+	helloKnown    = 10
 	// peerMaxAge is the longest time since the last message of a controller for
 	// which upstreams and balancers are still sent to it.
 	peerMaxAge = 1500 * time.Millisecond
@@ -104,6 +106,7 @@
 	sharedRevision      uint64            // revision of the directory sent to peers
 	lastRenewal         time.Duration
 	lastHello           time.Duration
+	hellos              int
 	balancers           *balancerTable
 	lastBalancerRefresh time.Duration
 }
@@ -277,7 +280,11 @@
 	}
 	if now-c.lastHello >= helloInterval {
 		c.lastHello = now
-		c.broadcast(KindHello, c.hello())
+		h := Hello{Self: c.member()}
+		if c.hellos++; c.hellos%helloKnown == 0 {
+			h = c.hello()
+		}
+		c.broadcast(KindHello, h)
 	}
 }
 
--- a/internal/process/controller/exchange.go
+++ b/internal/process/controller/exchange.go
@@ -48,18 +48,12 @@
 	return stream.Callbacks{
 		Open: func(conn *stream.Conn) {
 			c.log.Info("link open", "peer", address)
-			// An acknowledgement of a change covers all earlier ones, so the full
-			// state must be the first message on the connection.
-			posted := c.post(func() {
-				c.sendFullState(conn)
-				c.links.setConn(address, conn)
-			})
-			if !posted {
+			if !c.post(func() { c.introduce(conn) }) {
 				conn.Close()
 			}
 		},
 		Handle: func(conn *stream.Conn, kind stream.Kind, body []byte) {
-			c.handleReply(address, kind, body)
+			c.handleReply(address, conn, kind, body)
 		},
 		Close: func(conn *stream.Conn, cause error) {
 			if conn == nil {
@@ -73,17 +67,16 @@
 	}
 }
 
-// sendFullState sends a Hello, all records of the directory, the known balancers
-// and the suspicions that were reported recently.
-func (c *Controller) sendFullState(conn *stream.Conn) {
-	c.recordsNumber++
+// introduce sends a Hello, the digests of the directory, the known balancers and the
+// suspicions that were reported recently.
+func (c *Controller) introduce(conn *stream.Conn) {
 	type message struct {
 		kind stream.Kind
 		body any
 	}
 	messages := []message{
 		{KindHello, c.hello()},
-		{KindRecords, Records{Number: c.recordsNumber, Records: c.directory.Since(0)}},
+		{KindDigests, Digests{Revision: c.directory.Revision(), Digests: c.directory.Digests()}},
 		{KindBalancers, Balancers{Addresses: c.balancers.addresses()}},
 		{KindFleet, c.ownFleet()},
 	}
@@ -101,8 +94,24 @@
 	}
 }
 
-func (c *Controller) handleReply(from netip.AddrPort, kind stream.Kind, body []byte) {
+// sendDiffering sends the records that another controller lacks, and takes the link
+// into use. An acknowledgement of a change covers all earlier ones, so these records
+// must be the first on the connection.
+func (c *Controller) sendDiffering(address netip.AddrPort, conn *stream.Conn, d Differing) {
+	records := c.directory.InBuckets(d.Buckets, d.Revision)
+	c.recordsNumber++
+	c.reply(conn, KindRecords, Records{Number: c.recordsNumber, Records: records})
+	c.links.setConn(address, conn)
+	c.log.Info("link synchronized", "peer", address, "buckets", len(d.Buckets), "records", len(records))
+}
+
+func (c *Controller) handleReply(from netip.AddrPort, conn *stream.Conn, kind stream.Kind, body []byte) {
 	switch kind {
+	case KindDiffering:
+		var d Differing
+		if c.decode(body, &d) && !c.post(func() { c.sendDiffering(from, conn, d) }) {
+			conn.Close()
+		}
 	case KindRecordsAck:
 		var ack RecordsAck
 		if c.decode(body, &ack) {
@@ -139,6 +148,14 @@
 		if c.decode(body, &h) {
 			c.handleHello(h)
 		}
+	case KindDigests:
+		var d Digests
+		if c.decode(body, &d) {
+			c.post(func() {
+				_, buckets := c.directory.Differing(d.Digests)
+				c.reply(conn, KindDiffering, Differing{Revision: d.Revision, Buckets: buckets})
+			})
+		}
 	case KindRecords:
 		var r Records
 		if c.decode(body, &r) {
--- a/internal/process/controller/message.go
+++ b/internal/process/controller/message.go
@@ -24,6 +24,8 @@
 	KindBalancers                              // controller to controller: Balancers
 	KindInvitation                             // controller to balancer, in a datagram: Invitation
 	KindFleet                                  // controller to controller: Fleet
+	KindDigests                                // controller to controller: Digests
+	KindDiffering                              // the reply: Differing
 )
 
 // Member describes a controller to others.
@@ -36,8 +38,10 @@
 
 // Hello introduces a controller to another one.
 type Hello struct {
-	Self  Member           `cbor:"1,keyasint"`
-	Known []netip.AddrPort `cbor:"2,keyasint"` // link addresses of known controllers
+	Self Member `cbor:"1,keyasint"`
+	// Known holds the link addresses of known controllers. It is left out of most
+	// messages.
+	Known []netip.AddrPort `cbor:"2,keyasint,omitempty"`
 }
 
 // Balancers lists balancers that are fed by a controller.
@@ -51,8 +55,22 @@
 	Domain string         `cbor:"2,keyasint"`
 }
 
+// Digests tells a controller what the sender's directory holds. It begins a link, so
+// that only the records that differ are sent: after a power failure of all VMs each
+// controller holds nearly all from its disk.
+type Digests struct {
+	Revision uint64   `cbor:"1,keyasint"` // of the directory, returned in Differing
+	Digests  []uint64 `cbor:"2,keyasint"`
+}
+
+// Differing lists the buckets of the directory that differ from Digests.
+type Differing struct {
+	Revision uint64 `cbor:"1,keyasint"`
+	Buckets  []int  `cbor:"2,keyasint"`
+}
+
 // Records are changes of the directory. The first Records message on a link
-// carries the whole directory.
+// carries what Differing asked for and all changes since the Digests message.
 type Records struct {
 	Number  uint64             `cbor:"1,keyasint"` // set by the sender, returned in RecordsAck
 	Records []directory.Record `cbor:"2,keyasint"`
--- a/internal/version/directory/digest.go
+++ b/internal/version/directory/digest.go
@@ -42,6 +42,17 @@
 	return records, buckets
 }
 
+// InBuckets returns the records of some buckets, those that changed after a revision,
+// and those that digests do not cover: ended ones, and upstreams in their slow start.
+func (d *Directory) InBuckets(buckets []int, rev uint64) (records []Record) {
+	for _, e := range d.entries {
+		if e.Revision > rev || e.State == Gone || e.ColdUntil > d.now || slices.Contains(buckets, e.bucket()) {
+			records = append(records, d.export(e))
+		}
+	}
+	return records
+}
+
 // Missing returns the identifiers of the upstreams in some buckets that have not
 // ended and are not among the records of another directory, which has forgotten
 // them.
