controller: a link takes suspicions and records into one step

Cause: TestSuspicionsReportedDuringStartEjectUpstream failed once in three runs after links began with digests: suspicions that arrived between the digests and their answer were neither in the introduction nor broadcast on the new link.

--- a/internal/process/controller/exchange.go
+++ b/internal/process/controller/exchange.go
@@ -67,40 +67,25 @@
 	}
 }
 
-// introduce sends a Hello, the digests of the directory, the known balancers and the
-// suspicions that were reported recently.
+// introduce sends a Hello and the digests of the directory.
 func (c *Controller) introduce(conn *stream.Conn) {
-	type message struct {
-		kind stream.Kind
-		body any
-	}
-	messages := []message{
-		{KindHello, c.hello()},
-		{KindDigests, Digests{Revision: c.directory.Revision(), Digests: c.directory.Digests()}},
-		{KindBalancers, Balancers{Addresses: c.balancers.addresses()}},
-		{KindFleet, c.ownFleet()},
-	}
-	now := c.now()
-	for _, r := range suspicionReports(now, c.directory.Suspicions(now)) {
-		messages = append(messages, message{KindSuspicionReport, r})
-	}
-	for _, m := range messages {
-		frame, err := stream.Encode(m.kind, m.body)
-		if err != nil {
-			c.log.Error("failed to encode message", "kind", m.kind, "error", err)
-			return
-		}
-		conn.Send(frame)
-	}
+	c.reply(conn, KindHello, c.hello())
+	c.reply(conn, KindDigests, Digests{Revision: c.directory.Revision(), Digests: c.directory.Digests()})
 }
 
-// sendDiffering sends the records that another controller lacks, and takes the link
-// into use. An acknowledgement of a change covers all earlier ones, so these records
-// must be the first on the connection.
-func (c *Controller) sendDiffering(address netip.AddrPort, conn *stream.Conn, d Differing) {
+// synchronize sends what another controller lacks and takes the link into use, in one
+// step, so that nothing that is broadcast meanwhile is missed. An acknowledgement of a
+// change covers all earlier ones, so the records must be the first on the connection.
+func (c *Controller) synchronize(address netip.AddrPort, conn *stream.Conn, d Differing) {
 	records := c.directory.InBuckets(d.Buckets, d.Revision)
 	c.recordsNumber++
 	c.reply(conn, KindRecords, Records{Number: c.recordsNumber, Records: records})
+	c.reply(conn, KindBalancers, Balancers{Addresses: c.balancers.addresses()})
+	c.reply(conn, KindFleet, c.ownFleet())
+	now := c.now()
+	for _, r := range suspicionReports(now, c.directory.Suspicions(now)) {
+		c.reply(conn, KindSuspicionReport, r)
+	}
 	c.links.setConn(address, conn)
 	c.log.Info("link synchronized", "peer", address, "buckets", len(d.Buckets), "records", len(records))
 }
@@ -109,7 +94,7 @@
 	switch kind {
 	case KindDiffering:
 		var d Differing
-		if c.decode(body, &d) && !c.post(func() { c.sendDiffering(from, conn, d) }) {
+		if c.decode(body, &d) && !c.post(func() { c.synchronize(from, conn, d) }) {
 			conn.Close()
 		}
 	case KindRecordsAck:
