affinity: permits, spillover and queues where balancers know each other

In windows of overload upstreams rejected a third of the connection attempts that reached them, because balancers placed without knowing the queues there. Where the view lists the balancers, each opens connections to its share of the slots only, spills over within limits and queues the rest. Without the list nothing changes.

--- a/internal/connection/affinity/admission.go
+++ b/internal/connection/affinity/admission.go
@@ -76,14 +76,20 @@
 	l.limit = max(l.limit+min(max(change, -limitMaxStep), limitMaxStep), minLimit)
 }
 
-// Overload holds the state of the limiter that refused a new connection.
+// Overload holds the state of the limiter, or of the permits and the queue, that
+// refused a new connection.
 type Overload struct {
 	LatencyRatio float64 // average answer time / objective
 	Limit        float64 // concurrency limit at this balancer
-	Open         int     // connections open at this balancer
+	Open         int     // connections that count against the limit or the permits
+	Permits      int     // zero if the limit applies
+	Spillover    int     // connections open to upstreams in other shares
+	Queued       int     // connection attempts that wait
 }
 
-func (l *limiter) overload() *Overload { return &Overload{l.ratio, l.limit, l.open} }
+func (l *limiter) overload() *Overload {
+	return &Overload{LatencyRatio: l.ratio, Limit: l.limit, Open: l.open}
+}
 
 // admits reports whether a new connection to a route is admitted.
 func (l *limiter) admits(now time.Duration, r *routing.Route) bool {
--- a/internal/connection/affinity/affinity.go
+++ b/internal/connection/affinity/affinity.go
@@ -53,8 +53,9 @@
 	// Repeat is the time after which the caller sends the packet again, or gives
 	// up, if it goes unanswered.
 	Repeat time.Duration
-	// Held reports that the packet waited at this balancer.
-	Held bool
+	// Held reports that the packet waited at this balancer, HeldFor for how long.
+	Held    bool
+	HeldFor time.Duration
 }
 
 // isFirst reports whether it is certain that no balancer forwarded a copy of an
@@ -69,7 +70,9 @@
 	Upstream *Upstream
 	Refuse   bool
 	Wait     bool
-	Code     result.Code // cause if the packet is not forwarded
+	// Queued is set with Wait if Release decides on the packet.
+	Queued bool
+	Code   result.Code // cause if the packet is not forwarded
 	// Overload is set when a connection was refused because its service is
 	// overloaded.
 	Overload *Overload
@@ -93,10 +96,12 @@
 	Penalty    int // number of reasons to expect no answer from the chosen upstream
 	Load       float64
 	Tried      int // upstreams that earlier copies were sent to
+	Spillover  bool
 }
 
 // Config holds the parameters of an Engine.
 type Config struct {
+	Name     string        // name of this balancer in View.Balancers
 	Domain   string        // failure domain of this balancer
 	Capacity int           // maximum number of table entries
 	Lifetime time.Duration // maximum lifetime of a connection
@@ -132,6 +137,12 @@
 	cookie     uint32 // cookie of the connection's upstream
 	pinned     bool   // a packet after opening fixed the cookie
 	counted    bool
+	permit     permit        // while counted
+	crowd      float64       // open connections per slot of the own share at the last placement
+	calm       bool          // half of the permits were free at the last placement
+	opened     time.Duration // time from the placement to the first packet after opening
+	placed     time.Duration // time of the last placement
+	overran    bool          // the response took longer than without a queue
 	started    time.Duration // time of the first opening packet
 	lastPacket time.Duration
 
@@ -150,6 +161,12 @@
 	upstreams  map[uint32]*upstreamState
 	answers    map[netip.AddrPort]*answerTime // by address of the service
 	limiters   map[string]*limiter            // by service
+	pools      map[string]*pool               // by service
+	poolOrder  []*pool                        // the same pools in the order of their creation
+	poolView   *View                          // of the last refresh of the pools
+	hasShares  bool                           // poolView lists this balancer
+	attempts   map[key]*attempt               // that wait in queues
+	displaced  []displaced                    // since the last Release
 	suspicions []Suspicion                    // since the last Tick
 	cold       coldStarts
 }
@@ -159,7 +176,8 @@
 	return &Engine{
 		cfg: cfg, table: make(map[key]*entry), upstreams: make(map[uint32]*upstreamState),
 		answers: make(map[netip.AddrPort]*answerTime), limiters: make(map[string]*limiter),
-		cold: make(coldStarts),
+		cold:  make(coldStarts),
+		pools: make(map[string]*pool), attempts: make(map[key]*attempt),
 	}
 }
 
@@ -186,13 +204,17 @@
 		return e.placeCopy(now, v, p, c)
 	}
 	if c != nil {
-		e.remove(k, c) // the caller reused its port
+		e.remove(now, k, c) // the caller reused its port
 	}
+	e.replaceAttempt(k)
 	route := v.route(p.Service)
 	if route == nil {
 		return refusal(result.RefusedNoRoute, v.Current && p.isFirst())
 	}
 	service := route.PickService(e.cfg.Rand.Uint64())
+	if pl := e.pool(now, v, k, service); pl != nil {
+		return e.placeShared(now, v, pl, route, p)
+	}
 	// A copy is not refused: another balancer may have forwarded the packet
 	// before it.
 	if l := e.limiter(service); p.isFirst() && !l.admits(now, route) {
@@ -227,6 +249,7 @@
 // placeCopy chooses the upstream of a repeated opening packet. It prefers one
 // that earlier copies were not sent to.
 func (e *Engine) placeCopy(now time.Duration, v *View, p *Packet, c *entry) Verdict {
+	k := key{p.Caller, p.Service}
 	silence := now - c.lastPacket
 	c.lastPacket = now
 	u := v.Upstream(c.cookie)
@@ -237,11 +260,11 @@
 		return forwardTo(v, p, u)
 	}
 	if p.Copies > 0 {
-		e.suspect(now, c, key{p.Caller, p.Service}, Unanswered)
+		e.suspect(now, c, k, Unanswered)
 	}
 	verdict := Verdict{}
 	if len(c.tried) < maxTried {
-		if other, choice := e.choose(now, v, v.route(p.Service), c.service, c.tried); other != nil && !e.isSuspect(now, other.Cookie) {
+		if other, choice := e.chooseOther(now, v, k, c); other != nil && !e.isSuspect(now, other.Cookie) {
 			u = other
 			verdict.Choice = choice
 		}
@@ -286,16 +309,19 @@
 	var opened time.Duration
 	var cleared uint32
 	if !c.pinned {
-		cleared = e.pin(c, v, p.Cookie)
+		cleared = e.pin(now, c, v, p.Cookie)
 		opened = now - c.started
+		if len(c.tried) == 1 {
+			c.opened = now - c.placed
+		}
 	}
 	c.lastPacket = now
 	answered := e.measureAnswer(now, v, c, p)
 	switch {
 	case p.Ending, p.Reset:
-		e.uncountLoad(c)
+		e.uncountLoad(now, c)
 	case p.Length > 0 || c.counted:
-		e.countLoad(c)
+		e.countLoad(now, c, v.Upstream(c.cookie))
 	}
 	verdict := forwardTo(v, p, v.Upstream(c.cookie))
 	verdict.Opened = opened
@@ -306,11 +332,11 @@
 
 // pin fixes the upstream of a connection to the one whose answer opened it. It
 // returns that upstream's cookie if the answer ended a suspicion.
-func (e *Engine) pin(c *entry, v *View, cookie uint32) (cleared uint32) {
+func (e *Engine) pin(now time.Duration, c *entry, v *View, cookie uint32) (cleared uint32) {
 	if cookie != 0 && cookie != c.cookie && v.Upstream(cookie) != nil {
-		e.uncountLoad(c)
+		e.uncountLoad(now, c)
 		c.cookie = cookie
-		e.countLoad(c)
+		e.countLoad(now, c, v.Upstream(c.cookie))
 	}
 	c.pinned = true
 	if s := e.upstreamState(c.cookie); s.cause == Unanswered || s.cause == Abandoned {
@@ -322,33 +348,41 @@
 
 func (e *Engine) assign(now time.Duration, c *entry, u *Upstream) {
 	if c.cookie != u.Cookie {
-		e.uncountLoad(c)
+		e.uncountLoad(now, c)
 		c.cookie = u.Cookie
 		c.tried = append(c.tried, u.Cookie)
 	}
 	e.cold.add(now, u)
-	e.countLoad(c)
-	c.lastPacket = now
+	e.countLoad(now, c, u)
+	c.lastPacket, c.placed = now, now
 }
 
-func (e *Engine) countLoad(c *entry) {
-	if !c.counted {
-		c.counted = true
-		e.upstreamState(c.cookie).open++
-		e.limiter(c.service).open++
+// countLoad counts a connection to its upstream, which is nil if unknown.
+func (e *Engine) countLoad(now time.Duration, c *entry, u *Upstream) {
+	if c.counted {
+		return
+	}
+	c.counted = true
+	e.upstreamState(c.cookie).open++
+	e.limiter(c.service).open++
+	if p := e.pools[c.service]; p != nil && e.hasShares && u != nil {
+		c.permit = p.takePermit(u)
+		c.crowd = p.crowd(u, e.openAt(u.Cookie))
+		c.calm = p.isCalm(now)
 	}
 }
 
-func (e *Engine) uncountLoad(c *entry) {
+func (e *Engine) uncountLoad(now time.Duration, c *entry) {
 	if c.counted {
 		c.counted = false
 		e.upstreamState(c.cookie).open--
 		e.limiter(c.service).open--
+		c.permit.release(now)
 	}
 }
 
-func (e *Engine) remove(k key, c *entry) {
-	e.uncountLoad(c)
+func (e *Engine) remove(now time.Duration, k key, c *entry) {
+	e.uncountLoad(now, c)
 	delete(e.table, k)
 }
 
@@ -358,19 +392,25 @@
 	for k, c := range e.table {
 		switch idle := now - c.lastPacket; {
 		case idle > e.cfg.Lifetime, idle > entryTimeout && len(c.tried) < 2:
-			e.remove(k, c)
+			e.remove(now, k, c)
 		case idle > loadTimeout:
-			e.uncountLoad(c)
+			e.uncountLoad(now, c)
 		}
 		e.checkPending(now, v, k, c)
+		e.checkOverrun(now, c)
+		if u := v.Upstream(c.cookie); u == nil || u.State == directory.Gone {
+			c.permit.release(now) // the upstream will not answer
+		}
 	}
 	for cookie, s := range e.upstreams {
-		if s.open == 0 && !e.isSuspect(now, cookie) {
+		isMeasured := s.work > 0 && v.Upstream(cookie) != nil
+		if s.open == 0 && !isMeasured && !e.isSuspect(now, cookie) {
 			delete(e.upstreams, cookie)
 		}
 	}
 	e.removeStale(now, v)
 	e.cold.expire(now)
+	e.tickPools(now, v)
 	out := e.suspicions
 	e.suspicions = nil
 	return out
--- /dev/null
+++ b/internal/connection/affinity/pool.go
@@ -0,0 +1,246 @@
+package affinity
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"heatherport/internal/load/queue"
+	"heatherport/internal/load/share"
+	"heatherport/internal/load/spill"
+	"heatherport/internal/version/routing"
+)
+
+// Concurrency permits replace the adaptive limiter where the balancer knows the
+// other ones: each may open a number of connections to its share of a service's
+// slots, and a limited number to upstreams in other shares (spillover). The rest
+// waits in a queue.
+const (
+	// permitsPerSlot is the number of connections for each slot of the own share:
+	// one is in service, one waits, so that the slot is not idle during the
+	// caller's round trips.
+	permitsPerSlot = 2
+	// minShare is the share of an upstream, in slots, below which it is ignored.
+	// Sums of fractions leave shares of about 1e-12.
+	minShare = 0.01
+)
+
+// ownUpstream is an upstream of the own share.
+type ownUpstream struct {
+	*Upstream
+	share   float64 // slots
+	permits int
+}
+
+// pool holds the upstreams of a service as this balancer uses them, and the
+// connection attempts that wait for them.
+type pool struct {
+	service    string
+	created    time.Duration
+	own        []ownUpstream
+	permits    int
+	ownOpen    int // connections that hold a permit
+	domains    []string
+	byDomain   map[string][]*Upstream // without upstreams that are wholly in the own share
+	spillover  *spill.Limiter
+	cold       []*Upstream // in a slow start that this balancer owns
+	lanes      []*lane
+	times      serviceTimes
+	avoidSlow  bool // few upstreams are slow
+	allAvoided bool // there is no upstream without a reason to avoid it
+}
+
+// lane holds the waiting attempts of the routes with the same regions, so that those
+// whose regions are full do not hold up others.
+type lane struct {
+	regions []string
+	queue.Queue[*attempt]
+}
+
+// lane returns the lane of a route.
+func (p *pool) lane(r *routing.Route) *lane {
+	for _, l := range p.lanes {
+		if slices.Equal(l.regions, r.Regions) {
+			return l
+		}
+	}
+	l := &lane{regions: r.Regions}
+	p.lanes = append(p.lanes, l)
+	return l
+}
+
+// queued returns the number of waiting attempts.
+func (p *pool) queued() (n int) {
+	for _, l := range p.lanes {
+		n += l.Len()
+	}
+	return n
+}
+
+// pool returns the pool of a service, or nil if permits do not apply: the list of
+// balancers does not contain this one, or callers at the address reuse connections,
+// so that response times and open connections say little.
+func (e *Engine) pool(now time.Duration, v *View, k key, service string) *pool {
+	e.refreshPools(now, v)
+	if !e.hasShares {
+		return nil
+	}
+	if a := e.answers[k.service]; a != nil && !a.isReliable(now) {
+		return nil
+	}
+	p := e.pools[service]
+	if p == nil {
+		p = &pool{service: service, created: now, spillover: spill.New(0)}
+		e.pools[service] = p
+		e.poolOrder = append(e.poolOrder, p)
+		e.refreshPool(now, v, p)
+	}
+	return p
+}
+
+// refreshPools adapts the pools to a new view.
+func (e *Engine) refreshPools(now time.Duration, v *View) {
+	if e.poolView == v {
+		return
+	}
+	e.poolView = v
+	e.hasShares = slices.ContainsFunc(v.Balancers, func(b share.Balancer) bool { return b.Name == e.cfg.Name })
+	for _, p := range e.poolOrder {
+		e.refreshPool(now, v, p)
+	}
+}
+
+// refreshPool computes the own share of a service.
+func (e *Engine) refreshPool(now time.Duration, v *View, p *pool) {
+	p.own, p.permits, p.domains, p.byDomain = p.own[:0], 0, p.domains[:0], make(map[string][]*Upstream)
+	p.cold = p.cold[:0]
+	if !e.hasShares {
+		return
+	}
+	var upstreams []*Upstream
+	var slots []share.Upstream
+	for _, u := range v.byService[p.service] {
+		switch {
+		case now >= u.ColdUntil:
+			upstreams = append(upstreams, u)
+			slots = append(slots, share.Upstream{ID: u.ID, Domain: u.Domain, Slots: max(int(u.Slots), 1)})
+		case u.Owned:
+			p.cold = append(p.cold, u)
+		}
+	}
+	total := 0.0
+	for i, s := range share.Of(e.cfg.Name, v.Balancers, slots) {
+		u := upstreams[i]
+		total += s
+		if s > minShare {
+			p.own = append(p.own, ownUpstream{u, s, int(math.Ceil(permitsPerSlot * s))})
+		}
+		if s < float64(slots[i].Slots)-minShare {
+			p.addOther(u)
+		}
+	}
+	slices.Sort(p.domains)
+	p.permits = max(int(math.Round(permitsPerSlot*total)), 1)
+	p.spillover.Resize(float64(p.permits) / float64(max(len(p.domains), 1)))
+	e.updateAvoidance(now, v, p)
+}
+
+func (p *pool) addOther(u *Upstream) {
+	if p.byDomain[u.Domain] == nil {
+		p.domains = append(p.domains, u.Domain)
+	}
+	p.byDomain[u.Domain] = append(p.byDomain[u.Domain], u)
+}
+
+// updateAvoidance counts the upstreams of a service that new connections avoid.
+func (e *Engine) updateAvoidance(now time.Duration, v *View, p *pool) {
+	upstreams := v.byService[p.service]
+	p.avoidSlow = e.mayAvoidSlow(now, upstreams)
+	p.allAvoided = false
+	p.allAvoided = !slices.ContainsFunc(upstreams, func(u *Upstream) bool { return !e.isAvoided(now, p, u) })
+}
+
+// isAvoided reports whether there is a reason to expect no answer from an upstream,
+// or a late one, while others are better.
+func (e *Engine) isAvoided(now time.Duration, p *pool, u *Upstream) bool {
+	if p.allAvoided {
+		return false
+	}
+	return u.Lapsed || e.isUnresponsive(now, u.Cookie) || p.avoidSlow && e.isSlow(now, u)
+}
+
+// isUseless reports whether no answer is expected from an upstream at all. One that
+// answers late is worth using when all others are busy.
+func (e *Engine) isUseless(now time.Duration, p *pool, u *Upstream) bool {
+	return e.isAvoided(now, p, u) && (u.Lapsed || u.Ejected || e.upstreams[u.Cookie].cause != Overdue)
+}
+
+// tickPools updates what depends on time, and removes pools that are not used.
+func (e *Engine) tickPools(now time.Duration, v *View) {
+	e.refreshPools(now, v)
+	e.poolOrder = slices.DeleteFunc(e.poolOrder, func(p *pool) bool {
+		e.updateAvoidance(now, v, p)
+		unused := p.queued() == 0 && p.ownOpen == 0 && p.spillover.Open() == 0 && len(v.byService[p.service]) == 0
+		if unused || !e.hasShares && p.queued() == 0 {
+			delete(e.pools, p.service)
+			return true
+		}
+		return false
+	})
+}
+
+// permit is what a connection takes from a pool while it counts as load.
+type permit struct {
+	pool      *pool
+	spillover bool
+	domain    string // of the upstream
+}
+
+// takePermit counts a connection to u as one of the own share while there is room
+// for it, otherwise as spillover.
+func (p *pool) takePermit(u *Upstream) permit {
+	if p.ownOpen < p.permits && p.indexOf(u) >= 0 {
+		p.ownOpen++
+		return permit{pool: p}
+	}
+	p.spillover.Opened(u.Domain)
+	return permit{pool: p, spillover: true, domain: u.Domain}
+}
+
+// release returns the permit. It does nothing for the zero permit.
+func (m *permit) release(now time.Duration) {
+	switch {
+	case m.pool == nil:
+	case m.spillover:
+		m.pool.spillover.Closed(now, m.domain)
+	default:
+		m.pool.ownOpen--
+	}
+	*m = permit{}
+}
+
+// crowd returns the number of connections for each slot of the share, at least one:
+// the multiple of the service time that a response takes.
+func (o *ownUpstream) crowd(open int) float64 { return max(float64(open)/max(o.share, 1), 1) }
+
+// crowd returns the same for an upstream that may be in another share.
+func (p *pool) crowd(u *Upstream, open int) float64 {
+	if i := p.indexOf(u); i >= 0 {
+		return p.own[i].crowd(open)
+	}
+	return 1
+}
+
+// indexOf returns the index of an upstream in the own share, or -1.
+func (p *pool) indexOf(u *Upstream) int {
+	return slices.IndexFunc(p.own, func(o ownUpstream) bool { return o.Cookie == u.Cookie })
+}
+
+// isCalm reports whether half of the permits are free, and not only because the
+// balancer has just started.
+func (p *pool) isCalm(now time.Duration) bool {
+	return 2*p.ownOpen <= p.permits && now-p.created > time.Second
+}
+
+// open returns the number of connections that are counted.
+func (p *pool) open() int { return p.ownOpen + p.spillover.Open() }
--- a/internal/connection/affinity/suspicion.go
+++ b/internal/connection/affinity/suspicion.go
@@ -62,6 +62,7 @@
 	open      int           // connections counted by this balancer
 	cause     Cause         // of the last suspicion, or 0
 	suspected time.Duration // time of the last suspicion
+	upstreamTimes
 }
 
 func (e *Engine) upstreamState(cookie uint32) *upstreamState {
@@ -119,6 +120,7 @@
 			took = now - c.requested
 			a.add(took)
 			e.recordAnswer(now, r, c.service, took)
+			e.recordWork(now, c, took)
 		}
 		c.requested = 0
 	}
@@ -145,6 +147,9 @@
 	case c.reported:
 	case !c.pinned && c.lastPacket == c.started && now-c.started > abandonTimeout:
 		e.suspect(now, c, k, Abandoned)
+		if c.permit.pool != nil {
+			e.uncountLoad(now, c) // the upstream reset the connection
+		}
 	case c.requested != 0 && now-c.requested > e.overdueTimeout(now, v, k.service):
 		e.suspect(now, c, k, Overdue)
 	}
--- a/internal/connection/affinity/view.go
+++ b/internal/connection/affinity/view.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"heatherport/internal/load/share"
 	"heatherport/internal/version/directory"
 	"heatherport/internal/version/routing"
 )
@@ -42,7 +43,10 @@
 	Confirmed bool
 	// Current reports that the state is confirmed and complete: an address
 	// without a route has none.
-	Current   bool
+	Current bool
+	// Balancers holds the balancers that controllers feed, sorted by name. If this
+	// balancer is not among them, permits do not apply.
+	Balancers []share.Balancer
 	byCookie  map[uint32]*Upstream
 	byService map[string][]*Upstream
 	// evacuated holds the services that have serving upstreams in evacuated failure
--- a/internal/process/balancer/balancer.go
+++ b/internal/process/balancer/balancer.go
@@ -108,6 +108,7 @@
 		codec: cfg.Codec, listen: s.Packets, log: cfg.Log, view: &b.view, started: b.started,
 		flowLog: logging.NewRateLimited(cfg.Log), metrics: cfg.Metrics, clock: stall.Clock, stall: stall.NewDetector(stallLimit, stallDrain),
 		engine: affinity.New(affinity.Config{
+			Name:     s.VM.Name,
 			Domain:   s.VM.Domain,
 			Capacity: tableCapacity,
 			Lifetime: s.Lifetime,
--- a/internal/process/balancer/forwarder.go
+++ b/internal/process/balancer/forwarder.go
@@ -70,9 +70,11 @@
 	stall        *stall.Detector
 	lastPacketAt atomic.Int64 // time of the last packet, relative to started
 
-	mu      sync.Mutex // guards the fields below and flowLog
-	engine  *affinity.Engine
-	waiting backlog.Queue
+	mu       sync.Mutex // guards the fields below and flowLog
+	engine   *affinity.Engine
+	waiting  backlog.Queue
+	queued   backlog.Held  // packets in the queues of the engine
+	deadline deadlineTimer // of the queues of the engine
 }
 
 func (f *forwarder) start() error {
@@ -102,8 +104,10 @@
 	if gap > 0 {
 		f.engine.IgnorePending()
 	}
-	suspicions := f.engine.Tick(time.Since(f.started), f.view.Load())
-	f.metrics.Connections.Set(float64(f.engine.Len()))
+	now := time.Since(f.started)
+	suspicions := f.engine.Tick(now, f.view.Load())
+	f.releaseQueued(now)
+	f.updateGauges()
 	return suspicions
 }
 
@@ -141,30 +145,40 @@
 		f.drop(&p, result.DropStale)
 		return
 	}
-	if f.decide(now, buf, head, &p, reply) {
+	view := f.view.Load()
+	verdict := f.engine.Decide(now, view, &p)
+	if p.Opening {
+		f.queued.Take(p.Caller, p.Service) // this packet replaces an earlier copy
+	}
+	if verdict.Wait {
+		f.keep(now, slices.Clone(buf), &p, &verdict)
+	} else {
+		f.carryOut(now, view, buf, head, &p, &verdict, reply)
+	}
+	f.releaseQueued(now)
+	if !verdict.Wait {
 		f.releaseWaiting(now)
-		return
 	}
-	item := backlog.Item{
+}
+
+// keep keeps a packet that has to wait.
+func (f *forwarder) keep(now time.Duration, datagram []byte, p *affinity.Packet, v *affinity.Verdict) {
+	if v.Queued {
+		f.queued.Put(p.Caller, p.Service, datagram)
+	} else if !f.waiting.Add(backlog.Item{
 		Caller: p.Caller, Service: p.Service, Opening: p.Opening,
-		Began: now - p.Waited, Expires: now + p.Repeat + repeatMargin, Datagram: slices.Clone(buf),
-	}
-	if !f.waiting.Add(item) {
-		f.drop(&p, result.DropNotReady)
+		Began: now - p.Waited, Expires: now + p.Repeat + repeatMargin, Datagram: datagram,
+	}) {
+		f.drop(p, result.DropNotReady)
 		return
 	}
 	f.metrics.Waited.Inc()
-	f.reportWaiting(&p)
+	f.reportWaiting(p, v)
 }
 
-// decide carries out the verdict on the packet p, which begins at buf[head]. It
-// reports false if the packet has to wait.
-func (f *forwarder) decide(now time.Duration, buf []byte, head int, p *affinity.Packet, reply []byte) bool {
-	view := f.view.Load()
-	verdict := f.engine.Decide(now, view, p)
+// carryOut forwards, refuses or drops the packet p, which begins at buf[head].
+func (f *forwarder) carryOut(now time.Duration, view *affinity.View, buf []byte, head int, p *affinity.Packet, verdict *affinity.Verdict, reply []byte) {
 	switch {
-	case verdict.Wait:
-		return false
 	case verdict.Upstream != nil:
 		f.codec.SetCookie(buf[head:], verdict.Upstream.Cookie)
 		f.codec.Encapsulate(buf[:head], verdict.Upstream)
@@ -176,30 +190,63 @@
 	default:
 		f.drop(p, verdict.Code)
 	}
-	f.report(now, view, p, &verdict)
-	return true
+	f.report(now, view, p, verdict)
 }
 
 // release decides again on the packets that wait.
 func (f *forwarder) release() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.releaseWaiting(time.Since(f.started))
+	now := time.Since(f.started)
+	f.releaseWaiting(now)
+	f.releaseQueued(now)
+}
+
+// releaseQueued carries out what the engine decides on the packets in its queues.
+func (f *forwarder) releaseQueued(now time.Duration) {
+	if f.queued.Len() == 0 {
+		return
+	}
+	head := f.codec.Headroom()
+	view := f.view.Load()
+	f.engine.Release(now, view, func(p *affinity.Packet, v affinity.Verdict) {
+		datagram := f.queued.Take(p.Caller, p.Service)
+		if datagram == nil {
+			f.log.Error("queued packet is missing", "flow", flowID(p))
+			return
+		}
+		f.carryOut(now, view, datagram, head, p, &v, nil)
+	})
+	if at, ok := f.engine.NextDeadline(); ok {
+		f.deadline.set(now, at, f.release)
+	}
 }
 
+// releaseWaiting decides again on the packets that wait for routes, and on late
+// openings.
 func (f *forwarder) releaseWaiting(now time.Duration) {
 	if f.waiting.Len() == 0 {
 		return
 	}
 	head := f.codec.Headroom()
+	view := f.view.Load()
 	expired := f.waiting.Release(now, func(item backlog.Item) bool {
 		p, err := f.codec.Decode(item.Datagram[head:])
 		if err != nil {
 			f.drop(&p, result.CodeOf(err))
 			return true
 		}
-		p.Waited, p.Held = now-item.Began, true
-		return f.decide(now, item.Datagram, head, &p, nil)
+		p.Waited, p.Held, p.HeldFor = now-item.Began, true, now-(item.Expires-p.Repeat-repeatMargin)
+		verdict := f.engine.Decide(now, view, &p)
+		switch {
+		case verdict.Queued:
+			f.queued.Put(p.Caller, p.Service, item.Datagram)
+		case verdict.Wait:
+			return false
+		default:
+			f.carryOut(now, view, item.Datagram, head, &p, &verdict, nil)
+		}
+		return true
 	})
 	for _, item := range expired {
 		p := affinity.Packet{Caller: item.Caller, Service: item.Service, Opening: item.Opening}
@@ -207,6 +254,16 @@
 	}
 }
 
+// updateGauges updates the metrics of the engine.
+func (f *forwarder) updateGauges() {
+	f.metrics.Connections.Set(float64(f.engine.Len()))
+	u := f.engine.Usage()
+	f.metrics.Permits.Set(float64(u.Permits))
+	f.metrics.PermitsUsed.Set(float64(u.Own))
+	f.metrics.Spillover.Set(float64(u.Spillover))
+	f.metrics.Queued.Set(float64(u.Queued))
+}
+
 func (f *forwarder) drop(p *affinity.Packet, code result.Code) {
 	f.metrics.Dropped(code)
 	if f.flowLog.Allow(time.Now()) {
--- a/internal/process/balancer/report.go
+++ b/internal/process/balancer/report.go
@@ -26,7 +26,7 @@
 		if f.flowLog.Allow(time.Now()) {
 			u := v.Upstream
 			f.flowLog.Info("connection placed", "flow", flowID(p), "upstream", u.ID, "address", u.Address, "service", c.Service,
-				"copies", p.Copies, "waited_ms", p.Waited.Milliseconds(), "held", p.Held, "tried", c.Tried, "candidates", c.Candidates, "load", c.Load, "doubt", c.Penalty,
+				"copies", p.Copies, "waited_ms", p.Waited.Milliseconds(), "held", p.Held, "tried", c.Tried, "candidates", c.Candidates, "load", c.Load, "spillover", c.Spillover, "doubt", c.Penalty,
 				"known_ms", (now - u.LastUpdate).Milliseconds(), "routes", view.Routes.Number, "confirmed", view.Confirmed)
 		}
 	}
@@ -46,9 +46,9 @@
 	}
 }
 
-// reportWaiting logs that a packet waits: for the first routes, or because it is a
-// late opening and upstreams are behind.
-func (f *forwarder) reportWaiting(p *affinity.Packet) {
+// reportWaiting logs that a packet waits: for the first routes, for room at the
+// upstreams, or because it is a late opening and upstreams are behind.
+func (f *forwarder) reportWaiting(p *affinity.Packet, v *affinity.Verdict) {
 	if !f.flowLog.Allow(time.Now()) {
 		return
 	}
@@ -56,7 +56,7 @@
 	if routes := f.view.Load().Routes; routes != nil {
 		number = routes.Number
 	}
-	f.flowLog.Info("packet waits", "flow", flowID(p), "opening", p.Opening, "copies", p.Copies, "waited_ms", p.Waited.Milliseconds(), "routes", number)
+	f.flowLog.Info("packet waits", "flow", flowID(p), "opening", p.Opening, "copies", p.Copies, "waited_ms", p.Waited.Milliseconds(), "routes", number, "queued", v.Queued)
 }
 
 // refusalFields returns the log fields that explain a refusal.
@@ -66,7 +66,11 @@
 		number = view.Routes.Number
 	}
 	fields := []any{"flow", flowID(p), "cause", v.Code.String(), "opening", p.Opening, "routes", number, "confirmed", view.Confirmed}
-	if o := v.Overload; o != nil {
+	switch o := v.Overload; {
+	case o == nil:
+	case o.Permits > 0:
+		fields = append(fields, "waited_ms", p.Waited.Milliseconds(), "permits", o.Permits, "open", o.Open, "spillover", o.Spillover, "queued", o.Queued)
+	default:
 		fields = append(fields, "pressure", o.LatencyRatio, "window", o.Limit, "open", o.Open)
 	}
 	return fields
--- a/internal/process/metrics/programs.go
+++ b/internal/process/metrics/programs.go
@@ -60,6 +60,10 @@
 	OpenTime            prometheus.Histogram
 	AnswerTime          prometheus.Histogram
 	Connections         prometheus.Gauge
+	Permits             prometheus.Gauge
+	PermitsUsed         prometheus.Gauge
+	Spillover           prometheus.Gauge
+	Queued              prometheus.Gauge
 	ConfigurationNumber prometheus.Gauge
 	Feeds               prometheus.Gauge
 	Ready               prometheus.Gauge
@@ -73,7 +77,7 @@
 	r := registrar{registry}
 	return &Balancer{
 		Received:            r.counter("cookie_packets_received_total", "Packets received from the routers."),
-		Waited:              r.counter("cookie_packets_waited_total", "Packets that waited for routes, or as late openings."),
+		Waited:              r.counter("cookie_packets_waited_total", "Packets that waited for routes, for room at the upstreams, or as late openings."),
 		Forwarded:           r.counter("cookie_packets_forwarded_total", "Packets forwarded to upstreams."),
 		Placed:              r.counter("cookie_connections_placed_total", "Connections for which an upstream was chosen."),
 		Copies:              r.counter("cookie_opening_copies_total", "Repeated opening packets."),
@@ -83,6 +87,10 @@
 		OpenTime:            r.histogram("cookie_open_seconds", "Time from the first opening packet to the caller's first packet after opening."),
 		AnswerTime:          r.histogram("cookie_answer_seconds", "Time from a request to the acknowledgement of its first answer bytes."),
 		Connections:         r.gauge("cookie_connections", "Entries of the connection table."),
+		Permits:             r.gauge("cookie_permits", "Connections that this balancer may have open to its share of the slots of all services."),
+		PermitsUsed:         r.gauge("cookie_permits_used", "Open connections that hold a permit."),
+		Spillover:           r.gauge("cookie_spillover_connections", "Open connections to upstreams in the shares of other balancers."),
+		Queued:              r.gauge("cookie_queued_attempts", "Connection attempts that wait for room at the upstreams."),
 		ConfigurationNumber: r.gauge("configuration_number", "Number of the configuration in force."),
 		Feeds:               r.gauge("feeds", "Feeds from controllers."),
 		Ready:               r.gauge("ready", "1 while routers may send packets here."),
