--- a/internal/connection/affinity/affinity.go
+++ b/internal/connection/affinity/affinity.go
@@ -169,6 +169,7 @@
 	displaced  []displaced                    // since the last Release
 	suspicions []Suspicion                    // since the last Tick
 	cold       coldStarts
+	unopened   unopened
 }
 
 // New returns an engine with an empty table.
@@ -237,6 +238,7 @@
 		e.table[k] = c
 	}
 	e.assign(now, c, u)
+	e.unopened.add(now)
 	return Verdict{Upstream: u, Choice: choice}
 }
 
@@ -310,6 +312,7 @@
 	var cleared uint32
 	if !c.pinned {
 		cleared = e.pin(now, c, v, p.Cookie)
+		e.unopened = unopened{}
 		opened = now - c.started
 		if len(c.tried) == 1 {
 			c.opened = now - c.placed
--- a/internal/connection/affinity/waiting.go
+++ b/internal/connection/affinity/waiting.go
@@ -83,6 +83,7 @@
 		e.table[key{p.Caller, p.Service}] = c
 	}
 	e.assign(now, c, found.upstream)
+	e.unopened.add(now)
 	return Verdict{Upstream: found.upstream, Choice: &Choice{Service: pl.service, Candidates: found.candidates, Load: found.load, Spillover: c.permit.spillover}}
 }
 
--- a/internal/process/balancer/balancer.go
+++ b/internal/process/balancer/balancer.go
@@ -14,6 +14,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"heatherport/internal/connection/affinity"
+	"heatherport/internal/process/controller"
 	"heatherport/internal/process/logging"
 	"heatherport/internal/process/metrics"
 	"heatherport/internal/process/settings"
@@ -71,6 +72,7 @@
 	view        atomic.Pointer[affinity.View]
 	ready       atomic.Bool
 	stopping    atomic.Bool
+	reachesNone atomic.Bool // the balancer is isolated
 
 	// The fields below belong to the control goroutine.
 	sources        []*source
@@ -79,8 +81,10 @@
 	table          *routing.Table
 	retired        *routing.RetiredTargets
 	evacuations    evacuations
-	routesSince    time.Duration // when the first routes arrived
-	firstFeed      time.Duration // when the first feed opened
+	isolation      isolation
+	fleet          *controller.Fleet // balancers of all feeds; kept while there is no feed
+	routesSince    time.Duration     // when the first routes arrived
+	firstFeed      time.Duration     // when the first feed opened
 	lastRebalance  time.Duration
 	lastPublish    time.Duration
 	reported       []reportedSuspicion
@@ -179,7 +183,9 @@
 }
 
 // Ready reports whether routers may send packets to this balancer.
-func (b *Balancer) Ready() bool { return b.ready.Load() && !b.stopping.Load() }
+func (b *Balancer) Ready() bool {
+	return b.ready.Load() && !b.stopping.Load() && !b.reachesNone.Load()
+}
 
 func (b *Balancer) now() time.Duration { return time.Since(b.started) }
 
@@ -215,6 +221,7 @@
 	b.rebalanceFeeds()
 	b.expireReported(b.now())
 	b.reportSuspicions(b.forwarder.tick())
+	b.updateIsolation(b.now())
 	b.updateGauges()
 	if now := b.now(); !b.ready.Load() || now-b.lastPublish > publishInterval {
 		b.changed = true
@@ -276,6 +283,7 @@
 	if b.table != nil {
 		b.metrics.ConfigurationNumber.Set(float64(b.table.Number))
 	}
+	b.updateExclusionGauges()
 	b.metrics.OmittedLogLines.Add(float64(b.forwarder.flowLog.Omitted() - b.omittedCounted))
 	b.omittedCounted = b.forwarder.flowLog.Omitted()
 }
--- a/internal/process/balancer/forwarder.go
+++ b/internal/process/balancer/forwarder.go
@@ -276,3 +276,18 @@
 		f.log.Debug("failed to send packet", "to", to, "error", err)
 	}
 }
+
+// evacuatedConnections returns the open connections to evacuated upstreams.
+func (f *forwarder) evacuatedConnections(view *affinity.View) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.engine.EvacuatedConnections(view)
+}
+
+// unopened returns the number of connections that were placed since the last one
+// opened, and the age of the first of them.
+func (f *forwarder) unopened(now time.Duration) (count int, age time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.engine.Unopened(now)
+}
