--- a/internal/process/balancer/balancer.go
+++ b/internal/process/balancer/balancer.go
@@ -14,6 +14,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"heatherport/internal/connection/affinity"
+	"heatherport/internal/load/share"
 	"heatherport/internal/process/controller"
 	"heatherport/internal/process/logging"
 	"heatherport/internal/process/metrics"
@@ -60,6 +61,7 @@
 	regions     map[string]string // region of each failure domain
 	coldExcess  float64
 	coldSlack   float64
+	shares      bool // divide the slots of upstreams among the balancers
 	lifetime    time.Duration
 	stopTimeout time.Duration
 	started     time.Time
@@ -82,9 +84,9 @@
 	retired        *routing.RetiredTargets
 	evacuations    evacuations
 	isolation      isolation
-	fleet          *controller.Fleet // balancers of all feeds; kept while there is no feed
-	routesSince    time.Duration     // when the first routes arrived
-	firstFeed      time.Duration     // when the first feed opened
+	balancers      []share.Balancer // of all feeds; kept while there is no feed
+	routesSince    time.Duration    // when the first routes arrived
+	firstFeed      time.Duration    // when the first feed opened
 	lastRebalance  time.Duration
 	lastPublish    time.Duration
 	reported       []reportedSuspicion
@@ -97,7 +99,7 @@
 	s := cfg.Settings
 	b := &Balancer{
 		log: cfg.Log, metrics: cfg.Metrics, name: s.VM.Name, domain: s.VM.Domain,
-		regions: s.Domains, coldExcess: s.ColdExcess, coldSlack: s.ColdSlack,
+		shares: s.Shares, regions: s.Domains, coldExcess: s.ColdExcess, coldSlack: s.ColdSlack,
 		lifetime: s.Lifetime, stopTimeout: s.VM.StopTimeout,
 		started:   time.Now(),
 		link:      s.Link.Listen,
@@ -112,7 +114,7 @@
 		codec: cfg.Codec, listen: s.Packets, log: cfg.Log, view: &b.view, started: b.started,
 		flowLog: logging.NewRateLimited(cfg.Log), metrics: cfg.Metrics, clock: stall.Clock, stall: stall.NewDetector(stallLimit, stallDrain),
 		engine: affinity.New(affinity.Config{
-			Name:     s.VM.Name,
+			Name:     balancerName(controller.BalancerKey(s.VM.Name)),
 			Domain:   s.VM.Domain,
 			Capacity: tableCapacity,
 			Lifetime: s.Lifetime,
@@ -234,7 +236,7 @@
 	now := b.now()
 	b.lastPublish = now
 	confirmed := b.isConfirmed()
-	view := &affinity.View{Routes: b.table, Confirmed: confirmed, Current: confirmed && now > startupTime}
+	view := &affinity.View{Routes: b.table, Confirmed: confirmed, Current: confirmed && now > startupTime, Balancers: b.balancers}
 	if now > b.lifetime {
 		view.RetiredTargets = b.retired
 	}
--- a/internal/process/settings/program.go
+++ b/internal/process/settings/program.go
@@ -30,7 +30,10 @@
 	// second of its slow start: rate of the service × ColdExcess + ColdSlack.
 	ColdExcess float64
 	ColdSlack  float64
-	Log        Log
+	// Shares divides the slots of upstreams among the balancers, which queue what
+	// finds no room. Without it each balancer adapts a limit to the answer times.
+	Shares bool
+	Log    Log
 }
 
 // The defaults and bounds of optional keys of a Program.
@@ -82,6 +85,7 @@
 		Domains:             r.domains(),
 		ColdExcess:          r.number("upstreams", "cold_excess", defaultColdExcess, 1, maxColdExcess),
 		ColdSlack:           r.number("upstreams", "cold_slack", 0, 0, maxColdSlack),
+		Shares:              r.choice("load", "shares", "false", "true", "false") == "true",
 		Log:                 r.log(),
 	}
 	switch program {
