soak: evacuations, cold returns, balancers that join and leave

Cause: evacuations and slow starts were tested in process only; no run had them together with killed, paused and cut off processes.

Change: VMs and upstreams are in three failure domains, services limit cold upstreams, and upstreams that start during a run are cold. A second loop of the operator starts, ends and lists evacuations; faults return a domain cold and let balancers join and leave under a burst. Checked: lists after acknowledged orders, openings to evacuated domains, openings to cold upstreams, refusal of unknown domains. The lock of an upstream is no longer taken under that of the harness: a misrouted packet could take both in the opposite order.

--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -219,7 +219,7 @@
 // probeBalancers probes the readiness of all balancers until the run ends.
 func (h *harness) probeBalancers() {
 	for h.ctx.Err() == nil {
-		for _, p := range h.balancers {
+		for _, p := range h.routers.balancers {
 			go func() {
 				resp, err := h.http.Get(fmt.Sprintf("http://%s:%d/api/readyz", p.ip, readyPort))
 				isReady := err == nil && resp.StatusCode == 200
--- a/internal/soak/fault_test.go
+++ b/internal/soak/fault_test.go
@@ -89,31 +89,43 @@
 	{name: "crash an upstream", run: func(h *harness) {
 		if u := h.spareUpstream("one"); u != nil {
 			u.crash()
-			h.newUpstream("one")
+			h.newUpstream("one", coldStart)
 		}
 	}},
 	{name: "drain an upstream", run: func(h *harness) {
 		if u := h.spareUpstream("one"); u != nil {
-			h.newUpstream("one")
+			h.newUpstream("one", coldStart)
 			u.drain()
 		}
 	}},
 	{name: "reuse an address", run: func(h *harness) {
-		if u := h.spareUpstream("one"); u != nil {
-			u.crash()
+		if u := h.spareUpstream("one"); u != nil && u.crash() {
 			time.Sleep(h.faultLen() / 4)
 			id := h.newUpstreamNumber()
-			h.startUpstream(hexID(id), id, "two", u.address)
-			h.newUpstream("one")
+			h.startUpstream(hexID(id), id, "two", u.domain, u.address, coldStart)
+			h.newUpstream("one", coldStart)
 		}
 	}},
 	{name: "restart an upstream with the same ID", run: func(h *harness) {
-		if u := h.spareUpstream("two"); u != nil {
-			u.crash()
+		if u := h.spareUpstream("two"); u != nil && u.crash() {
 			time.Sleep(h.faultLen() / 4)
-			h.startUpstream(u.id, u.handle, u.service, u.address)
+			h.startUpstream(u.id, u.handle, u.service, u.domain, u.address, coldStart)
 		}
 	}},
+	{name: "return a domain cold", run: func(h *harness) { h.returnCold(randomElement(h, domains), h.faultLen()/2) }},
+	{name: "join and leave under a burst", run: func(h *harness) {
+		h.withProcess(h.extras, func(p *process) {
+			h.burst.Store(true)
+			p.start()
+			time.Sleep(2 * h.faultLen())
+			h.burst.Store(false)
+			if h.intN(2) == 0 {
+				p.kill()
+			} else {
+				p.stop()
+			}
+		})
+	}},
 }
 
 // spareUpstream returns a random live upstream of a service, or nil when the
@@ -132,6 +144,8 @@
 	p := randomElement(h, from)
 	p.faultMu.Lock()
 	defer p.faultMu.Unlock()
+	p.recordFault()
+	defer p.recordFault()
 	run(p)
 }
 
--- a/internal/soak/harness_test.go
+++ b/internal/soak/harness_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -49,6 +50,7 @@
 
 	controllers []*process
 	balancers   []*process
+	extras      []*process // balancers that join and leave
 	routers     *routers
 	caller      *caller
 	operator    *operator
@@ -62,8 +64,20 @@
 
 	attempted, served atomic.Int64
 	losePackets       atomic.Bool // drop a part of the packets of callers and upstreams
+	burst             atomic.Bool // callers open connections at burstInterval
 }
 
+// domains are the failure domains.
+var domains = []string{"a", "b", "c"}
+
+// extraBalancers is the number of balancers that are started by a fault only.
+const extraBalancers = 2
+
+const (
+	openInterval  = 15 * time.Millisecond
+	burstInterval = 4 * time.Millisecond
+)
+
 // packetLossRate is the probability that a packet is dropped during packet loss.
 const packetLossRate = 0.1
 
@@ -87,21 +101,27 @@
 		}
 	}
 	h.host = netip.AddrFrom4([4]byte{198, 51, 100, 1})
-	h.operator = &operator{h: h, sent: make(map[uint64]string)}
+	h.operator = &operator{h: h, sent: make(map[uint64]string), evacuations: make(map[string]*evacuation)}
+	for _, d := range domains {
+		h.operator.evacuations[d] = &evacuation{}
+	}
 	dir := logFolder(t, seed)
 	for i := range *controllerCount {
 		h.controllers = append(h.controllers, h.newProcess("controller", dir, i, h.networks[0].Host(byte(10+i)), h.networks[0].Host(byte(50+i))))
 	}
-	for i := range *balancerCount {
+	for i := range *balancerCount + extraBalancers {
 		ip := h.networks[1].Host(byte(1 + i))
-		h.balancers = append(h.balancers, h.newProcess("balancer", dir, i, ip, ip))
+		h.routers.balancers = append(h.routers.balancers, h.newProcess("balancer", dir, i, ip, ip))
+	}
+	h.balancers, h.extras = h.routers.balancers[:*balancerCount], h.routers.balancers[*balancerCount:]
+	for _, p := range h.extras {
+		h.routers.failedProbes[p] = probeFailureThreshold
 	}
-	h.routers.balancers = h.balancers
 	return h
 }
 
 func (h *harness) newProcess(program, dir string, i int, ip, linkIP netip.Addr) *process {
-	p := &process{h: h, name: fmt.Sprint(program, "-", i), program: program, ip: ip, linkIP: linkIP}
+	p := &process{h: h, name: fmt.Sprint(program, "-", i), program: program, domain: domains[i%len(domains)], ip: ip, linkIP: linkIP}
 	p.dir = filepath.Join(dir, p.name)
 	if err := os.MkdirAll(p.dir, 0o700); err != nil {
 		h.t.Fatal(err)
@@ -189,15 +209,15 @@
 	}
 	h.mu.Lock()
 	misroutedTo := h.misrouted[f.from]
+	h.mu.Unlock()
 	isLive := false
-	for _, u := range h.upstreams {
+	for _, u := range h.allUpstreams() {
 		u.mu.Lock()
 		if u.id == f.upstream && u.isAlive {
 			isLive = true
 		}
 		u.mu.Unlock()
 	}
-	h.mu.Unlock()
 	switch {
 	case !isLive:
 	case a.Sum == 0:
@@ -226,17 +246,46 @@
 				h.served.Add(1)
 			}
 		})
-		time.Sleep(15 * time.Millisecond)
+		if h.burst.Load() {
+			time.Sleep(burstInterval)
+		} else {
+			time.Sleep(openInterval)
+		}
 	}
 }
 
 // upstreamHosts is the number of addresses that new upstreams use in rotation.
 const upstreamHosts = 240
 
-// newUpstream starts an upstream at the next address.
-func (h *harness) newUpstream(service string) *upstream {
+// newUpstream starts an upstream at the next address, in the next failure domain.
+func (h *harness) newUpstream(service string, cold time.Duration) *upstream {
 	n := h.newUpstreamNumber()
-	return h.startUpstream(hexID(n), n, service, netip.AddrPortFrom(h.networks[2].Host(byte(1+n%upstreamHosts)), 8080))
+	address := netip.AddrPortFrom(h.networks[2].Host(byte(1+n%upstreamHosts)), 8080)
+	return h.startUpstream(hexID(n), n, service, domains[n%uint64(len(domains))], address, cold)
+}
+
+// returnCold takes all upstreams of a failure domain down and starts new, cold ones
+// at their addresses, all at the same time.
+func (h *harness) returnCold(domain string, down time.Duration) {
+	var crashed []*upstream
+	for _, u := range append(h.liveUpstreams("one"), h.liveUpstreams("two")...) {
+		if u.domain == domain && u.crash() {
+			crashed = append(crashed, u)
+		}
+	}
+	time.Sleep(down)
+	for _, u := range crashed {
+		id := h.newUpstreamNumber()
+		h.startUpstream(hexID(id), id, u.service, domain, u.address, coldStart)
+	}
+}
+
+// allUpstreams returns all upstreams. The lock of an upstream is never taken while
+// that of the harness is held, because upstreams report violations with theirs held.
+func (h *harness) allUpstreams() []*upstream {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.upstreams)
 }
 
 // newUpstreamNumber returns a number that no other upstream of the run has.
@@ -249,10 +298,8 @@
 
 // liveUpstreams returns the live upstreams of a service that are not draining.
 func (h *harness) liveUpstreams(service string) []*upstream {
-	h.mu.Lock()
-	defer h.mu.Unlock()
 	var out []*upstream
-	for _, u := range h.upstreams {
+	for _, u := range h.allUpstreams() {
 		u.mu.Lock()
 		if u.isAlive && !u.draining && u.service == service {
 			out = append(out, u)
--- a/internal/soak/operator_test.go
+++ b/internal/soak/operator_test.go
@@ -5,7 +5,10 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -17,6 +20,24 @@
 	lastSent uint64            // highest number sent
 	acked    uint64            // highest number acknowledged
 	sent     map[uint64]string // bodies sent, by number
+
+	evacuations   map[string]*evacuation // by failure domain
+	ordering      sync.WaitGroup         // runs runEvacuations
+	noEvacuations atomic.Bool            // ends runEvacuations
+}
+
+// evacuation is what the operators know about the evacuation of a failure domain.
+type evacuation struct {
+	orders   int  // sent so far
+	pending  int  // orders that are still repeated
+	overlaps bool // several orders are or were pending together
+	failed   bool // one of them was given up with its outcome unknown
+	// isRaced reports that overlapping orders were all acknowledged: either may be
+	// the later one, which the next list shows.
+	isRaced  bool
+	isKnown  bool // the state is known, and stays until the next order
+	isActive bool
+	since    time.Time // acknowledgement of isActive
 }
 
 func (o *operator) configuration(number uint64) string {
@@ -24,8 +45,11 @@
 		return fmt.Sprintf(`{"name":%q,"host":%q,"path_prefix":"/%d/","kind":"safe","timeout_ms":%d,"target_latency_ms":100,"priority":1,"service":%q}`,
 			name, o.h.host, port, 1000+number%100, service)
 	}
-	return fmt.Sprintf(`{"version":%d,"routes":[%s,%s],"services":[{"name":"one"},{"name":"two"}],"limits":{"idle_timeout_ms":15000}}`,
-		number, route("r1", "one", routeOne), route("r2", "two", routeTwo))
+	service := func(name string) string {
+		return fmt.Sprintf(`{"name":%q,"cold_start_s":%.1f,"cold_per_s":0.0}`, name, coldStart.Seconds())
+	}
+	return fmt.Sprintf(`{"version":%d,"routes":[%s,%s],"services":[%s,%s],"limits":{"idle_timeout_ms":15000}}`,
+		number, route("r1", "one", routeOne), route("r2", "two", routeTwo), service("one"), service("two"))
 }
 
 // put sends a new configuration to a random controller. While the outcome is
@@ -97,6 +121,157 @@
 	return true
 }
 
+// evacuate orders the start or end of an evacuation at a random controller. While
+// the outcome is unknown, it repeats the order at a random controller, up to the
+// given number of attempts. It reports whether the order was acknowledged.
+func (o *operator) evacuate(domain string, start bool, attempts int) bool {
+	o.mu.Lock()
+	e := o.evacuations[domain]
+	e.orders++
+	e.pending++
+	e.overlaps = e.overlaps || e.pending > 1
+	e.isKnown = e.isKnown && e.isActive == start
+	e.isRaced = false
+	o.mu.Unlock()
+	isAcked := o.order(domain, start, attempts)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	e.pending--
+	e.failed = e.failed || !isAcked
+	if e.pending > 0 {
+		return isAcked
+	}
+	if !e.failed && !e.overlaps && !e.isKnown {
+		e.isKnown, e.isActive, e.since = true, start, time.Now()
+	}
+	e.isRaced = !e.failed && !e.isKnown
+	e.failed, e.overlaps = false, false
+	return isAcked
+}
+
+func (o *operator) order(domain string, start bool, attempts int) (isAcked bool) {
+	method := http.MethodDelete
+	if start {
+		method = http.MethodPost
+	}
+	for range attempts {
+		c := o.h.controllers[rand.IntN(len(o.h.controllers))]
+		status, answer := o.h.callController(o.h.ctx, c, method, "/api/evacuations/"+domain, nil)
+		switch {
+		case status == http.StatusOK:
+			return true
+		case status >= 400 && status < 500:
+			o.h.reportViolation("%s of the evacuation of %s refused by %s with %d: %s", method, domain, c.name, status, answer)
+			return false
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return false
+}
+
+// evacuateUnknown sends an order for a failure domain that does not exist, which
+// must be rejected.
+func (o *operator) evacuateUnknown() {
+	c := o.h.controllers[rand.IntN(len(o.h.controllers))]
+	method := []string{http.MethodPost, http.MethodDelete}[rand.IntN(2)]
+	status, answer := o.h.callController(o.h.ctx, c, method, "/api/evacuations/nowhere", nil)
+	if isRefused := status == http.StatusBadRequest && strings.Contains(string(answer), "109 unknown_domain"); !isRefused && status != 0 && status < 500 {
+		o.h.reportViolation("%s answered an order for an unknown failure domain with %d: %s", c.name, status, answer)
+	}
+}
+
+// listEvacuations checks that a controller lists the evacuations that are known to
+// be in force and no others. It reports whether the controller answered.
+func (o *operator) listEvacuations(c *process) bool {
+	o.mu.Lock()
+	before := make(map[string]evacuation)
+	for d, e := range o.evacuations {
+		before[d] = *e
+	}
+	o.mu.Unlock()
+	status, body := o.h.callController(o.h.ctx, c, http.MethodGet, "/api/evacuations", nil)
+	if status != http.StatusOK {
+		return false
+	}
+	var got struct {
+		Evacuations []struct {
+			Zone string `json:"zone"`
+		} `json:"evacuations"`
+	}
+	if err := json.Unmarshal(body, &got); err != nil {
+		o.h.reportViolation("cannot decode the evacuations that were read: %v", err)
+		return false
+	}
+	active := make(map[string]bool)
+	for _, e := range got.Evacuations {
+		active[e.Zone] = true
+		if !slices.Contains(domains, e.Zone) {
+			o.h.reportViolation("%s lists an evacuation of %q, which does not exist", c.name, e.Zone)
+		}
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for d, e := range o.evacuations {
+		switch was := before[d]; {
+		case e.orders != was.orders: // a later order may have been applied
+		case was.isKnown && was.isActive != active[d]:
+			o.h.reportViolation("%s lists the evacuation of %s as active=%t; it is active=%t since %s", c.name, d, active[d], was.isActive, was.since.UTC().Format("15:04:05.000"))
+		case was.isRaced && e.isRaced:
+			e.isRaced, e.isKnown, e.isActive, e.since = false, true, active[d], time.Now()
+		}
+	}
+	return true
+}
+
+// evacuatedSince returns when the evacuation of a failure domain was acknowledged, or
+// the zero time if it may not be in force.
+func (o *operator) evacuatedSince(domain string) time.Time {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if e := o.evacuations[domain]; e.isKnown && e.isActive {
+		return e.since
+	}
+	return time.Time{}
+}
+
+// runEvacuations starts, ends and lists evacuations until noEvacuations is set.
+func (o *operator) runEvacuations() {
+	for o.h.ctx.Err() == nil && !o.noEvacuations.Load() {
+		domain := domains[rand.IntN(len(domains))]
+		switch rand.IntN(4) {
+		case 0: // in force for longer than the deadline
+			o.evacuate(domain, true, 10)
+			o.listFor(evacuationDeadline + time.Duration(rand.IntN(4000))*time.Millisecond)
+		case 1: // given up at times while the outcome is unknown
+			o.evacuate(domain, true, 1+rand.IntN(2))
+		case 2: // two operators
+			other := domains[rand.IntN(len(domains))]
+			done := make(chan struct{})
+			go func() { defer close(done); o.evacuate(other, rand.IntN(2) == 0, 3) }()
+			o.evacuate(domain, rand.IntN(2) == 0, 3)
+			<-done
+		case 3:
+			o.evacuateUnknown()
+		}
+		o.listFor(time.Duration(rand.IntN(1000)) * time.Millisecond)
+		for _, d := range domains {
+			if rand.IntN(4) == 0 {
+				// Upstreams that start again during an evacuation are cold after it.
+				o.h.returnCold(d, 100*time.Millisecond)
+			}
+			o.evacuate(d, false, 1+rand.IntN(3))
+		}
+	}
+}
+
+// listFor lists the evacuations at random controllers for a time.
+func (o *operator) listFor(duration time.Duration) {
+	for start := time.Now(); time.Since(start) < duration && o.h.ctx.Err() == nil && !o.noEvacuations.Load(); {
+		o.listEvacuations(o.h.controllers[rand.IntN(len(o.h.controllers))])
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
 // run sends and reads configurations until the run ends.
 func (o *operator) run() {
 	for o.h.ctx.Err() == nil {
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -7,7 +7,9 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -27,13 +29,15 @@
 	h             *harness
 	name          string
 	program       string
+	domain        string
 	ip            netip.Addr // address that the other programs use
 	linkIP        netip.Addr // address for incoming links; a controller's is behind the proxy
 	dir           string
 	proxy         *proxy
 	startedBefore bool
 
-	faultMu sync.Mutex // held by the fault that acts on the process
+	faultMu   sync.Mutex   // held by the fault that acts on the process
+	lastFault atomic.Int64 // start or end of the last fault that acted on it, Unix nanoseconds
 
 	mu           sync.Mutex
 	command      *exec.Cmd
@@ -45,7 +49,7 @@
 const stopTimeout = 4 * time.Second
 
 func (p *process) settings() string {
-	s := fmt.Sprintf("[vm]\nname = %s\ndomain = a\nstop_timeout = %s\n", p.name, stopTimeout)
+	s := fmt.Sprintf("[vm]\nname = %s\ndomain = %s\ndomains = %s\nstop_timeout = %s\n", p.name, p.domain, strings.Join(domains, ","), stopTimeout)
 	if p.program == "controller" {
 		s += fmt.Sprintf("data_dir = %s\n[api]\nlisten = %s:%d\n", p.dataDir(), p.ip, apiPort)
 	} else {
@@ -54,7 +58,7 @@
 	s += fmt.Sprintf("[link]\nlisten = %s:%d\nadvertise = %s:%d\n", p.linkIP, linkPort, p.ip, linkPort)
 	s += fmt.Sprintf("[metrics]\nlisten = %s:%d\n", p.ip, metricsPort)
 	s += fmt.Sprintf("[controllers]\nseeds = %s\nfirst_start = %t\nlosses_borne = 1\n", p.h.seedControllers(), !p.startedBefore)
-	return s + fmt.Sprintf("[upstreams]\nheartbeat = %s\n[log]\nformat = json\n", heartbeatInterval)
+	return s + fmt.Sprintf("[upstreams]\nheartbeat = %s\ncold_excess = 1.5\ncold_slack = %d\n[log]\nformat = json\n", heartbeatInterval, coldLimit)
 }
 
 func (p *process) dataDir() string { return filepath.Join(p.dir, "data") }
@@ -99,6 +103,9 @@
 	_ = p.command.Process.Signal(s) // it may have exited already
 }
 
+// recordFault records that a fault that acts on the process starts or ends.
+func (p *process) recordFault() { p.lastFault.Store(time.Now().UnixNano()) }
+
 // kill kills the process and waits until it has exited.
 func (p *process) kill() {
 	p.signal(syscall.SIGCONT)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -77,8 +77,8 @@
 		p.start()
 	}
 	for range 4 {
-		h.newUpstream("one")
-		h.newUpstream("two")
+		h.newUpstream("one", 0)
+		h.newUpstream("two", 0)
 	}
 	h.caller = h.startCaller(h.networks[0].Host(5))
 	go h.probeBalancers()
@@ -88,6 +88,7 @@
 	h.eventually(recoveryTimeout, "balancers are ready", h.allReady)
 	go h.generateTraffic()
 	go h.operator.run()
+	h.operator.ordering.Go(h.operator.runEvacuations)
 	h.injectFaults(duration)
 	h.checkRecovery()
 }
@@ -149,6 +150,12 @@
 	h.eventually(recoveryTimeout, "a configuration is accepted again", func() bool { return h.operator.put(3) })
 	for _, c := range h.controllers {
 		h.eventually(recoveryTimeout, c.name+" answers reads", func() bool { return h.operator.read(c) })
+		h.eventually(recoveryTimeout, c.name+" lists evacuations", func() bool { return h.operator.listEvacuations(c) })
+	}
+	h.operator.noEvacuations.Store(true)
+	h.operator.ordering.Wait()
+	for _, d := range domains {
+		h.eventually(recoveryTimeout, "the evacuation of "+d+" ends", func() bool { return h.operator.evacuate(d, false, 1) })
 	}
 	time.Sleep(faultFreePeriod)
 	attempted, served := h.attempted.Load(), h.served.Load()
@@ -181,7 +188,7 @@
 	failures := h.violations
 	h.mu.Unlock()
 	h.cancel()
-	for _, p := range append(h.controllers, h.balancers...) {
+	for _, p := range append(h.controllers, h.routers.balancers...) {
 		if p.command != nil {
 			p.kill()
 		}
@@ -190,12 +197,10 @@
 		}
 		p.log.Close()
 	}
-	h.mu.Lock()
-	for _, u := range h.upstreams {
+	for _, u := range h.allUpstreams() {
 		u.cancel()
 		u.conn.Close()
 	}
-	h.mu.Unlock()
 	if h.caller != nil {
 		h.caller.conn.Close()
 	}
--- a/internal/soak/upstream_test.go
+++ b/internal/soak/upstream_test.go
@@ -22,6 +22,15 @@
 	// after the acknowledgement are a violation.
 	drainDuration = 2 * time.Second
 	drainDeadline = 3 * time.Second
+	// coldStart is the slow start of an upstream and coldLimit the number of new
+	// connections that it takes in a second of it, as the configuration and the
+	// settings have them.
+	coldStart = 2 * time.Second
+	coldLimit = 5
+	// evacuationDeadline is the time from the acknowledgement of an evacuation, or
+	// from the last fault of a balancer, until the balancer opens no more
+	// connections to the failure domain.
+	evacuationDeadline = 5 * time.Second
 )
 
 // upstream simulates one incarnation of an upstream.
@@ -30,8 +39,10 @@
 	id          string
 	handle      uint64
 	service     string
+	domain      string
 	address     netip.AddrPort
 	startMillis int64
+	coldUntil   time.Time
 	conn        *net.UDPConn
 	cancel      context.CancelFunc
 	hung        atomic.Bool // accepts connections but answers no requests
@@ -43,8 +54,17 @@
 	drainAcked time.Time // when the draining state was acknowledged
 	isAlive    bool
 	returnPort uint16
+	openings   []opening // the last ones while it was cold
 }
 
+// opening is a new connection at an upstream.
+type opening struct {
+	via string // balancer
+	at  time.Time
+}
+
+func (o opening) String() string { return o.via + " " + o.at.UTC().Format("15:04:05.000") }
+
 // upstreamConn is the state of a connection at an upstream.
 type upstreamConn struct {
 	sequence uint32 // sequence number of the upstream
@@ -53,7 +73,7 @@
 	open     bool
 }
 
-func (h *harness) startUpstream(id string, handle uint64, service string, address netip.AddrPort) *upstream {
+func (h *harness) startUpstream(id string, handle uint64, service, domain string, address netip.AddrPort, cold time.Duration) *upstream {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
 	if err != nil {
 		h.t.Errorf("upstream %s: %v", id, err)
@@ -61,7 +81,7 @@
 	}
 	ctx, cancel := context.WithCancel(h.ctx)
 	u := &upstream{
-		h: h, id: id, handle: handle, service: service, address: address, startMillis: time.Now().UnixMilli(),
+		h: h, id: id, handle: handle, service: service, domain: domain, address: address, startMillis: time.Now().UnixMilli(), coldUntil: time.Now().Add(cold),
 		conn: conn, cancel: cancel, flows: make(map[netip.AddrPort]*upstreamConn), isAlive: true, returnPort: packetPort,
 	}
 	h.running.Go(u.receive)
@@ -70,13 +90,15 @@
 	return u
 }
 
-// crash stops the upstream without withdrawing it.
-func (u *upstream) crash() {
+// crash stops the upstream without withdrawing it. It reports whether it was alive.
+func (u *upstream) crash() bool {
 	u.mu.Lock()
+	wasAlive := u.isAlive
 	u.isAlive = false
 	u.mu.Unlock()
 	u.cancel()
 	u.conn.Close()
+	return wasAlive
 }
 
 // drain announces that the upstream is draining, and withdraws and stops it after
@@ -117,8 +139,8 @@
 		state = "draining"
 	}
 	body, err := json.Marshal(map[string]any{
-		"service": u.service, "address": u.address.String(), "zone": "a", "version": "v1", "slots": 2,
-		"state": state, "cold_left_ms": 0, "seq": u.seq, "born": u.startMillis,
+		"service": u.service, "address": u.address.String(), "zone": u.domain, "version": "v1", "slots": 2,
+		"state": state, "cold_left_ms": max(time.Until(u.coldUntil).Milliseconds(), 0), "seq": u.seq, "born": u.startMillis,
 	})
 	u.mu.Unlock()
 	if err != nil {
@@ -131,7 +153,7 @@
 func (u *upstream) receive() {
 	buf := make([]byte, 2048)
 	for {
-		n, _, err := u.conn.ReadFromUDPAddrPort(buf)
+		n, via, err := u.conn.ReadFromUDPAddrPort(buf)
 		if err != nil {
 			return // closed by crash
 		}
@@ -146,11 +168,16 @@
 			u.h.reportViolation("upstream %s received a packet that is malformed or has a wrong checksum", u.id)
 			continue
 		}
-		u.handlePacket(p)
+		b := u.h.balancerAt(via.Addr())
+		if b == nil {
+			u.h.reportViolation("upstream %s received a packet from %s, which is no balancer", u.id, via)
+			continue
+		}
+		u.handlePacket(p, b)
 	}
 }
 
-func (u *upstream) handlePacket(p *packet) {
+func (u *upstream) handlePacket(p *packet, via *process) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	c := u.flows[p.from()]
@@ -162,7 +189,7 @@
 		if c == nil {
 			c = &upstreamConn{sequence: rand.Uint32(), cookie: p.Echo}
 			u.flows[p.from()] = c
-			u.checkOpening(p)
+			u.checkOpening(p, via)
 		}
 		u.answer(p, c, flagSYN|flagACK, nil)
 	case p.Flags&flagRST != 0:
@@ -181,9 +208,25 @@
 	}
 }
 
-// checkOpening checks that a new connection belongs to the upstream's service and
-// was not opened too long after the upstream began to drain.
-func (u *upstream) checkOpening(p *packet) {
+// checkOpening checks that a new connection belongs to the upstream's service, was
+// not opened too long after the upstream began to drain or its failure domain was
+// evacuated, and is within the limit of a cold upstream.
+func (u *upstream) checkOpening(p *packet, via *process) {
+	now := time.Now()
+	if since := u.h.operator.evacuatedSince(u.domain); !since.IsZero() {
+		if fault := time.Unix(0, via.lastFault.Load()); fault.After(since) {
+			since = fault
+		}
+		if now.Sub(since) > evacuationDeadline {
+			u.h.reportViolation("%s opened a connection at %s %s after the evacuation of %s was acknowledged and without a fault", via.name, u.id, now.Sub(since), u.domain)
+		}
+	}
+	if now.Before(u.coldUntil) {
+		u.openings = append(u.openings, opening{via.name, now})
+		if i := len(u.openings) - 1 - coldLimit; i >= 0 && now.Sub(u.openings[i].at) < time.Second {
+			u.h.reportViolation("cold upstream %s in %s got more than %d connections within a second: %v", u.id, u.domain, coldLimit, u.openings[i:])
+		}
+	}
 	if want := u.h.serviceOf(p.to()); want != u.service {
 		u.h.reportViolation("connection to service %s opened at upstream %s of service %s", want, u.id, u.service)
 	}
@@ -192,6 +235,16 @@
 	}
 }
 
+// balancerAt returns the balancer with an address, or nil.
+func (h *harness) balancerAt(ip netip.Addr) *process {
+	for _, b := range h.routers.balancers {
+		if b.ip == ip.Unmap() {
+			return b
+		}
+	}
+	return nil
+}
+
 func (u *upstream) answer(p *packet, c *upstreamConn, flags uint8, data []byte) {
 	a := newPacket(flags, p.to(), p.from(), data)
 	a.Seq, a.Ack, a.Echo = c.sequence, p.Seq, c.cookie
