soak: log orders, evacuate for longer than the deadline more often

Cause: a failure could not be traced to the orders, and few evacuations outlasted the deadline.

Change: each order is logged with its outcome; two iterations in five evacuate for longer than the deadline.

--- a/internal/soak/operator_test.go
+++ b/internal/soak/operator_test.go
@@ -133,7 +133,9 @@
 	e.isKnown = e.isKnown && e.isActive == start
 	e.isRaced = false
 	o.mu.Unlock()
+	begun := time.Now()
 	isAcked := o.order(domain, start, attempts)
+	o.h.t.Logf("%s evacuation of %s: start=%t acknowledged=%t after %s", begun.UTC().Format("15:04:05.000"), domain, start, isAcked, time.Since(begun).Round(time.Millisecond))
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	e.pending--
@@ -238,8 +240,8 @@
 func (o *operator) runEvacuations() {
 	for o.h.ctx.Err() == nil && !o.noEvacuations.Load() {
 		domain := domains[rand.IntN(len(domains))]
-		switch rand.IntN(4) {
-		case 0: // in force for longer than the deadline
+		switch rand.IntN(5) {
+		case 0, 4: // in force for longer than the deadline
 			o.evacuate(domain, true, 10)
 			o.listFor(evacuationDeadline + time.Duration(rand.IntN(4000))*time.Millisecond)
 		case 1: // given up at times while the outcome is unknown
