register: a delayed order cannot undo a repeated one

Cause: an order for the state in force was acknowledged without raising the index that orders are compared with. A start is in force, an end is given up with its outcome unknown, a start is given again and acknowledged; the end, still on its way to the leader, then follows the right index and undoes the acknowledged start.

Change: the state of a domain holds the log index of its last order beside that of its last change; orders are compared with the former, balancers see the latter.

--- a/internal/process/controller/evacuation.go
+++ b/internal/process/controller/evacuation.go
@@ -26,7 +26,7 @@
 			return result.Errorf(result.NotReady, "the process stood still; the order may be old")
 		}
 		s := c.consensus.Status()
-		order := register.Order{Domain: domain, Evacuate: evacuate, After: s.Evacuations.IndexOf(domain), By: by, AtMillis: time.Now().UnixMilli()}
+		order := register.Order{Domain: domain, Evacuate: evacuate, After: s.Evacuations.LastOrder(domain), By: by, AtMillis: time.Now().UnixMilli()}
 		data, err := order.Encode()
 		if err != nil {
 			return err
--- a/internal/version/register/evacuation.go
+++ b/internal/version/register/evacuation.go
@@ -11,8 +11,8 @@
 type Order struct {
 	Domain   string `cbor:"1,keyasint"`
 	Evacuate bool   `cbor:"2,keyasint"`
-	// After is the log index of the last change of the domain that the controller
-	// knew when it took the order. An order is applied only if that is still the
+	// After is the log index of the last order for the domain that the controller
+	// knew when it took this one. An order is applied only if that is still the
 	// last one, so that an order held up on its way cannot undo a later one.
 	After    uint64 `cbor:"3,keyasint"`
 	By       string `cbor:"4,keyasint"` // address that the order came from
@@ -29,6 +29,10 @@
 	Index       uint64 `cbor:"3,keyasint"` // log index of the last change
 	By          string `cbor:"4,keyasint"` // address that ordered the last change
 	SinceMillis int64  `cbor:"5,keyasint"` // time of that order, Unix milliseconds
+	// LastOrder is the log index of the last order, also of one that changed nothing
+	// because the state was in force: it is acknowledged, so an earlier order that
+	// arrives after it must not be applied.
+	LastOrder uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Evacuations is the state of all failure domains for which an order was given. It
@@ -54,8 +58,8 @@
 	return index
 }
 
-// IndexOf returns the log index of the last change of a domain, or zero.
-func (e *Evacuations) IndexOf(domain string) uint64 { return e.of(domain).Index }
+// LastOrder returns the log index of the last order for a domain, or zero.
+func (e *Evacuations) LastOrder(domain string) uint64 { return e.of(domain).LastOrder }
 
 // Active returns the evacuations in force, by domain.
 func (e *Evacuations) Active() (active []Evacuation) {
@@ -78,7 +82,7 @@
 		return ended
 	}
 	for _, d := range e.all {
-		if !d.Active {
+		if !d.Active && d.Index > 0 {
 			ended[d.Domain] = d.Index
 		}
 	}
@@ -96,19 +100,19 @@
 	return Evacuation{Domain: domain}
 }
 
-// apply returns the state after the order at a log index. It returns e itself if
-// the order changes nothing.
+// apply returns the state after the order at a log index.
 func (e *Evacuations) apply(index uint64, o *Order) (*Evacuations, error) {
 	current := e.of(o.Domain)
-	if current.Index != o.After {
-		return e, result.Errorf(result.VersionStale, "order for %s follows index %d; the last change is at %d", o.Domain, o.After, current.Index)
+	if current.LastOrder != o.After {
+		return e, result.Errorf(result.VersionStale, "order for %s follows index %d; the last order is at %d", o.Domain, o.After, current.LastOrder)
 	}
-	if current.Active == o.Evacuate {
-		return e, nil
+	current.LastOrder = index
+	if current.Active != o.Evacuate {
+		current.Active, current.Index, current.By, current.SinceMillis = o.Evacuate, index, o.By, o.AtMillis
 	}
 	var all []Evacuation
 	if e != nil {
 		all = slices.DeleteFunc(slices.Clone(e.all), func(d Evacuation) bool { return d.Domain == o.Domain })
 	}
-	return newEvacuations(append(all, Evacuation{Domain: o.Domain, Active: o.Evacuate, Index: index, By: o.By, SinceMillis: o.AtMillis})), nil
+	return newEvacuations(append(all, current)), nil
 }
