--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -91,6 +91,7 @@
 	table               *routing.Table
 	evacuations         *Evacuations
 	fleets              fleetTable
+	ends                map[string]evacuationEnd // last end of an evacuation, by domain
 	subscribers         map[*stream.Conn]*subscriber
 	encoded             feedFrames // updates to the last state that was sent
 	lastFed             feedState  // at lastFeedTime
@@ -133,6 +134,7 @@
 		}),
 		subscribers: make(map[*stream.Conn]*subscriber),
 		ackWaiters:  make(map[uint64][]chan struct{}),
+		ends:        make(map[string]evacuationEnd),
 		unacked:     make(map[string]uint64),
 	}
 	var initialVoters []netip.AddrPort
@@ -273,6 +275,7 @@
 	c.addresses.save(now, c.balancers.revision, c.balancers.addresses)
 	c.refreshBalancers(now)
 	c.refreshFleet(now)
+	c.expireEnds()
 	c.updateGauges()
 	if now-c.lastRenewal >= renewInterval {
 		c.lastRenewal = now
