affinity: late packets of an earlier connection from a reused port

Cause: an entry of the table was matched by addresses and ports only. A late packet of an earlier connection from the same port pinned its successor to the upstream of the earlier one, its FIN ended the load count of the successor, and a balancer that knew only the earlier connection sent packets of the later one to the upstream of the earlier one. An opening packet that was held up replaced the entry of a connection that its caller opened later, and a late copy of the opening packet of an open connection reached a second upstream.

Change: packets whose sequence number is far from that of the entry and whose cookie differs, or that follow the earlier connection, are forwarded by their own cookie and leave the entry as it is. An opening packet that its caller sent before the opening of the current entry is dropped. The model of TestConnectionsNeverMove reuses ports and repeats packets of ended connections.

--- a/internal/connection/affinity/affinity.go
+++ b/internal/connection/affinity/affinity.go
@@ -12,6 +12,12 @@
 // other upstream may change the cookie of the following packets. The engine
 // therefore pins a connection to the first cookie that it sees after opening.
 //
+// # Reused ports
+//
+// A caller may open a connection from a port that an earlier one used. Packets of
+// the earlier one that arrive late are told apart by their sequence numbers and
+// forwarded by their own cookies.
+//
 // # Passive health checks
 //
 // Answers do not pass through a balancer (direct server return). Whether an
@@ -29,6 +35,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"heatherport/internal/result"
@@ -120,6 +127,10 @@
 	// maxTried bounds the upstreams that one opening packet and its copies are
 	// sent to. A caller sends two copies.
 	maxTried = 3
+	// sequenceWindow is the distance from the last sequence number of a connection
+	// within which a packet belongs to it. Callers send a few kilobytes; the numbers
+	// of two connections from one port are random and 32 bits long.
+	sequenceWindow = 1 << 20
 )
 
 type key struct{ caller, service netip.AddrPort }
@@ -127,7 +138,10 @@
 // entry is the table entry of a connection.
 type entry struct {
 	service    string
-	sequence   uint32 // sequence number of the opening packet
+	sequence   uint32        // sequence number of the opening packet
+	began      time.Duration // when the caller sent the opening packet for the first time
+	lastSeq    uint32        // sequence number of the last packet, after opening
+	earlier    *uint32       // lastSeq of the connection that used the port before
 	tried      []uint32
 	cookie     uint32 // cookie of the connection's upstream
 	pinned     bool   // a packet after opening fixed the cookie
@@ -182,11 +196,22 @@
 func (e *Engine) placeOpening(now time.Duration, v *View, p *Packet) Verdict {
 	k := key{p.Caller, p.Service}
 	c := e.table[k]
-	if c != nil && c.sequence == p.Sequence {
+	var earlier *uint32
+	switch {
+	case c == nil:
+	case c.sequence == p.Sequence && len(c.tried) > 0:
 		return e.placeCopy(now, v, p, c)
-	}
-	if c != nil {
+	case p.Copies > 0 && c.pinned && isNear(p.Sequence, c.lastSeq):
+		// A late copy for a connection that opened at another balancer.
+		return forwardTo(v, p, v.Upstream(c.cookie))
+	case now-p.Waited < c.began:
+		// The caller has opened another connection since.
+		return Verdict{Code: result.DropStale}
+	default:
 		e.remove(k, c) // the caller reused its port
+		if c.pinned {
+			earlier = &c.lastSeq
+		}
 	}
 	route := v.route(p.Service)
 	if route == nil {
@@ -207,7 +232,7 @@
 	if u == nil {
 		return refusal(v.refusalCause(route, service), v.Current && p.isFirst())
 	}
-	c = &entry{service: service, sequence: p.Sequence, started: now}
+	c = &entry{service: service, sequence: p.Sequence, began: now - p.Waited, started: now, earlier: earlier}
 	// The caller of an opening that waited here may have given it up; that no
 	// packet follows is then no sign of a fault of the upstream.
 	c.reported = p.Held
@@ -278,11 +303,15 @@
 		if p.Cookie == 0 {
 			return Verdict{Code: result.DropNoCookie}
 		}
-		c = &entry{cookie: p.Cookie, pinned: true}
+		c = &entry{cookie: p.Cookie, pinned: true, lastSeq: p.Sequence}
 		if len(e.table) < e.cfg.Capacity {
 			e.table[k] = c
 		}
 	}
+	if c.isOther(p) {
+		return forwardTo(v, p, v.Upstream(p.Cookie))
+	}
+	c.lastSeq = p.Sequence
 	var opened time.Duration
 	var cleared uint32
 	if !c.pinned {
@@ -304,6 +333,24 @@
 	return verdict
 }
 
+// isOther reports whether a packet belongs to another connection from the same port:
+// its sequence number is far from those of this connection, and it carries the cookie
+// of another upstream or follows the connection that used the port before. A cookie
+// that differs may also come from a copy that went through another balancer.
+func (c *entry) isOther(p *Packet) bool {
+	if c.pinned {
+		return p.Cookie != 0 && p.Cookie != c.cookie && !isNear(p.Sequence, c.lastSeq)
+	}
+	isUnknown := p.Cookie != 0 && !slices.Contains(c.tried, p.Cookie)
+	followsEarlier := c.earlier != nil && isNear(p.Sequence, *c.earlier)
+	return (isUnknown || followsEarlier) && !isNear(p.Sequence, c.sequence)
+}
+
+func isNear(a, b uint32) bool {
+	distance := int32(a - b)
+	return -sequenceWindow < distance && distance < sequenceWindow
+}
+
 // pin fixes the upstream of a connection to the one whose answer opened it. It
 // returns that upstream's cookie if the answer ended a suspicion.
 func (e *Engine) pin(c *entry, v *View, cookie uint32) (cleared uint32) {
--- a/internal/connection/affinity/stateful_test.go
+++ b/internal/connection/affinity/stateful_test.go
@@ -16,6 +16,8 @@
 	address     netip.AddrPort
 	service     netip.AddrPort
 	wantService string // name of the service
+	isn         uint32 // sequence number of the opening packet
+	reused      bool   // a later connection uses its port
 	copies      uint32
 	cookie      uint32 // the last one received
 	opened      uint32 // cookie of the upstream whose answer was acknowledged
@@ -23,6 +25,7 @@
 	reached     []uint32 // upstreams that opening packets went to
 	balancer    int      // that the routers send this connection to
 	ended       bool
+	endedAt     time.Duration
 }
 
 // model runs several engines over one set of upstreams.
@@ -67,6 +70,7 @@
 	n := len(m.callers)
 	c := &caller{
 		address:     netip.AddrPortFrom(callerAddr.Addr(), uint16(1000+n)),
+		isn:         uint32(n) * 50_000_000,
 		service:     permitsAddr,
 		wantService: "permits",
 		balancer:    rapid.IntRange(0, len(m.engines)-1).Draw(t, "balancer"),
@@ -74,12 +78,26 @@
 	if rapid.Bool().Draw(t, "sheets") {
 		c.service, c.wantService = sheetsAddr, "sheets"
 	}
+	if earlier := m.drawCaller(t, func(c *caller) bool { return c.ended && !c.reused }); earlier != nil && rapid.Bool().Draw(t, "reuse the port") {
+		earlier.reused = true
+		c.address, c.service, c.wantService = earlier.address, earlier.service, earlier.wantService
+	}
 	m.callers = append(m.callers, c)
 	m.sendOpening(t, c)
 }
 
+// sendLate repeats the last packet of a connection, at most two seconds after it
+// ended and through the same balancer. Its port may be in use again. Another balancer,
+// which did not see the connection, cannot tell the packet from one of a second
+// connection to the same upstream.
+func (m *model) sendLate(t *rapid.T) {
+	if c := m.drawCaller(t, func(c *caller) bool { return c.ended && m.now-c.endedAt < 2*time.Second }); c != nil {
+		m.send(t, c, &Packet{Caller: c.address, Service: c.service, Cookie: c.cookie, Sequence: c.isn + 11, Ending: true})
+	}
+}
+
 func (m *model) sendOpening(t *rapid.T, c *caller) {
-	v := m.decide(c, &Packet{Caller: c.address, Service: c.service, Opening: true, Sequence: uint32(c.address.Port()), Copies: c.copies})
+	v := m.decide(c, &Packet{Caller: c.address, Service: c.service, Opening: true, Sequence: c.isn, Copies: c.copies})
 	if v.Upstream == nil {
 		return
 	}
@@ -117,7 +135,7 @@
 	c.inFlight = append(c.inFlight[:i], c.inFlight[i+1:]...)
 	if c.opened == 0 {
 		c.opened = c.cookie
-		m.send(t, c, &Packet{Caller: c.address, Service: c.service, Cookie: c.cookie, Length: 10})
+		m.send(t, c, &Packet{Caller: c.address, Service: c.service, Cookie: c.cookie, Sequence: c.isn + 1, Length: 10})
 	}
 }
 
@@ -127,10 +145,10 @@
 	if c == nil {
 		return
 	}
-	p := &Packet{Caller: c.address, Service: c.service, Cookie: c.cookie, Length: rapid.IntRange(0, 5).Draw(t, "length")}
+	p := &Packet{Caller: c.address, Service: c.service, Cookie: c.cookie, Sequence: c.isn + 11, Length: rapid.IntRange(0, 5).Draw(t, "length")}
 	p.Ending = rapid.IntRange(0, 4).Draw(t, "ending") == 0
 	m.send(t, c, p)
-	c.ended = p.Ending
+	c.ended, c.endedAt = p.Ending, m.now
 }
 
 func (m *model) send(t *rapid.T, c *caller, p *Packet) {
@@ -152,7 +170,7 @@
 // second answer in flight: its cookie would misdirect a balancer that did not
 // see the connection open. docs/PLATFORM.md lists this case.
 func (m *model) move(t *rapid.T) {
-	c := m.drawCaller(t, func(c *caller) bool { return c.opened != 0 && len(c.inFlight) == 0 && c.cookie == c.opened })
+	c := m.drawCaller(t, func(c *caller) bool { return c.opened != 0 && !c.ended && len(c.inFlight) == 0 && c.cookie == c.opened })
 	if c != nil {
 		c.balancer = rapid.IntRange(0, len(m.engines)-1).Draw(t, "balancer")
 	}
@@ -162,7 +180,8 @@
 func (m *model) restart(t *rapid.T) {
 	i := rapid.IntRange(0, len(m.engines)-1).Draw(t, "balancer")
 	for _, c := range m.callers {
-		if c.balancer == i && !c.ended && (c.opened == 0 || len(c.inFlight) > 0 || c.cookie != c.opened) {
+		isEnding := c.ended && m.now-c.endedAt < 2*time.Second
+		if c.balancer == i && (isEnding || !c.ended && (c.opened == 0 || len(c.inFlight) > 0 || c.cookie != c.opened)) {
 			return
 		}
 	}
@@ -212,7 +231,7 @@
 			m.engines = append(m.engines, newEngine(i))
 		}
 		t.Repeat(map[string]func(*rapid.T){
-			"open": m.open, "copy": m.copyOpening, "answer": m.answer, "say": m.sendData,
+			"open": m.open, "copy": m.copyOpening, "answer": m.answer, "say": m.sendData, "late": m.sendLate,
 			"move": m.move, "restart": m.restart, "change": m.change, "tick": m.tick,
 		})
 	})
