controller, daemon: calls in progress are answered at a planned stop

Cause: at SIGTERM a controller stopped its log and control goroutine at once and the HTTP server closed its connections, so that calls that had been accepted were cut off without an outcome. Announcements of the last second were neither sent to the other controllers nor saved; after a restart of all, an upstream that had left was used again. A program told to stop while it started exited with code 9.

Change: Controller.Stop rejects further calls with not_ready, waits for those in progress, sends and saves what has changed, and stops then. The HTTP servers write the responses to accepted requests for up to 250 ms.

--- a/cmd/heatherport-node/main.go
+++ b/cmd/heatherport-node/main.go
@@ -26,7 +26,7 @@
 
 const program = "heatherport-node"
 
-func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
+func main() { os.Exit(run(context.Background(), os.Args[1:], os.Stdout, os.Stderr)) }
 
 // command is a program with its settings file.
 type command struct {
@@ -38,8 +38,9 @@
 	Controller *command `arg:"subcommand:controller" help:"run a controller, which feeds balancers"`
 }
 
-// run runs one command line and returns the exit code, the class of the result.
-func run(args []string, stdout, stderr io.Writer) int {
+// run runs one command line until it is done or ctx ends, and returns the exit code,
+// the class of the result.
+func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	var a arguments
 	parser, err := arg.NewParser(arg.Config{Program: program}, &a)
 	if err == nil {
@@ -55,7 +56,7 @@
 	case a.Balancer == nil && a.Controller == nil:
 		err = result.Errorf(result.BadArguments, "no program given")
 	default:
-		err = a.start()
+		err = a.start(ctx)
 	}
 	if err == nil {
 		return int(result.ClassOK)
@@ -64,10 +65,10 @@
 	return int(result.CodeOf(err).Class())
 }
 
-// start runs the program until the process is told to end, and then stops it
+// start runs the program until ctx ends or the process is told to end, and then stops it
 // gracefully.
-func (a *arguments) start() error {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+func (a *arguments) start(ctx context.Context) error {
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	// Restores the default action after the first signal, so that a second one
 	// terminates the process immediately.
--- a/cmd/heatherport-node/main_test.go
+++ b/cmd/heatherport-node/main_test.go
@@ -27,7 +27,7 @@
 		{[]string{"controller", "--settings", missing}, result.ClassUsage},
 	} {
 		var stdout, stderr bytes.Buffer
-		must.Eq(t, int(c.want), run(c.args, &stdout, &stderr), must.Sprint(c.args))
+		must.Eq(t, int(c.want), run(t.Context(), c.args, &stdout, &stderr), must.Sprint(c.args))
 		must.Eq(t, c.want != result.ClassOK, stderr.Len() > 0, must.Sprint(c.args))
 	}
 }
@@ -36,7 +36,7 @@
 	file := filepath.Join(t.TempDir(), "controller.ini")
 	t.Setenv("HEATHERPORT_CONFIG", file)
 	var stdout, stderr bytes.Buffer
-	must.Eq(t, int(result.ClassUsage), run([]string{"controller"}, &stdout, &stderr))
+	must.Eq(t, int(result.ClassUsage), run(t.Context(), []string{"controller"}, &stdout, &stderr))
 	must.StrContains(t, stderr.String(), file)
 }
 
--- a/internal/process/controller/calls.go
+++ b/internal/process/controller/calls.go
@@ -15,6 +15,10 @@
 // outcome is unknown; the same document may be submitted again to any
 // controller.
 func (c *Controller) Submit(ctx context.Context, d register.Document) (err error) {
+	if err := c.calls.begin(); err != nil {
+		return err
+	}
+	defer c.calls.end()
 	begun := time.Now()
 	defer func() {
 		c.cfg.Metrics.SubmitTime.Observe(time.Since(begun).Seconds())
@@ -67,6 +71,10 @@
 // Latest returns the document in force by a linearizable read: no newer document
 // was acknowledged before the call. It fails when that cannot be confirmed.
 func (c *Controller) Latest(ctx context.Context) (d register.Document, err error) {
+	if err := c.calls.begin(); err != nil {
+		return d, err
+	}
+	defer c.calls.end()
 	begun := time.Now()
 	defer func() {
 		c.cfg.Metrics.ReadTime.Observe(time.Since(begun).Seconds())
@@ -109,6 +117,10 @@
 // too.
 func (c *Controller) Announce(ctx context.Context, r directory.Record) (nearerAPI netip.AddrPort, err error) {
 	defer func() { c.cfg.Metrics.Call("announce", err) }()
+	if err := c.calls.begin(); err != nil {
+		return nearerAPI, err
+	}
+	defer c.calls.end()
 	err = c.change(ctx, r.ID, func() (bool, error) {
 		if c.table != nil && !c.table.HasService(r.Service) {
 			return false, result.Errorf(result.BadAnnouncement, "upstream %s announces unknown service %q", r.ID, r.Service)
@@ -136,6 +148,10 @@
 // Withdraw ends the incarnation of an upstream.
 func (c *Controller) Withdraw(ctx context.Context, id string) (err error) {
 	defer func() { c.cfg.Metrics.Call("withdraw", err) }()
+	if err := c.calls.begin(); err != nil {
+		return err
+	}
+	defer c.calls.end()
 	return c.change(ctx, id, func() (bool, error) {
 		changed := c.directory.Withdraw(c.now(), id)
 		if changed {
--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -81,6 +81,7 @@
 	addresses *hintStore[netip.Addr] // of balancers
 	events    chan func()
 	cancel    context.CancelFunc
+	calls     *callTracker
 	listener  net.Listener
 	diskTasks sync.WaitGroup // goroutines that use the data folder
 
@@ -122,6 +123,7 @@
 		stall:     stall.NewDetector(stallLimit, stallDrain),
 		clock:     stall.Clock,
 		events:    make(chan func(), eventQueue),
+		calls:     newCallTracker(),
 		directory: directory.New(directory.Config{
 			LapseAfter: lapseHeartbeats * s.Heartbeat,
 			Retention:  s.Lifetime,
@@ -186,12 +188,20 @@
 	return nil
 }
 
-// leadershipTransferTime is the time for a transfer of leadership, which takes
-// two round trips and a disk sync.
-const leadershipTransferTime = 300 * time.Millisecond
+const (
+	// leadershipTransferTime is the time for a transfer of leadership, which takes
+	// two round trips and a disk sync.
+	leadershipTransferTime = 300 * time.Millisecond
+	// flushTime is the time in which queued messages reach the other controllers and
+	// the directory is saved.
+	flushTime = 50 * time.Millisecond
+)
 
-// Stop transfers leadership and stops all parts.
+// Stop rejects further calls, transfers leadership, waits for the calls in progress
+// and stops all parts. What upstreams announced last is sent to the other controllers
+// and saved before.
 func (c *Controller) Stop(ctx context.Context) error {
+	c.calls.stop()
 	if c.consensus.Status().IsLeader {
 		c.consensus.transferLeadership()
 		select {
@@ -199,9 +209,22 @@
 		case <-time.After(leadershipTransferTime):
 		}
 	}
+	c.calls.wait(ctx)
+	c.post(c.flush)
+	select {
+	case <-ctx.Done():
+	case <-time.After(flushTime):
+	}
 	return c.shutDown(ctx)
 }
 
+// flush sends and saves what has changed since the last tick.
+func (c *Controller) flush() {
+	c.shareChanges()
+	c.sendRenewals()
+	c.upstreams.saveLast(c.directory.Since(0))
+}
+
 // shutDown stops all parts without a transfer of leadership. If the disk stalls,
 // it waits until ctx is done.
 func (c *Controller) shutDown(ctx context.Context) error {
--- a/internal/process/controller/evacuation.go
+++ b/internal/process/controller/evacuation.go
@@ -14,6 +14,10 @@
 // order may be given again to any controller.
 func (c *Controller) Evacuate(ctx context.Context, domain string, evacuate bool, by string) (err error) {
 	defer func() { c.cfg.Metrics.Call("evacuate", err) }()
+	if err := c.calls.begin(); err != nil {
+		return err
+	}
+	defer c.calls.end()
 	if !c.isDomain(domain) {
 		return result.Errorf(result.UnknownDomain, "no failure domain %q", domain)
 	}
@@ -58,6 +62,10 @@
 // Evacuations returns the evacuations in force by a linearizable read.
 func (c *Controller) Evacuations(ctx context.Context) (active []register.Evacuation, err error) {
 	defer func() { c.cfg.Metrics.Call("read", err) }()
+	if err := c.calls.begin(); err != nil {
+		return nil, err
+	}
+	defer c.calls.end()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	err = c.read(ctx, func(state *register.Register) { active = state.Evacuations().Active() })
--- a/internal/process/controller/hintstore.go
+++ b/internal/process/controller/hintstore.go
@@ -74,6 +74,15 @@
 	s.savedAt = now
 }
 
+// saveLast queues the entries for writing before the process stops.
+func (s *hintStore[T]) saveLast(entries []T) {
+	select {
+	case <-s.queue: // superseded
+	default:
+	}
+	s.queue <- entries
+}
+
 // run writes the queued entries until done is closed.
 func (s *hintStore[T]) run(done <-chan struct{}) {
 	for {
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -29,6 +29,9 @@
 	headerTimeout = 3 * time.Second
 	bodyTimeout   = 10 * time.Second
 	idleTimeout   = 30 * time.Second
+	// responseTimeout is the time in which the responses to accepted requests are
+	// written once the component has stopped.
+	responseTimeout = 250 * time.Millisecond
 )
 
 // Dependencies are the values that a program is built from.
@@ -67,7 +70,6 @@
 	var service Service
 	app := fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
-		fx.StartTimeout(startTimeout),
 		fx.StopTimeout(s.VM.StopTimeout),
 		fx.Supply(Dependencies{Settings: s, Log: log, Registry: metrics.NewProgramRegistry()}),
 		fx.Provide(build),
@@ -77,7 +79,11 @@
 	if err := app.Err(); err != nil {
 		return err
 	}
-	if err := app.Start(ctx); err != nil {
+	// A program that is told to stop while it starts finishes the start, which takes
+	// milliseconds, and then stops gracefully.
+	start, cancelStart := context.WithTimeout(context.WithoutCancel(ctx), startTimeout)
+	defer cancelStart()
+	if err := app.Start(start); err != nil {
 		log.Error("failed to start", "error", err)
 		return err
 	}
@@ -122,6 +128,13 @@
 			}()
 			return nil
 		},
-		OnStop: func(context.Context) error { return srv.Close() },
+		OnStop: func(ctx context.Context) error {
+			ctx, cancel := context.WithTimeout(ctx, responseTimeout)
+			defer cancel()
+			if srv.Shutdown(ctx) == nil {
+				return nil
+			}
+			return srv.Close()
+		},
 	})
 }
