directory: the latest announcement decides slow start and owner

Cause: an announcement could only extend a slow start. A record restored from disk kept an upstream cold that had long been warm, and renewed records made balancers take it for cold again. Two controllers that got the same announcement and chose different owners kept both until the slow start ended, because neither record superseded the other.

Change: the announcement with the highest sequence number sets the end of the slow start, also earlier; between equal ones the greater name of the owner wins.

--- a/internal/version/directory/directory.go
+++ b/internal/version/directory/directory.go
@@ -7,7 +7,9 @@
 // An incarnation is identified by the upstream's identifier and its start time.
 // Of two records with the same identifier the one with the later start wins.
 // Within an incarnation Gone wins over Leaving and Leaving over Serving;
-// between equal states the higher sequence number wins. An incarnation ends
+// between equal states the higher sequence number wins. Two controllers that got the
+// same announcement may have chosen different owners of the slow start; of these the
+// greater name wins. An incarnation ends
 // when a later one starts at its address. The latest incarnation at an address
 // stays known after its end, so that a delayed record of an earlier one cannot
 // revive that one.
@@ -91,8 +93,10 @@
 		return r.StartMillis > old.StartMillis
 	case r.State != old.State:
 		return r.State > old.State
+	case r.Seq != old.Seq:
+		return r.Seq > old.Seq
 	}
-	return r.Seq > old.Seq
+	return r.Owner > old.Owner
 }
 
 // Entry is a record with local bookkeeping.
@@ -204,7 +208,7 @@
 	if old != nil && old.StartMillis == r.StartMillis && old.State == r.State && !old.Lapsed {
 		old.Seq = r.Seq
 		old.LastUpdate = now
-		return d.extendSlowStart(now, old, &r)
+		return d.updateSlowStart(now, old, &r)
 	}
 	d.put(now, old, r)
 	return true
@@ -231,13 +235,12 @@
 // announcement to the next because of delays.
 const slowStartTolerance = 250 * time.Millisecond
 
-// extendSlowStart applies a later announcement of a known incarnation, which may have
-// become cold again, or whose owner another controller has chosen.
-func (d *Directory) extendSlowStart(now time.Duration, e *Entry, r *Record) (changed bool) {
-	if r.SlowStart <= 0 {
-		return false
-	}
-	if until := now + r.SlowStart; until > e.ColdUntil+slowStartTolerance {
+// updateSlowStart applies a later announcement of a known incarnation. The upstream may
+// have become cold again, or be warm although a record from disk says otherwise, or
+// another controller may have chosen its owner.
+func (d *Directory) updateSlowStart(now time.Duration, e *Entry, r *Record) (changed bool) {
+	until := now + r.SlowStart
+	if moved := until - max(e.ColdUntil, now); moved < -slowStartTolerance || moved > slowStartTolerance {
 		e.ColdUntil = until
 		changed = true
 	}
