controller: withdrawals and saved upstreams that are too old

Cause: a withdrawal names an upstream but no incarnation. A controller that stood still read one whose sender had since called another controller, exited and started again under the same identifier, and ended the new incarnation, which announces itself in vain from then on. A controller that was down for longer than the retention restored upstreams from its disk that all others had forgotten.

Change: withdrawals that may have waited during a stall are rejected with not_ready, and changes whose caller has given up are dropped. The saved state carries its time; upstreams older than the retention are not used, and an unchanged directory is saved again after half of it. A file in the previous format is ignored once.

Run: TestWithdrawalReadAfterAStallIsRefused and TestWithdrawalOfACallerThatGaveUpIsDropped failed before; go test -race of controller and balancer, go tool staticcheck of controller.

--- a/internal/process/controller/calls.go
+++ b/internal/process/controller/calls.go
@@ -145,7 +145,8 @@
 	return nearerAPI, nil
 }
 
-// Withdraw ends the incarnation of an upstream.
+// Withdraw ends the incarnation of an upstream. A withdrawal names no incarnation: one
+// that was read late could end an incarnation that started since.
 func (c *Controller) Withdraw(ctx context.Context, id string) (err error) {
 	defer func() { c.cfg.Metrics.Call("withdraw", err) }()
 	if err := c.calls.begin(); err != nil {
@@ -153,6 +154,9 @@
 	}
 	defer c.calls.end()
 	return c.change(ctx, id, func() (bool, error) {
+		if !c.stall.IsOver(c.clock()) {
+			return false, result.Errorf(result.NotReady, "the process stood still; the withdrawal may be old")
+		}
 		changed := c.directory.Withdraw(c.now(), id)
 		if changed {
 			c.log.Info("upstream withdrew", "upstream", id)
@@ -171,6 +175,9 @@
 	applied := make(chan error, 1)
 	acked := make(chan struct{})
 	posted := c.post(func() {
+		if ctx.Err() != nil {
+			return // the caller has given up and called another controller
+		}
 		ends, err := apply()
 		if err == nil && ends {
 			c.shareChanges()
--- a/internal/process/controller/hintstore.go
+++ b/internal/process/controller/hintstore.go
@@ -28,14 +28,21 @@
 // stall. The state is only a hint: nothing depends on its being up to date.
 type hintStore[T any] struct {
 	dir, file     string
+	maxAge        time.Duration // of entries that load returns; zero for any
 	log           hclog.Logger
 	queue         chan []T
 	savedRevision uint64        // revision that was last queued
 	savedAt       time.Duration // time at which it was queued
 }
 
-func newHintStore[T any](dir, file string, log hclog.Logger) *hintStore[T] {
-	return &hintStore[T]{dir: dir, file: file, log: log, queue: make(chan []T, 1)}
+// savedEntries is the content of a file.
+type savedEntries[T any] struct {
+	AtMillis int64 `cbor:"1,keyasint"` // Unix milliseconds
+	Entries  []T   `cbor:"2,keyasint"`
+}
+
+func newHintStore[T any](dir, file string, maxAge time.Duration, log hclog.Logger) *hintStore[T] {
+	return &hintStore[T]{dir: dir, file: file, maxAge: maxAge, log: log, queue: make(chan []T, 1)}
 }
 
 // load returns the entries that an earlier process saved.
@@ -56,17 +63,23 @@
 	if err != nil {
 		return nil, err
 	}
-	var entries []T
-	if err := cbor.Unmarshal(data, &entries); err != nil {
+	var saved savedEntries[T]
+	if err := cbor.Unmarshal(data, &saved); err != nil {
 		return nil, result.Wrapf(err, result.StorageCorrupt, "decode %s", s.file)
 	}
-	return entries, nil
+	if age := time.Since(time.UnixMilli(saved.AtMillis)); s.maxAge > 0 && age > s.maxAge {
+		s.log.Info("saved state is too old", "file", s.file, "age", age.String(), "entries", len(saved.Entries))
+		return nil, nil
+	}
+	return saved.Entries, nil
 }
 
-// save queues the entries of a revision for writing if it has changed. While a
-// write is in progress and another one is queued, it does nothing.
+// save queues the entries of a revision for writing if it has changed, or if those on
+// disk would soon be too old. While a write is in progress and another one is queued,
+// it does nothing.
 func (s *hintStore[T]) save(now time.Duration, revision uint64, entries func() []T) {
-	if revision == s.savedRevision || now-s.savedAt < saveInterval || len(s.queue) == cap(s.queue) {
+	isAging := s.maxAge > 0 && now-s.savedAt > s.maxAge/2
+	if revision == s.savedRevision && !isAging || now-s.savedAt < saveInterval || len(s.queue) == cap(s.queue) {
 		return
 	}
 	s.queue <- entries() // the control goroutine is the only sender
@@ -102,7 +115,7 @@
 	if err != nil {
 		return err
 	}
-	data, err := cbor.Marshal(entries)
+	data, err := cbor.Marshal(savedEntries[T]{AtMillis: time.Now().UnixMilli(), Entries: entries})
 	if err != nil {
 		return result.Wrapf(err, result.Internal, "encode %s", s.file)
 	}
--- /dev/null
+++ b/internal/process/controller/withdraw_test.go
@@ -0,0 +1,92 @@
+package controller
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/hashicorp/go-hclog"
+	"github.com/shoenig/test/must"
+
+	"heatherport/internal/result"
+	"heatherport/internal/version/directory"
+	"heatherport/internal/version/vfs"
+)
+
+// runControl handles the posted events until the test ends.
+func (c *Controller) runControl(t *testing.T) {
+	go func() {
+		for {
+			select {
+			case <-t.Context().Done():
+				return
+			case event := <-c.events:
+				event()
+			}
+		}
+	}()
+}
+
+// A withdrawal names no incarnation. One that a controller reads after it stood still
+// may end an incarnation that started since: its sender has called another controller,
+// exited and started again under the same identifier.
+func TestWithdrawalReadAfterAStallIsRefused(t *testing.T) {
+	c := fedController(t, 2)
+	now := time.Hour
+	c.clock = func() time.Duration { return now }
+	c.stall.Tick(now)
+	now += stallLimit + 1
+	c.runControl(t)
+	must.Eq(t, result.NotReady, result.CodeOf(c.Withdraw(t.Context(), "i-1")))
+	must.Eq(t, directory.Serving, c.directory.Get("i-1").State)
+}
+
+// The caller of a withdrawal that waited for the control goroutine may have given up
+// and called another controller.
+func TestWithdrawalOfACallerThatGaveUpIsDropped(t *testing.T) {
+	c := fedController(t, 2)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- c.Withdraw(ctx, "i-1") }()
+	event := <-c.events
+	cancel()
+	must.Error(t, <-done)
+	event()
+	must.Eq(t, directory.Serving, c.directory.Get("i-1").State)
+}
+
+// Other controllers forget upstreams that have ended after the retention. A controller
+// that was down for longer must not bring them back from its disk.
+func TestSavedUpstreamsOlderThanTheRetentionAreNotUsed(t *testing.T) {
+	const retention = time.Minute
+	for _, age := range []time.Duration{0, retention / 2, 2 * retention} {
+		dir := t.TempDir()
+		s := newHintStore[directory.Record](dir, upstreamsFile, retention, hclog.NewNullLogger())
+		folder, err := vfs.Dir(dir)
+		must.NoError(t, err)
+		data, err := cbor.Marshal(savedEntries[directory.Record]{
+			AtMillis: time.Now().Add(-age).UnixMilli(), Entries: []directory.Record{announcement(directory.Serving, 1)},
+		})
+		must.NoError(t, err)
+		must.NoError(t, replaceFile(folder, upstreamsFile, data))
+		must.Eq(t, age < retention, len(s.load()) == 1, must.Sprint(age))
+	}
+}
+
+// Without changes the saved state is written again, so that it does not count as old.
+func TestUnchangedStateIsSavedAgainWithinTheRetention(t *testing.T) {
+	s := newHintStore[int](t.TempDir(), upstreamsFile, time.Minute, hclog.NewNullLogger())
+	saves := 0
+	for now := 2 * time.Second; now < 2*time.Minute; now += controlInterval {
+		s.save(now, 7, func() []int {
+			saves++
+			return nil
+		})
+		select {
+		case <-s.queue:
+		default:
+		}
+	}
+	must.Between(t, 3, saves, 5)
+}
