balancer: what a stalled balancer reads late says nothing of upstreams

Cause: after a pause of seconds a balancer took its own pause for the time of the answers that it then read. The latency ratio passed the overload limit, and new connections were refused. A suspicion from before the pause was reported without its age and counted as new, and opening packets that waited during the pause were placed, although their callers had sent copies through other balancers or given up.

Change: packets that may have waited unread are not measured, pending requests and unreported suspicions are discarded after a stall, and openings that waited here during it are dropped.

--- a/internal/connection/affinity/affinity.go
+++ b/internal/connection/affinity/affinity.go
@@ -62,6 +62,9 @@
 	Repeat time.Duration
 	// Held reports that the packet waited at this balancer.
 	Held bool
+	// Delayed reports that the packet may have waited unread while the process stood
+	// still, so that its time says nothing of the upstream.
+	Delayed bool
 }
 
 // isFirst reports whether it is certain that no balancer forwarded a copy of an
--- a/internal/connection/affinity/suspicion.go
+++ b/internal/connection/affinity/suspicion.go
@@ -115,7 +115,7 @@
 	}
 	isNewData := p.Length > 0 && (c.requests == 0 || int32(p.Sequence-c.dataEnd) >= 0)
 	if c.requested != 0 && int32(p.Acknowledged-c.requestAck) > 0 {
-		if a := e.answerTime(p.Service); !isNewData && a.isReliable(now) {
+		if a := e.answerTime(p.Service); !isNewData && !p.Delayed && a.isReliable(now) {
 			took = now - c.requested
 			a.add(took)
 			e.recordAnswer(now, r, c.service, took)
@@ -133,7 +133,9 @@
 			e.answerTime(p.Service).lastReuse = now
 		}
 		c.requests++
-		c.requested, c.requestAck, c.reported = now, p.Acknowledged, false
+		if !p.Delayed {
+			c.requested, c.requestAck, c.reported = now, p.Acknowledged, false
+		}
 	}
 	return took
 }
@@ -166,12 +168,14 @@
 }
 
 // IgnorePending raises no suspicions for the requests and openings that are
-// pending. It is called after a stall of the balancer, during which packets
-// were not read: the waiting time is then not that of the upstreams.
+// pending, and does not measure their answers. It is called after a stall of the
+// balancer, during which packets were not read: the waiting time is then not that
+// of the upstreams. Suspicions that were not reported before the stall are old.
 func (e *Engine) IgnorePending() {
 	for _, c := range e.table {
-		c.reported = true
+		c.reported, c.requested = true, 0
 	}
+	e.suspicions = nil
 }
 
 // overdueTimeout returns the time after which an answer at an address is
--- a/internal/process/balancer/forwarder.go
+++ b/internal/process/balancer/forwarder.go
@@ -73,6 +73,24 @@
 	mu      sync.Mutex // guards the fields below and flowLog
 	engine  *affinity.Engine
 	waiting backlog.Queue
+	// lastTick is the time of the last tick, or zero. Packets before delayedUntil
+	// may have waited unread during a stall.
+	lastTick, delayedUntil time.Duration
+}
+
+// ticked records a tick and the stall that ended with it, or zero.
+func (f *forwarder) ticked(now, stalled time.Duration) {
+	f.lastTick = now
+	if stalled > 0 {
+		f.delayedUntil = now + stallDrain
+	}
+}
+
+// isDelayed reports whether a packet that is read now may have waited unread during a
+// stall. Unlike stall.Detector it reads no clock; while a VM is suspended, the times
+// of the engine stand still too.
+func (f *forwarder) isDelayed(now time.Duration) bool {
+	return f.lastTick != 0 && now-f.lastTick > stallLimit || now < f.delayedUntil
 }
 
 func (f *forwarder) start() error {
@@ -99,10 +117,13 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now := time.Since(f.started)
+	f.ticked(now, gap)
 	if gap > 0 {
 		f.engine.IgnorePending()
+		f.releaseWaiting(now)
 	}
-	suspicions := f.engine.Tick(time.Since(f.started), f.view.Load())
+	suspicions := f.engine.Tick(now, f.view.Load())
 	f.metrics.Connections.Set(float64(f.engine.Len()))
 	return suspicions
 }
@@ -137,6 +158,7 @@
 		f.drop(&p, result.CodeOf(err))
 		return
 	}
+	p.Delayed = f.isDelayed(now)
 	if p.Opening && !f.stall.IsOver(f.clock()) {
 		f.drop(&p, result.DropStale)
 		return
@@ -192,12 +214,19 @@
 		return
 	}
 	head := f.codec.Headroom()
+	// The callers of openings that waited here during a stall have sent copies through
+	// other balancers or given up.
+	stalled := !f.stall.IsOver(f.clock())
 	expired := f.waiting.Release(now, func(item backlog.Item) bool {
 		p, err := f.codec.Decode(item.Datagram[head:])
 		if err != nil {
 			f.drop(&p, result.CodeOf(err))
 			return true
 		}
+		if p.Opening && stalled {
+			f.drop(&p, result.DropStale)
+			return true
+		}
 		p.Waited, p.Held = now-item.Began, true
 		return f.decide(now, item.Datagram, head, &p, nil)
 	})
--- a/internal/process/balancer/forwarder_test.go
+++ b/internal/process/balancer/forwarder_test.go
@@ -168,3 +168,40 @@
 	must.Eq(t, append([]byte{7}, testPacket(kindData, 1001, 9)...), h.receive(h.upstream))
 	must.Eq(t, append([]byte{7}, testPacket(kindOpening, 1000, 9)...), h.receive(h.upstream))
 }
+
+// TestOpeningHeldDuringStallIsDropped replays an opening packet that waited here when
+// the process stood still. Its caller has sent copies through other balancers or given
+// up; the packets of open connections still pass.
+func TestOpeningHeldDuringStallIsDropped(t *testing.T) {
+	h := newHarness(t, 0)
+	view := h.view.Load()
+	h.view.Store((&affinity.View{}).Index(nil))
+	h.send(testPacket(kindOpening, 1000, 0))
+	h.send(testPacket(kindData, 1001, 9))
+	eventually(t, "packets wait", func() bool {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return h.waiting.Len() == 2
+	})
+	h.view.Store(view)
+	h.stall.Tick(time.Hour - time.Minute)
+	h.release()
+	must.Eq(t, append([]byte{7}, testPacket(kindData, 1001, 9)...), h.receive(h.upstream))
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	must.Zero(t, h.waiting.Len())
+	must.Eq(t, 1, h.engine.Len())
+}
+
+// TestDelayedPackets checks which packets count as read after a stall: those before the
+// first tick after it, and those that were drained then.
+func TestDelayedPackets(t *testing.T) {
+	f := &forwarder{}
+	must.False(t, f.isDelayed(time.Hour)) // before the first tick
+	f.ticked(time.Second, 0)
+	must.False(t, f.isDelayed(time.Second+stallLimit))
+	must.True(t, f.isDelayed(time.Second+stallLimit+1))
+	f.ticked(4*time.Second, 3*time.Second)
+	must.True(t, f.isDelayed(4*time.Second+stallDrain-1))
+	must.False(t, f.isDelayed(4*time.Second+stallDrain))
+}
