--- a/internal/process/balancer/feeds.go
+++ b/internal/process/balancer/feeds.go
@@ -152,13 +152,15 @@
 		Open: func(conn *stream.Conn) {
 			b.post(func() { b.feedOpened(f, conn) })
 		},
-		Handle: func(_ *stream.Conn, kind stream.Kind, body []byte) {
+		Handle: func(conn *stream.Conn, kind stream.Kind, body []byte) {
 			if kind != controller.KindFeedUpdate {
 				return
 			}
 			var message controller.FeedUpdate
 			if err := stream.Decode(body, &message); err != nil {
-				b.log.Warn("failed to decode feed update", "controller", s.address, "error", err)
+				// Later updates carry only the changes since this one.
+				b.log.Warn("failed to decode feed update; closing feed", "controller", s.address, "error", err)
+				conn.Close()
 				return
 			}
 			b.post(func() { b.applyUpdate(f, &message) })
--- a/internal/process/balancer/feeds_test.go
+++ b/internal/process/balancer/feeds_test.go
@@ -482,3 +482,21 @@
 		return u != nil && u.Lapsed
 	})
 }
+
+// An update that cannot be decoded leaves a gap: later updates carry the changes since
+// it. The feed is closed, and the next one starts from what the balancer holds.
+func TestUndecodableUpdateRestartsFeed(t *testing.T) {
+	fakes := startFakes(t, 1)
+	b := startBalancer(t, fakes...)
+	conn := fakes[0].feed(fullUpdate(t, 1, true))
+	eventually(t, "first version", func() bool { return b.number() == 1 })
+	whole, err := stream.Encode(controller.KindFeedUpdate, controller.FeedUpdate{Confirmed: true, Upstreams: []directory.Record{{ID: "i-1"}}})
+	must.NoError(t, err)
+	// The length of the frame is right, but its body lacks the end.
+	cut := append([]byte(nil), whole[:len(whole)-3]...)
+	cut[3] -= 3
+	must.True(t, conn.Send(cut))
+	next := fakes[0].feed(fullUpdate(t, 2, true))
+	must.NotNil(t, next)
+	eventually(t, "second version", func() bool { return b.number() == 2 })
+}
--- a/internal/process/controller/exchange.go
+++ b/internal/process/controller/exchange.go
@@ -59,7 +59,7 @@
 			}
 		},
 		Handle: func(conn *stream.Conn, kind stream.Kind, body []byte) {
-			c.handleReply(address, kind, body)
+			c.handleReply(conn, address, kind, body)
 		},
 		Close: func(conn *stream.Conn, cause error) {
 			if conn == nil {
@@ -100,24 +100,27 @@
 	}
 }
 
-func (c *Controller) handleReply(from netip.AddrPort, kind stream.Kind, body []byte) {
+func (c *Controller) handleReply(conn *stream.Conn, from netip.AddrPort, kind stream.Kind, body []byte) {
 	switch kind {
 	case KindRecordsAck:
 		var ack RecordsAck
-		if c.decode(body, &ack) {
+		if c.decode(conn, body, &ack) {
 			c.post(func() { c.recordsAcked(ack.Number) })
 		}
 	case KindSubmitResult:
 		var s SubmitResult
-		if c.decode(body, &s) {
+		if c.decode(conn, body, &s) {
 			c.links.finishCall(from, s.Call, s.Accepted)
 		}
 	}
 }
 
-func (c *Controller) decode(body []byte, into any) bool {
+// decode decodes a message. It closes the connection if it cannot: what follows on it
+// assumes that the message was taken, as do acknowledgements.
+func (c *Controller) decode(conn *stream.Conn, body []byte, into any) bool {
 	if err := stream.Decode(body, into); err != nil {
-		c.log.Warn("failed to decode message", "error", err)
+		c.log.Warn("failed to decode message; closing connection", "error", err)
+		conn.Close()
 		return false
 	}
 	return true
@@ -129,45 +132,45 @@
 	switch kind {
 	case KindRaft:
 		var m raft.Message
-		if c.decode(body, &m) {
+		if c.decode(conn, body, &m) {
 			c.peers.touch(m.From)
 			c.consensus.receive(m)
 		}
 	case KindHello:
 		var h Hello
-		if c.decode(body, &h) {
+		if c.decode(conn, body, &h) {
 			c.handleHello(h)
 		}
 	case KindRecords:
 		var r Records
-		if c.decode(body, &r) {
+		if c.decode(conn, body, &r) {
 			c.post(func() { c.mergeRecords(conn, r) })
 		}
 	case KindRenewals:
 		var r Renewals
-		if c.decode(body, &r) {
+		if c.decode(conn, body, &r) {
 			c.post(func() { c.directory.Renew(c.now(), r.Tags) })
 		}
 	case KindSuspicionReport:
 		var d SuspicionReport
-		if c.decode(body, &d) {
+		if c.decode(conn, body, &d) {
 			c.post(func() { c.handleSuspicions(conn, d) })
 		}
 	case KindBalancers:
 		var b Balancers
-		if c.decode(body, &b) {
+		if c.decode(conn, body, &b) {
 			c.post(func() { c.balancers.add(c.now(), b.Addresses...) })
 		}
 	case KindSubmit:
 		var s Submit
-		if c.decode(body, &s) {
+		if c.decode(conn, body, &s) {
 			c.consensus.propose(s.Data, func(accepted bool) {
 				c.reply(conn, KindSubmitResult, SubmitResult{Call: s.Call, Accepted: accepted})
 			})
 		}
 	case KindSubscribe:
 		var s Subscribe
-		if c.decode(body, &s) {
+		if c.decode(conn, body, &s) {
 			c.post(func() { c.subscribe(conn, s) })
 		}
 	}
--- a/internal/process/controller/exchange_test.go
+++ b/internal/process/controller/exchange_test.go
@@ -12,6 +12,7 @@
 	"heatherport/internal/process/metrics"
 	"heatherport/internal/process/settings"
 	"heatherport/internal/process/stream"
+	"heatherport/internal/version/directory"
 )
 
 // TestPeerGetsFullStateBeforeChanges checks that nothing is broadcast on a
@@ -33,3 +34,20 @@
 	sendState()
 	must.Eq(t, 1, c.links.broadcast(frame))
 }
+
+// An acknowledgement covers all earlier messages of the connection. One that cannot be
+// decoded must end the connection, or the next acknowledgement would confirm to an
+// upstream that another controller knows that it leaves.
+func TestUndecodableRecordsEndTheConnection(t *testing.T) {
+	c := fedController(t, 0)
+	ours, theirs := net.Pipe()
+	defer theirs.Close()
+	conn := stream.NewConn(ours)
+	frame, err := stream.Encode(KindRecords, Records{Number: 1, Records: []directory.Record{announcement(directory.Leaving, 1)}})
+	must.NoError(t, err)
+	_, body, _ := stream.DecodeFrame(frame)
+	c.handleMessage(conn, KindRecords, body[:len(body)-1])
+	must.False(t, conn.Send(frame))
+	c.handleMessage(stream.NewConn(ours), KindRecords, body)
+	must.Eq(t, 1, len(c.events))
+}
--- a/internal/process/stream/stream_test.go
+++ b/internal/process/stream/stream_test.go
@@ -221,3 +221,23 @@
 	_, err := dial(t.Context(), func(context.Context) (net.Conn, error) { return nil, refused })
 	must.ErrorIs(t, err, refused)
 }
+
+// A message whose connection ends halfway must not be handled: a part of a feed update
+// would pass for the whole.
+func TestTruncatedMessageIsNotHandled(t *testing.T) {
+	frame, err := Encode(7, []string{"all", "upstreams"})
+	must.NoError(t, err)
+	for length := range len(frame) {
+		ours, theirs := net.Pipe()
+		go func() {
+			_, _ = theirs.Write(frame[:length])
+			theirs.Close()
+		}()
+		handled := 0
+		err := NewConn(ours).read(func(*Conn, Kind, []byte) { handled++ })
+		must.Error(t, err)
+		must.Zero(t, handled, must.Sprint(length))
+		_, _, ok := DecodeFrame(frame[:length])
+		must.False(t, ok)
+	}
+}
--- a/internal/version/register/register.go
+++ b/internal/version/register/register.go
@@ -141,19 +141,22 @@
 	return s.encode()
 }
 
-// Restore replaces the state with a snapshot taken at index.
+// Restore replaces the state with a snapshot taken at index. An invalid snapshot changes
+// nothing.
 func (r *Register) Restore(index uint64, data []byte) error {
-	*r = Register{index: index}
-	if len(data) == 0 {
-		return nil
-	}
-	s, err := decodeStored(data)
-	if err != nil {
-		return err
-	}
-	if len(s.Evacuations) > 0 {
-		r.evacuations = newEvacuations(s.Evacuations)
+	restored := Register{index: index}
+	if len(data) > 0 {
+		s, err := decodeStored(data)
+		if err != nil {
+			return err
+		}
+		if len(s.Evacuations) > 0 {
+			restored.evacuations = newEvacuations(s.Evacuations)
+		}
+		if _, err := restored.applyDocument(s); err != nil {
+			return err
+		}
 	}
-	_, err = r.applyDocument(s)
-	return err
+	*r = restored
+	return nil
 }
--- a/internal/version/register/register_test.go
+++ b/internal/version/register/register_test.go
@@ -60,3 +60,25 @@
 		must.Eq(t, 0, r.Document().Number)
 	}
 }
+
+// A snapshot that was cut off must not replace the state: configuration and evacuations
+// would be forgotten.
+func TestTruncatedSnapshotChangesNothing(t *testing.T) {
+	var r Register
+	document, err := Document{Number: 3, Body: []byte("routes of the season")}.Encode()
+	must.NoError(t, err)
+	_, err = r.Apply(1, document)
+	must.NoError(t, err)
+	order, err := Order{Domain: "akure", Evacuate: true}.Encode()
+	must.NoError(t, err)
+	_, err = r.Apply(2, order)
+	must.NoError(t, err)
+	snapshot, err := r.Snapshot()
+	must.NoError(t, err)
+	for length := 1; length < len(snapshot); length++ {
+		must.Eq(t, result.StorageCorrupt, result.CodeOf(r.Restore(9, snapshot[:length])))
+		must.Eq(t, 2, r.Index())
+		must.Eq(t, 3, r.Document().Number)
+		must.Len(t, 1, r.Evacuations().Active())
+	}
+}
