controller: a feed confirms only a state that a read has confirmed

Cause: a feed was marked as confirmed as soon as its controller knew a leader. A controller that was down while an evacuation was ordered hears the leader before it has the entries that it missed, so that a starting balancer became ready with the older state and opened connections to the evacuated domain. A controller that stood still confirmed its old state until its first tick.

Change: once it finds a leader, a controller confirms its state by a linearizable read, repeated after 100 ms while the link to the leader is not open. The result reaches the feeds after the evacuations and the table that it covers. After a stall nothing is confirmed until what arrived meanwhile is read.

The effect on the time until balancers are ready after an outage was not measured.

--- a/internal/process/controller/consensus.go
+++ b/internal/process/controller/consensus.go
@@ -37,6 +37,9 @@
 	reopenInterval = 500 * time.Millisecond
 	// membershipInterval is the time between two checks of the membership.
 	membershipInterval = 200 * time.Millisecond
+	// confirmRetry is the time after which a read that confirms the state is repeated:
+	// the link to the leader may not have been open.
+	confirmRetry = 100 * time.Millisecond
 	// bootstrapWait is how long a new leader waits for the full number of voters
 	// before it accepts documents with fewer.
 	bootstrapWait = 4 * time.Second
@@ -58,6 +61,9 @@
 	InForce func(register.Document)
 	// Evacuated is called with the evacuations when they change.
 	Evacuated func(*register.Evacuations)
+	// Confirmed is called when it changes whether the state that was passed on holds
+	// all that had been acknowledged when the leader was found.
+	Confirmed func(bool)
 	// Controllers returns the known controllers by ID.
 	Controllers func() map[string]candidate
 }
@@ -94,9 +100,11 @@
 	lastPlan        time.Time
 	lastReopen      time.Time
 	logBytes        int
-	publishedNumber uint64 // number of the last document passed to InForce
-	publishedIndex  uint64 // index of the last evacuations passed to Evacuated
-	snapshotIndex   uint64 // index of the last snapshot
+	confirmed       bool      // last value passed to Confirmed
+	confirmingSince time.Time // start of the last read that confirms the state
+	publishedNumber uint64    // number of the last document passed to InForce
+	publishedIndex  uint64    // index of the last evacuations passed to Evacuated
+	snapshotIndex   uint64    // index of the last snapshot
 }
 
 func newConsensus(cfg consensusConfig) *consensus {
@@ -255,6 +263,7 @@
 	}
 	c.replica = nil
 	c.soft = raft.SoftState{}
+	c.setConfirmed(false)
 	c.failProposals()
 	c.failReads()
 	c.lastReopen = time.Now()
@@ -290,9 +299,38 @@
 		c.confirmRead(r)
 	}
 	c.answerReads()
+	c.confirmState()
 	c.compact()
 }
 
+// confirmState finds out, once there is a leader, whether this replica holds all that
+// has been acknowledged. One that was down or cut off knows the leader before it has
+// the entries that it missed.
+func (c *consensus) confirmState() {
+	if c.soft.Leader == "" {
+		c.setConfirmed(false)
+		return
+	}
+	if c.confirmed || time.Since(c.confirmingSince) < confirmRetry {
+		return
+	}
+	c.confirmingSince = time.Now()
+	c.readLatest(func(state *register.Register) {
+		if state != nil && c.soft.Leader != "" {
+			c.setConfirmed(true)
+		}
+	})
+}
+
+func (c *consensus) setConfirmed(confirmed bool) {
+	if c.confirmed == confirmed {
+		return
+	}
+	c.confirmed = confirmed
+	c.confirmingSince = time.Time{}
+	c.cfg.Confirmed(confirmed)
+}
+
 func (c *consensus) setSoftState(s raft.SoftState) {
 	if s == c.soft {
 		return
--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -89,6 +89,7 @@
 	directory           *directory.Directory
 	table               *routing.Table
 	evacuations         *Evacuations
+	confirmed           bool // table and evacuations hold all that was acknowledged
 	subscribers         map[*stream.Conn]*subscriber
 	encoded             feedFrames // updates to the last state that was sent
 	lastFed             feedState  // at lastFeedTime
@@ -141,7 +142,7 @@
 	}
 	c.consensus = newConsensus(consensusConfig{
 		DataDir: s.VM.DataDir, Self: c.self, InitialVoters: initialVoters, ToleratedDiskLosses: s.ToleratedDiskLosses,
-		Log: cfg.Log.Named("log"), Metrics: cfg.Metrics, Send: c.sendLog, InForce: c.inForce, Evacuated: c.evacuated, Controllers: c.peers.candidates,
+		Log: cfg.Log.Named("log"), Metrics: cfg.Metrics, Send: c.sendLog, InForce: c.inForce, Evacuated: c.evacuated, Confirmed: c.confirm, Controllers: c.peers.candidates,
 	})
 	return c
 }
@@ -339,3 +340,8 @@
 		}
 	}
 }
+
+// confirm takes whether the state that the log passed on before is the newest.
+func (c *Controller) confirm(confirmed bool) {
+	c.events <- func() { c.confirmed = confirmed }
+}
--- a/internal/process/controller/evacuation_test.go
+++ b/internal/process/controller/evacuation_test.go
@@ -152,3 +152,40 @@
 		must.Eq(t, c.evacuations, m.Evacuations)
 	}
 }
+
+// A controller that was down while an evacuation was ordered must not tell a starting
+// balancer that its state is confirmed before it holds the order: the balancer would
+// become ready and open connections to the evacuated domain.
+func TestRestartedControllerConfirmsOnlyTheNewestState(t *testing.T) {
+	f := newCluster(t)
+	f.submit(f.vms[0], 1)
+	for range 8 {
+		l := f.leader()
+		v := f.vms[0]
+		if v == l {
+			v = f.vms[1]
+		}
+		f.stop(v)
+		f.evacuate(l, l.self.Domain, true)
+		f.evacuate(l, l.self.Domain, false)
+		for range 20 {
+			f.submit(l, l.consensus.Status().Number+1)
+		}
+		want := l.consensus.Status().Evacuations.Index()
+		f.start(v, false)
+		balancer := f.subscribe(v, "b-1")
+		index := uint64(0)
+		for confirmed := false; !confirmed; {
+			select {
+			case m := <-balancer.feeds:
+				if m.Evacuations != nil {
+					index = m.Evacuations.Index
+				}
+				confirmed = m.Confirmed
+			case <-time.After(waitTimeout):
+				t.Fatal("the state is not confirmed")
+			}
+		}
+		must.Eq(t, want, index)
+	}
+}
--- a/internal/process/controller/feed.go
+++ b/internal/process/controller/feed.go
@@ -42,7 +42,7 @@
 	}
 	now := feedState{
 		table: c.table, revision: c.directory.Revision(),
-		evacuations: c.evacuations, confirmed: c.consensus.Status().Leader != "", controllers: append(c.peers.members(peerMaxAge), c.member()),
+		evacuations: c.evacuations, confirmed: c.confirmed && c.stall.IsOver(c.clock()), controllers: append(c.peers.members(peerMaxAge), c.member()),
 	}
 	for conn, s := range c.subscribers {
 		if !s.started {
--- a/internal/process/controller/stall_test.go
+++ b/internal/process/controller/stall_test.go
@@ -71,3 +71,25 @@
 	}
 	must.Eq(t, c.directory.Revision(), c.subscribers[some].state.revision)
 }
+
+// A controller that stood still holds a state that others have changed since. It must
+// not confirm it to a starting balancer before it has read what arrived meanwhile.
+func TestStateIsNotConfirmedAfterAStall(t *testing.T) {
+	c := fedController(t, 0)
+	c.confirmed = true
+	now := time.Hour
+	c.clock = func() time.Duration { return now }
+	c.stall.Tick(now)
+	c.lastFeedTime = -feedInterval
+	c.feedAll()
+	must.True(t, c.lastFed.confirmed)
+	now += stallLimit + 1
+	c.lastFeedTime -= urgentFeedInterval
+	c.feedAll()
+	must.False(t, c.lastFed.confirmed)
+	c.stall.Tick(now)
+	now += stallDrain
+	c.lastFeedTime -= urgentFeedInterval
+	c.feedAll()
+	must.True(t, c.lastFed.confirmed)
+}
