--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -83,6 +83,7 @@
 	addresses *hintStore[netip.Addr] // of balancers
 	events    chan func()
 	cancel    context.CancelFunc
+	calls     *callTracker
 	listener  net.Listener
 	diskTasks sync.WaitGroup // goroutines that use the data folder
 
@@ -92,6 +93,7 @@
 	evacuations         *Evacuations
 	fleets              fleetTable
 	ends                map[string]evacuationEnd // last end of an evacuation, by domain
+	confirmed           bool // table and evacuations hold all that was acknowledged
 	subscribers         map[*stream.Conn]*subscriber
 	encoded             feedFrames // updates to the last state that was sent
 	lastFed             feedState  // at lastFeedTime
@@ -121,13 +123,14 @@
 		self:      Member{Domain: s.VM.Domain, Link: s.Link.Advertise, API: s.API},
 		started:   time.Now(),
 		peers:     newPeerTable(),
-		upstreams: newHintStore[directory.Record](s.VM.DataDir, upstreamsFile, cfg.Log.Named("upstreams")),
-		addresses: newHintStore[netip.Addr](s.VM.DataDir, balancersFile, cfg.Log.Named("balancers")),
+		upstreams: newHintStore[directory.Record](s.VM.DataDir, upstreamsFile, s.Lifetime, cfg.Log.Named("upstreams")),
+		addresses: newHintStore[netip.Addr](s.VM.DataDir, balancersFile, 0, cfg.Log.Named("balancers")),
 		balancers: newBalancerTable(),
 		fleets:    fleetTable{byController: make(map[string]*Fleet)},
 		stall:     stall.NewDetector(stallLimit, stallDrain),
 		clock:     stall.Clock,
 		events:    make(chan func(), eventQueue),
+		calls:     newCallTracker(),
 		directory: directory.New(directory.Config{
 			LapseAfter: lapseHeartbeats * s.Heartbeat,
 			Retention:  s.Lifetime,
@@ -146,7 +149,7 @@
 	}
 	c.consensus = newConsensus(consensusConfig{
 		DataDir: s.VM.DataDir, Self: c.self, InitialVoters: initialVoters, ToleratedDiskLosses: s.ToleratedDiskLosses,
-		Log: cfg.Log.Named("log"), Metrics: cfg.Metrics, Send: c.sendLog, InForce: c.inForce, Evacuated: c.evacuated, Controllers: c.peers.candidates,
+		Log: cfg.Log.Named("log"), Metrics: cfg.Metrics, Send: c.sendLog, InForce: c.inForce, Evacuated: c.evacuated, Confirmed: c.confirm, Controllers: c.peers.candidates,
 	})
 	return c
 }
@@ -193,12 +196,20 @@
 	return nil
 }
 
-// leadershipTransferTime is the time for a transfer of leadership, which takes
-// two round trips and a disk sync.
-const leadershipTransferTime = 300 * time.Millisecond
+const (
+	// leadershipTransferTime is the time for a transfer of leadership, which takes
+	// two round trips and a disk sync.
+	leadershipTransferTime = 300 * time.Millisecond
+	// flushTime is the time in which queued messages reach the other controllers and
+	// the directory is saved.
+	flushTime = 50 * time.Millisecond
+)
 
-// Stop transfers leadership and stops all parts.
+// Stop rejects further calls, transfers leadership, waits for the calls in progress
+// and stops all parts. What upstreams announced last is sent to the other controllers
+// and saved before.
 func (c *Controller) Stop(ctx context.Context) error {
+	c.calls.stop()
 	if c.consensus.Status().IsLeader {
 		c.consensus.transferLeadership()
 		select {
@@ -206,9 +217,22 @@
 		case <-time.After(leadershipTransferTime):
 		}
 	}
+	c.calls.wait(ctx)
+	c.post(c.flush)
+	select {
+	case <-ctx.Done():
+	case <-time.After(flushTime):
+	}
 	return c.shutDown(ctx)
 }
 
+// flush sends and saves what has changed since the last tick.
+func (c *Controller) flush() {
+	c.shareChanges()
+	c.sendRenewals()
+	c.upstreams.saveLast(c.directory.Since(0))
+}
+
 // shutDown stops all parts without a transfer of leadership. If the disk stalls,
 // it waits until ctx is done.
 func (c *Controller) shutDown(ctx context.Context) error {
@@ -329,3 +353,8 @@
 		}
 	}
 }
+
+// confirm takes whether the state that the log passed on before is the newest.
+func (c *Controller) confirm(confirmed bool) {
+	c.events <- func() { c.confirmed = confirmed }
+}
--- a/internal/process/controller/exchange.go
+++ b/internal/process/controller/exchange.go
@@ -94,25 +94,28 @@
 	switch kind {
 	case KindDiffering:
 		var d Differing
-		if c.decode(body, &d) && !c.post(func() { c.synchronize(from, conn, d) }) {
+		if c.decode(conn, body, &d) && !c.post(func() { c.synchronize(from, conn, d) }) {
 			conn.Close()
 		}
 	case KindRecordsAck:
 		var ack RecordsAck
-		if c.decode(body, &ack) {
+		if c.decode(conn, body, &ack) {
 			c.post(func() { c.recordsAcked(ack.Number) })
 		}
 	case KindSubmitResult:
 		var s SubmitResult
-		if c.decode(body, &s) {
+		if c.decode(conn, body, &s) {
 			c.links.finishCall(from, s.Call, s.Accepted)
 		}
 	}
 }
 
-func (c *Controller) decode(body []byte, into any) bool {
+// decode decodes a message. It closes the connection if it cannot: what follows on it
+// assumes that the message was taken, as do acknowledgements.
+func (c *Controller) decode(conn *stream.Conn, body []byte, into any) bool {
 	if err := stream.Decode(body, into); err != nil {
-		c.log.Warn("failed to decode message", "error", err)
+		c.log.Warn("failed to decode message; closing connection", "error", err)
+		conn.Close()
 		return false
 	}
 	return true
@@ -124,18 +127,18 @@
 	switch kind {
 	case KindRaft:
 		var m raft.Message
-		if c.decode(body, &m) {
+		if c.decode(conn, body, &m) {
 			c.peers.touch(m.From)
 			c.consensus.receive(m)
 		}
 	case KindHello:
 		var h Hello
-		if c.decode(body, &h) {
+		if c.decode(conn, body, &h) {
 			c.handleHello(h)
 		}
 	case KindDigests:
 		var d Digests
-		if c.decode(body, &d) {
+		if c.decode(conn, body, &d) {
 			c.post(func() {
 				_, buckets := c.directory.Differing(d.Digests)
 				c.reply(conn, KindDiffering, Differing{Revision: d.Revision, Buckets: buckets})
@@ -143,39 +146,39 @@
 		}
 	case KindRecords:
 		var r Records
-		if c.decode(body, &r) {
+		if c.decode(conn, body, &r) {
 			c.post(func() { c.mergeRecords(conn, r) })
 		}
 	case KindRenewals:
 		var r Renewals
-		if c.decode(body, &r) {
+		if c.decode(conn, body, &r) {
 			c.post(func() { c.directory.Renew(c.now(), r.Tags) })
 		}
 	case KindSuspicionReport:
 		var d SuspicionReport
-		if c.decode(body, &d) {
+		if c.decode(conn, body, &d) {
 			c.post(func() { c.handleSuspicions(conn, d) })
 		}
 	case KindBalancers:
 		var b Balancers
-		if c.decode(body, &b) {
+		if c.decode(conn, body, &b) {
 			c.post(func() { c.balancers.add(c.now(), b.Addresses...) })
 		}
 	case KindFleet:
 		var f Fleet
-		if c.decode(body, &f) {
+		if c.decode(conn, body, &f) {
 			c.post(func() { c.handleFleet(&f) })
 		}
 	case KindSubmit:
 		var s Submit
-		if c.decode(body, &s) {
+		if c.decode(conn, body, &s) {
 			c.consensus.propose(s.Data, func(accepted bool) {
 				c.reply(conn, KindSubmitResult, SubmitResult{Call: s.Call, Accepted: accepted})
 			})
 		}
 	case KindSubscribe:
 		var s Subscribe
-		if c.decode(body, &s) {
+		if c.decode(conn, body, &s) {
 			c.post(func() { c.subscribe(conn, s) })
 		}
 	}
