--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -93,7 +93,7 @@
 	evacuations         *Evacuations
 	fleets              fleetTable
 	ends                map[string]evacuationEnd // last end of an evacuation, by domain
-	confirmed           bool // table and evacuations hold all that was acknowledged
+	confirmed           bool                     // table and evacuations hold all that was acknowledged
 	subscribers         map[*stream.Conn]*subscriber
 	encoded             feedFrames // updates to the last state that was sent
 	lastFed             feedState  // at lastFeedTime
