affinity, balancer: tests of permits and queues; cheap new views

Permits are counted for each upstream apart from spillover: an upstream with one of each took no more connections of the own share.

--- a/internal/connection/affinity/affinity.go
+++ b/internal/connection/affinity/affinity.go
@@ -369,8 +369,8 @@
 	e.upstreamState(c.cookie).open++
 	e.limiter(c.service).open++
 	if p := e.pools[c.service]; p != nil && e.hasShares && u != nil {
-		c.permit = p.takePermit(u)
-		c.crowd = p.crowd(u, e.openAt(u.Cookie))
+		c.permit = p.takePermit(u, e.upstreamState(c.cookie))
+		c.crowd = p.crowd(u, e.upstreams[c.cookie].open)
 		c.calm = p.isCalm(now)
 	}
 }
--- a/internal/connection/affinity/affinity_test.go
+++ b/internal/connection/affinity/affinity_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"heatherport/internal/load/share"
 	"heatherport/internal/result"
 	"heatherport/internal/version/directory"
 	"heatherport/internal/version/routing"
@@ -28,6 +29,7 @@
 	upstreams []Upstream
 	routes    *routing.Table
 	lastStart int64 // start time of the newest upstream
+	balancers []share.Balancer
 }
 
 func newFixture(permits, sheets int) *fixture {
@@ -59,7 +61,7 @@
 }
 
 func (f *fixture) view() *View {
-	v := &View{Routes: f.routes, Current: true}
+	v := &View{Routes: f.routes, Current: true, Balancers: f.balancers}
 	return v.Index(append([]Upstream(nil), f.upstreams...))
 }
 
--- a/internal/connection/affinity/pool.go
+++ b/internal/connection/affinity/pool.go
@@ -1,6 +1,7 @@
 package affinity
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -40,8 +41,9 @@
 	own        []ownUpstream
 	permits    int
 	ownOpen    int // connections that hold a permit
+	division   division
 	domains    []string
-	byDomain   map[string][]*Upstream // without upstreams that are wholly in the own share
+	byDomain   map[string][]*Upstream // upstreams in other shares
 	spillover  *spill.Limiter
 	cold       []*Upstream // in a slow start that this balancer owns
 	lanes      []*lane
@@ -90,7 +92,7 @@
 	}
 	p := e.pools[service]
 	if p == nil {
-		p = &pool{service: service, created: now, spillover: spill.New(0)}
+		p = &pool{service: service, created: now, byDomain: make(map[string][]*Upstream), spillover: spill.New(0)}
 		e.pools[service] = p
 		e.poolOrder = append(e.poolOrder, p)
 		e.refreshPool(now, v, p)
@@ -112,44 +114,86 @@
 
 // refreshPool computes the own share of a service.
 func (e *Engine) refreshPool(now time.Duration, v *View, p *pool) {
-	p.own, p.permits, p.domains, p.byDomain = p.own[:0], 0, p.domains[:0], make(map[string][]*Upstream)
-	p.cold = p.cold[:0]
+	p.own, p.cold, p.permits = p.own[:0], p.cold[:0], 0
+	for d, upstreams := range p.byDomain {
+		p.byDomain[d] = upstreams[:0]
+	}
 	if !e.hasShares {
 		return
 	}
-	var upstreams []*Upstream
-	var slots []share.Upstream
-	for _, u := range v.byService[p.service] {
+	warm := p.splitCold(now, v.byService[p.service])
+	total := 0.0
+	for i, s := range p.division.shares(e.cfg.Name, v.Balancers, warm) {
+		total += s
+		if s > minShare {
+			p.own = append(p.own, ownUpstream{warm[i], s, int(math.Ceil(permitsPerSlot * s))})
+		}
+	}
+	p.updateDomains(warm)
+	p.permits = max(int(math.Round(permitsPerSlot*total)), 1)
+	p.spillover.Resize(float64(p.permits) / float64(max(len(p.domains), 1)))
+	e.updateAvoidance(now, v, p)
+}
+
+// splitCold returns the upstreams that are not in a slow start, in a fixed order, and
+// keeps those in one that this balancer owns.
+func (p *pool) splitCold(now time.Duration, upstreams []*Upstream) []*Upstream {
+	warm := make([]*Upstream, 0, len(upstreams))
+	for _, u := range upstreams {
 		switch {
 		case now >= u.ColdUntil:
-			upstreams = append(upstreams, u)
-			slots = append(slots, share.Upstream{ID: u.ID, Domain: u.Domain, Slots: max(int(u.Slots), 1)})
+			warm = append(warm, u)
 		case u.Owned:
 			p.cold = append(p.cold, u)
 		}
 	}
-	total := 0.0
-	for i, s := range share.Of(e.cfg.Name, v.Balancers, slots) {
-		u := upstreams[i]
-		total += s
-		if s > minShare {
-			p.own = append(p.own, ownUpstream{u, s, int(math.Ceil(permitsPerSlot * s))})
+	slices.SortFunc(warm, func(a, b *Upstream) int { return cmp.Compare(a.Handle, b.Handle) })
+	return warm
+}
+
+// updateDomains lists the upstreams in other shares by domain. If each upstream is
+// partly in the own share, those are taken that are not wholly.
+func (p *pool) updateDomains(upstreams []*Upstream) {
+	for _, most := range []float64{minShare, math.Inf(1)} {
+		p.domains = p.domains[:0]
+		for i, u := range upstreams {
+			if own := p.division.own[i]; own > most || own > float64(p.division.upstreams[i].Slots)-minShare {
+				continue
+			}
+			if len(p.byDomain[u.Domain]) == 0 {
+				p.domains = append(p.domains, u.Domain)
+			}
+			p.byDomain[u.Domain] = append(p.byDomain[u.Domain], u)
 		}
-		if s < float64(slots[i].Slots)-minShare {
-			p.addOther(u)
+		if len(p.domains) > 0 {
+			break
 		}
 	}
 	slices.Sort(p.domains)
-	p.permits = max(int(math.Round(permitsPerSlot*total)), 1)
-	p.spillover.Resize(float64(p.permits) / float64(max(len(p.domains), 1)))
-	e.updateAvoidance(now, v, p)
 }
 
-func (p *pool) addOther(u *Upstream) {
-	if p.byDomain[u.Domain] == nil {
-		p.domains = append(p.domains, u.Domain)
+// division is the own share of the slots of a service, which is computed again only
+// if upstreams or balancers change: most new views differ in other things.
+type division struct {
+	balancers []share.Balancer
+	upstreams []share.Upstream
+	own       []float64
+}
+
+// shares returns the share of the balancer named self in each upstream.
+func (d *division) shares(self string, balancers []share.Balancer, upstreams []*Upstream) []float64 {
+	isSame := len(d.upstreams) == len(upstreams) && slices.Equal(d.balancers, balancers)
+	d.upstreams = slices.Grow(d.upstreams[:min(len(d.upstreams), len(upstreams))], len(upstreams))[:len(upstreams)]
+	for i, u := range upstreams {
+		x := share.Upstream{ID: u.ID, Domain: u.Domain, Slots: max(int(u.Slots), 1)}
+		isSame = isSame && d.upstreams[i] == x
+		d.upstreams[i] = x
+	}
+	if !isSame {
+		d.balancers = balancers
+		d.own = share.Of(self, balancers, d.upstreams)
 	}
-	p.byDomain[u.Domain] = append(p.byDomain[u.Domain], u)
+	return d.own
 }
 
 // updateAvoidance counts the upstreams of a service that new connections avoid.
@@ -192,19 +236,21 @@
 // permit is what a connection takes from a pool while it counts as load.
 type permit struct {
 	pool      *pool
+	upstream  *upstreamState
 	spillover bool
 	domain    string // of the upstream
 }
 
 // takePermit counts a connection to u as one of the own share while there is room
 // for it, otherwise as spillover.
-func (p *pool) takePermit(u *Upstream) permit {
-	if p.ownOpen < p.permits && p.indexOf(u) >= 0 {
+func (p *pool) takePermit(u *Upstream, state *upstreamState) permit {
+	if i := p.indexOf(u); i >= 0 && p.ownOpen < p.permits && state.own < p.own[i].permits {
 		p.ownOpen++
-		return permit{pool: p}
+		state.own++
+		return permit{pool: p, upstream: state}
 	}
 	p.spillover.Opened(u.Domain)
-	return permit{pool: p, spillover: true, domain: u.Domain}
+	return permit{pool: p, upstream: state, spillover: true, domain: u.Domain}
 }
 
 // release returns the permit. It does nothing for the zero permit.
@@ -215,6 +261,7 @@
 		m.pool.spillover.Closed(now, m.domain)
 	default:
 		m.pool.ownOpen--
+		m.upstream.own--
 	}
 	*m = permit{}
 }
--- a/internal/connection/affinity/share_choice.go
+++ b/internal/connection/affinity/share_choice.go
@@ -59,8 +59,8 @@
 	}
 	for i := range p.own {
 		o := &p.own[i]
-		open := e.openAt(o.Cookie)
-		if open >= o.permits || !e.isOpenTo(now, r, o.Upstream) || skip(now, p, o.Upstream) || !e.answersInTime(p, r.route, o) {
+		open, own := e.openAt(o.Cookie)
+		if own >= o.permits || !e.isOpenTo(now, r, o.Upstream) || skip(now, p, o.Upstream) || !e.answersInTime(p, r.route, o) {
 			continue
 		}
 		best.candidates++
@@ -117,18 +117,20 @@
 	for range draws {
 		u := from[e.cfg.Rand.IntN(len(from))]
 		if e.isOpenTo(now, r, u) && !e.isAvoided(now, p, u) && !e.answersLate(now, p, r.route, u) {
-			return room{upstream: u, load: float64(e.openAt(u.Cookie)+1) * e.workOf(p, u.Cookie)}
+			open, _ := e.openAt(u.Cookie)
+			return room{upstream: u, load: float64(open+1) * e.workOf(p, u.Cookie)}
 		}
 	}
 	return room{}
 }
 
-// openAt returns the number of open connections to an upstream.
-func (e *Engine) openAt(cookie uint32) int {
+// openAt returns the number of open connections to an upstream, and how many of them
+// hold a permit.
+func (e *Engine) openAt(cookie uint32) (open, own int) {
 	if s := e.upstreams[cookie]; s != nil {
-		return s.open
+		return s.open, s.own
 	}
-	return 0
+	return 0, 0
 }
 
 // chooseOther returns an upstream for a repeated opening packet that earlier copies
--- a/internal/connection/affinity/stateful_test.go
+++ b/internal/connection/affinity/stateful_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -80,6 +81,11 @@
 
 func (m *model) sendOpening(t *rapid.T, c *caller) {
 	v := m.decide(c, &Packet{Caller: c.address, Service: c.service, Opening: true, Sequence: uint32(c.address.Port()), Copies: c.copies})
+	m.reached(t, c, v)
+}
+
+// reached records where an opening packet goes.
+func (m *model) reached(t *rapid.T, c *caller, v Verdict) {
 	if v.Upstream == nil {
 		return
 	}
@@ -96,6 +102,16 @@
 	}
 }
 
+// release lets the engines decide on the opening packets that wait.
+func (m *model) release(t *rapid.T) {
+	for _, e := range m.engines {
+		e.Release(m.now, m.view(), func(p *Packet, v Verdict) {
+			i := slices.IndexFunc(m.callers, func(c *caller) bool { return c.address == p.Caller })
+			m.reached(t, m.callers[i], v)
+		})
+	}
+}
+
 // copyOpening repeats the opening packet of a caller that has no answer yet.
 func (m *model) copyOpening(t *rapid.T) {
 	c := m.drawCaller(t, func(c *caller) bool { return c.opened == 0 && c.copies < 2 })
--- a/internal/connection/affinity/suspicion.go
+++ b/internal/connection/affinity/suspicion.go
@@ -60,6 +60,7 @@
 // upstreamState holds the observed load and health of an upstream.
 type upstreamState struct {
 	open      int           // connections counted by this balancer
+	own       int           // of these, those that hold a permit
 	cause     Cause         // of the last suspicion, or 0
 	suspected time.Duration // time of the last suspicion
 	upstreamTimes
--- a/internal/process/balancer/forwarder_test.go
+++ b/internal/process/balancer/forwarder_test.go
@@ -14,6 +14,7 @@
 	"github.com/shoenig/test/must"
 
 	"heatherport/internal/connection/affinity"
+	"heatherport/internal/load/share"
 	"heatherport/internal/process/logging"
 	"heatherport/internal/process/metrics"
 	"heatherport/internal/process/stall"
@@ -30,6 +31,7 @@
 	kindOpening = 1
 	kindData    = 2
 	kindRefusal = 3
+	kindEnding  = 4
 	packetSize  = 7
 )
 
@@ -47,7 +49,7 @@
 	}
 	return affinity.Packet{
 		Caller:  netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), binary.BigEndian.Uint16(b[1:])),
-		Service: serviceAddr, Opening: b[0] == kindOpening, Cookie: binary.BigEndian.Uint32(b[3:]), Length: 1, Repeat: time.Minute,
+		Service: serviceAddr, Opening: b[0] == kindOpening, Ending: b[0] == kindEnding, Cookie: binary.BigEndian.Uint32(b[3:]), Length: 1, Repeat: time.Minute,
 	}, nil
 }
 
@@ -168,3 +170,70 @@
 	must.Eq(t, append([]byte{7}, testPacket(kindData, 1001, 9)...), h.receive(h.upstream))
 	must.Eq(t, append([]byte{7}, testPacket(kindOpening, 1000, 9)...), h.receive(h.upstream))
 }
+
+// joinFleet replaces the engine by one that knows another balancer: it has a permit
+// for one connection and one of spillover.
+func (h *harness) joinFleet() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.engine = affinity.New(affinity.Config{Name: "b1", Capacity: 10, Lifetime: time.Minute, Rand: rand.New(rand.NewPCG(1, 1))})
+	view := *h.view.Load()
+	view.Balancers = []share.Balancer{{Name: "b1"}, {Name: "b2"}}
+	h.view.Store(&view)
+}
+
+// fill opens connections until one waits, and returns the number of those placed.
+func (h *harness) fill() (placed int) {
+	for port := uint16(1000); ; port++ {
+		h.send(testPacket(kindOpening, port, 0))
+		waits := false
+		eventually(h.t, "opening is decided on", func() bool {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			waits = h.queued.Len() > 0
+			return waits || h.engine.Len() > placed
+		})
+		if waits {
+			return placed
+		}
+		h.receive(h.upstream)
+		placed++
+	}
+}
+
+// An opening packet that waits must be forwarded when a connection ends, not only at
+// the next tick.
+func TestQueuedOpeningIsForwardedWhenAConnectionEnds(t *testing.T) {
+	h := newHarness(t, 0)
+	h.joinFleet()
+	placed := h.fill()
+	h.send(testPacket(kindEnding, 1000, 9))
+	must.Eq(t, append([]byte{7}, testPacket(kindEnding, 1000, 9)...), h.receive(h.upstream))
+	must.Eq(t, append([]byte{7}, testPacket(kindOpening, 1000+uint16(placed), 9)...), h.receive(h.upstream))
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	must.Eq(t, 0, h.queued.Len())
+}
+
+// The reset must be sent before the caller retransmits, although neither a packet
+// nor a tick comes.
+func TestQueuedOpeningIsRefusedAtItsDeadline(t *testing.T) {
+	h := newHarness(t, 0)
+	h.joinFleet()
+	placed := h.fill()
+	must.Eq(t, testPacket(kindRefusal, 1000+uint16(placed), 0), h.receive(h.caller))
+}
+
+func TestDeadlineTimerKeepsTheEarliest(t *testing.T) {
+	var d deadlineTimer
+	fired := make(chan struct{}, 2)
+	do := func() { fired <- struct{}{} }
+	d.set(0, time.Hour, do)
+	d.set(0, time.Millisecond, do)
+	must.Eq(t, time.Millisecond+deadlineSlack, d.at)
+	d.set(0, time.Minute, do)
+	must.Eq(t, time.Millisecond+deadlineSlack, d.at)
+	<-fired
+	d.set(time.Second, time.Second+1, do) // the timer has fired
+	<-fired
+}
