--- a/internal/process/balancer/forwarder.go
+++ b/internal/process/balancer/forwarder.go
@@ -75,6 +75,7 @@
 	waiting  backlog.Queue
 	queued   backlog.Held  // packets in the queues of the engine
 	deadline deadlineTimer // of the queues of the engine
+	permits  int           // as last logged
 }
 
 func (f *forwarder) start() error {
@@ -262,6 +263,10 @@
 	f.metrics.PermitsUsed.Set(float64(u.Own))
 	f.metrics.Spillover.Set(float64(u.Spillover))
 	f.metrics.Queued.Set(float64(u.Queued))
+	if u.Permits != f.permits {
+		f.log.Info("permits changed", "permits", u.Permits, "before", f.permits, "balancers", len(f.view.Load().Balancers))
+		f.permits = u.Permits
+	}
 }
 
 func (f *forwarder) drop(p *affinity.Packet, code result.Code) {
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -94,7 +94,7 @@
 	{DropStale, "drop_stale", "opening packet that may have been queued while the process was stalled", "none; the caller retransmits"},
 	{RefusedNoRoute, "refused_no_route", "no route at this address", "check the routes"},
 	{DropExpired, "drop_expired", "the caller's timeout ends before an answer can arrive", "none; look for an outage of balancers"},
-	{RefusedOverloaded, "refused_overloaded", "the overloaded service is at its concurrency limit; no request was run", "try again after a second; add upstreams"},
+	{RefusedOverloaded, "refused_overloaded", "the overloaded service is at its concurrency limit, or the attempt would wait too long for room at the upstreams; no request was run", "try again after a second; add upstreams"},
 	{RefusedEvacuated, "refused_evacuated", "all upstreams of the service are in evacuated failure domains; no request was run", "end an evacuation or add upstreams elsewhere"},
 	{RefusedRegion, "refused_region", "no upstream in a region that the route allows; no request was run", "add upstreams there or change the route"},
 	{RefusedCold, "refused_cold", "all upstreams left have just started and take few connections; no request was run", "try again after the service's slow start"},
