--- a/internal/process/balancer/balancer.go
+++ b/internal/process/balancer/balancer.go
@@ -14,6 +14,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"heatherport/internal/connection/affinity"
+	"heatherport/internal/load/share"
 	"heatherport/internal/process/controller"
 	"heatherport/internal/process/logging"
 	"heatherport/internal/process/metrics"
@@ -83,6 +84,7 @@
 	evacuations    evacuations
 	isolation      isolation
 	fleet          *controller.Fleet // balancers of all feeds; kept while there is no feed
+	balancers      []share.Balancer  // the same as engines use them
 	routesSince    time.Duration     // when the first routes arrived
 	firstFeed      time.Duration     // when the first feed opened
 	lastRebalance  time.Duration
@@ -112,7 +114,7 @@
 		codec: cfg.Codec, listen: s.Packets, log: cfg.Log, view: &b.view, started: b.started,
 		flowLog: logging.NewRateLimited(cfg.Log), metrics: cfg.Metrics, clock: stall.Clock, stall: stall.NewDetector(stallLimit, stallDrain),
 		engine: affinity.New(affinity.Config{
-			Name:     s.VM.Name,
+			Name:     keyName(controller.BalancerKey(s.VM.Name)),
 			Domain:   s.VM.Domain,
 			Capacity: tableCapacity,
 			Lifetime: s.Lifetime,
@@ -234,7 +236,7 @@
 	now := b.now()
 	b.lastPublish = now
 	confirmed := b.isConfirmed()
-	view := &affinity.View{Routes: b.table, Confirmed: confirmed, Current: confirmed && now > startupTime}
+	view := &affinity.View{Routes: b.table, Confirmed: confirmed, Current: confirmed && now > startupTime, Balancers: b.balancers}
 	if now > b.lifetime {
 		view.RetiredTargets = b.retired
 	}
--- a/internal/process/balancer/fleet.go
+++ b/internal/process/balancer/fleet.go
@@ -1,6 +1,11 @@
 package balancer
 
-import "heatherport/internal/process/controller"
+import (
+	"strconv"
+
+	"heatherport/internal/load/share"
+	"heatherport/internal/process/controller"
+)
 
 // updateFleet merges the lists of balancers of all feeds. A controller that is cut off
 // from others lists only the balancers that it feeds itself.
@@ -11,5 +16,18 @@
 	}
 	if merged := controller.MergeFleets(lists...); merged != nil {
 		b.fleet = merged
+		b.balancers = listBalancers(merged)
 	}
 }
+
+// listBalancers returns the balancers of a fleet. Their names are their keys.
+func listBalancers(f *controller.Fleet) (out []share.Balancer) {
+	for _, d := range f.Domains {
+		for _, key := range d.Balancers {
+			out = append(out, share.Balancer{Name: keyName(key), Domain: d.Domain})
+		}
+	}
+	return out
+}
+
+func keyName(key uint32) string { return strconv.FormatUint(uint64(key), 16) }
