--- a/internal/process/balancer/fleet.go
+++ b/internal/process/balancer/fleet.go
@@ -14,18 +14,19 @@
 	for _, f := range b.feeds {
 		lists = append(lists, f.fleet)
 	}
-	merged := controller.MergeFleets(lists...)
-	if merged == nil || !b.shares {
-		return
+	if merged := controller.MergeFleets(lists...); merged != nil && b.shares {
+		b.balancers = listBalancers(merged)
 	}
-	var all []share.Balancer
-	for _, d := range merged.Domains {
+}
+
+// listBalancers returns the balancers of a fleet. Their names are their keys.
+func listBalancers(f *controller.Fleet) (out []share.Balancer) {
+	for _, d := range f.Domains {
 		for _, key := range d.Balancers {
-			all = append(all, share.Balancer{Name: balancerName(key), Domain: d.Domain})
+			out = append(out, share.Balancer{Name: keyName(key), Domain: d.Domain})
 		}
 	}
-	b.balancers = all
+	return out
 }
 
-// balancerName returns the name by which balancers know each other.
-func balancerName(key uint32) string { return strconv.FormatUint(uint64(key), 36) }
+func keyName(key uint32) string { return strconv.FormatUint(uint64(key), 16) }
