--- a/internal/connection/affinity/share_test.go
+++ b/internal/connection/affinity/share_test.go
@@ -366,6 +366,16 @@
 	}
 }
 
+// The permit of a connection without a table entry would never be returned.
+func TestFullTableTakesNoPermits(t *testing.T) {
+	s := newSharing(t, 2, 4)
+	s.cfg.Capacity = 0
+	for range 20 {
+		must.NotNil(t, s.open().Upstream)
+	}
+	must.Eq(t, Usage{Permits: 8}, s.Usage())
+}
+
 // Permits of connections to an upstream that ended would be lost until a time-out.
 func TestPermitsOfEndedUpstreamsAreReturned(t *testing.T) {
 	s := newSharing(t, 2, 4)
--- a/internal/connection/affinity/times.go
+++ b/internal/connection/affinity/times.go
@@ -26,7 +26,7 @@
 	calmMaxAge = time.Minute
 	// workMaxAge is the time for which the response time of an upstream in another
 	// share counts as known.
-	workMaxAge = time.Second
+	workMaxAge = 3 * time.Second
 )
 
 // average is an exponential moving average. It is zero before the first sample.
--- a/internal/connection/affinity/waiting.go
+++ b/internal/connection/affinity/waiting.go
@@ -79,12 +79,15 @@
 // placeIn places an opening packet at an upstream.
 func (e *Engine) placeIn(now time.Duration, pl *pool, found room, p *Packet) Verdict {
 	c := &entry{service: pl.service, sequence: p.Sequence, started: now, reported: p.Held}
+	e.assign(now, c, found.upstream)
+	e.unopened.add(now)
+	choice := &Choice{Service: pl.service, Candidates: found.candidates, Load: found.load, Spillover: c.permit.spillover}
 	if len(e.table) < e.cfg.Capacity {
 		e.table[key{p.Caller, p.Service}] = c
+	} else {
+		e.uncountLoad(now, c) // its end will not be seen
 	}
-	e.assign(now, c, found.upstream)
-	e.unopened.add(now)
-	return Verdict{Upstream: found.upstream, Choice: &Choice{Service: pl.service, Candidates: found.candidates, Load: found.load, Spillover: c.permit.spillover}}
+	return Verdict{Upstream: found.upstream, Choice: choice}
 }
 
 // enqueue queues an opening packet, or refuses it if it would wait too long.
