--- a/internal/version/directory/directory.go
+++ b/internal/version/directory/directory.go
@@ -310,7 +310,6 @@
 func (d *Directory) Excuse(stall time.Duration) {
 	for _, e := range d.entries {
 		e.LastUpdate += stall
-		e.ColdUntil += stall
 	}
 }
 
--- a/internal/version/directory/slowstart_test.go
+++ b/internal/version/directory/slowstart_test.go
@@ -104,3 +104,17 @@
 		}
 	})
 }
+
+// The slow starts of upstreams go on while this process stands still. One that announces
+// itself as warm right after the stall, before the stall is noticed, must not become cold
+// for as long as the stall took.
+func TestStallOfTheProcessExtendsNoSlowStart(t *testing.T) {
+	d := newTestDirectory()
+	d.Merge(0, cold(1, 2*time.Second, "b-1"))
+	d.Merge(10*time.Second, serving("b", 2, 10, 1))
+	d.Excuse(10 * time.Second)
+	d.Tick(10 * time.Second)
+	for _, r := range d.Since(0) {
+		must.Zero(t, r.SlowStart, must.Sprint(r.ID))
+	}
+}
