controller: state queued for the disk at a stop is written

Cause: when a controller stopped, its writer chose at random between the end and the entries that were queued last.

Change: the writer writes what is queued before it ends.

Run: TestQueuedStateIsSavedAtAStop failed before; it and the tests of planned stops pass; go tool staticcheck of the package.

--- a/internal/process/controller/hintstore.go
+++ b/internal/process/controller/hintstore.go
@@ -96,20 +96,33 @@
 	s.queue <- entries
 }
 
-// run writes the queued entries until done is closed.
+// run writes the queued entries until done is closed, and those that are queued then.
 func (s *hintStore[T]) run(done <-chan struct{}) {
 	for {
 		select {
 		case <-done:
+			s.writeQueued()
 			return
 		case entries := <-s.queue:
-			if err := s.write(entries); err != nil {
-				s.log.Warn("failed to save state", "file", s.file, "error", err)
-			}
+			s.tryWrite(entries)
 		}
 	}
 }
 
+func (s *hintStore[T]) writeQueued() {
+	select {
+	case entries := <-s.queue:
+		s.tryWrite(entries)
+	default:
+	}
+}
+
+func (s *hintStore[T]) tryWrite(entries []T) {
+	if err := s.write(entries); err != nil {
+		s.log.Warn("failed to save state", "file", s.file, "error", err)
+	}
+}
+
 func (s *hintStore[T]) write(entries []T) error {
 	folder, err := vfs.Dir(s.dir)
 	if err != nil {
--- a/internal/process/controller/stop_test.go
+++ b/internal/process/controller/stop_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/shoenig/test/must"
 
 	"heatherport/internal/result"
@@ -98,3 +99,16 @@
 	must.Eq(t, directory.Leaving, records[0].State)
 	f.vms[0].listener, f.vms[0].Controller = nil, nil
 }
+
+// What is queued for the disk when the process stops is written, also if the disk was
+// busy until then.
+func TestQueuedStateIsSavedAtAStop(t *testing.T) {
+	for range 20 {
+		s := newHintStore[int](t.TempDir(), upstreamsFile, 0, hclog.NewNullLogger())
+		s.saveLast([]int{7})
+		done := make(chan struct{})
+		close(done)
+		s.run(done)
+		must.Eq(t, []int{7}, s.load())
+	}
+}
