--- a/internal/connection/affinity/cold_test.go
+++ b/internal/connection/affinity/cold_test.go
@@ -149,3 +149,36 @@
 	count, _ = e.Unopened(12 * time.Millisecond)
 	must.Eq(t, 0, count)
 }
+
+// The owner of a slow start stands still and goes on with its old view, while another
+// balancer became the owner. Both have callers waiting. One packet may have been placed
+// just before the pause and sent after it.
+func TestPausedOwnerStaysWithinTheSlowStartLimit(t *testing.T) {
+	f := newFixture(2, 0)
+	f.upstreams[0].ColdUntil, f.upstreams[0].ColdRate, f.upstreams[0].Owned = time.Minute, coldLimit/2, true
+	f.upstreams[1].Evacuated = true
+	engines := []*Engine{newEngine(1), newEngine(2)}
+	var taken []time.Duration
+	port := uint16(1000)
+	for now := time.Duration(0); now < 10*time.Second; now += 10 * time.Millisecond {
+		for i, e := range engines {
+			isPaused := i == 0 && now > time.Second && now < 4*time.Second
+			isOwner := i == 0 || now > 2*time.Second
+			if isPaused || !isOwner {
+				continue
+			}
+			p := opening(0)
+			port++
+			p.Caller = netip.AddrPortFrom(callerAddr.Addr(), port)
+			if e.Decide(now, f.view(), p).Upstream != nil {
+				taken = append(taken, now)
+			}
+		}
+	}
+	must.Greater(t, 16, len(taken))
+	for i := range taken {
+		if i+coldLimit-1 < len(taken) {
+			must.Greater(t, time.Second, taken[i+coldLimit-1]-taken[i])
+		}
+	}
+}
