controller: feed only recent ends of evacuations

Cause: the feed carried the end of every evacuation since the fleet was founded, and a balancer treats the upstreams of an ended evacuation as cold for a slow start from when it learns of the end. A balancer that started therefore left out each domain that was ever evacuated for 2 s; where all were, it refused all connections. Found by reading. The soak neither fails of it nor shows the change: its evacuations end a few seconds apart.

Change: a controller takes an end out of the feed when the longest slow start has passed. Ends that it reads from its own log at the start are as old as the order, less 10 s for clocks that differ. Balancers remember the highest index of each end, since controllers leave it out at different times.

--- a/internal/process/balancer/evacuations.go
+++ b/internal/process/balancer/evacuations.go
@@ -11,6 +11,7 @@
 type evacuations struct {
 	controller.Evacuations
 	endedAt map[string]time.Duration // when the balancer learned of the last end, by domain
+	ends    map[string]uint64        // log index of that end
 }
 
 // apply takes the evacuations of a feed. It reports false for those of a controller
@@ -20,11 +21,11 @@
 		return false
 	}
 	if e.endedAt == nil {
-		e.endedAt = make(map[string]time.Duration)
+		e.endedAt, e.ends = make(map[string]time.Duration), make(map[string]uint64)
 	}
 	for domain, index := range m.Ended {
-		if index > e.Ended[domain] {
-			e.endedAt[domain] = now
+		if index > e.ends[domain] {
+			e.endedAt[domain], e.ends[domain] = now, index
 		}
 	}
 	e.Evacuations = *m
--- a/internal/process/balancer/evacuations_test.go
+++ b/internal/process/balancer/evacuations_test.go
@@ -39,6 +39,10 @@
 	must.Eq(t, 5*time.Second, e.coldUntil("akure", slowStart))
 	e.apply(12*time.Second, &controller.Evacuations{Index: 20, Ended: map[string]uint64{"akure": 20, "ibadan": 10}})
 	must.Eq(t, 14*time.Second, e.coldUntil("akure", slowStart))
+	// Controllers leave an end out at different times, so that it may come again.
+	e.apply(20*time.Second, &controller.Evacuations{Index: 21, Domains: []string{"ibadan"}})
+	e.apply(21*time.Second, &controller.Evacuations{Index: 22, Ended: map[string]uint64{"akure": 20, "ibadan": 22}})
+	must.Eq(t, 14*time.Second, e.coldUntil("akure", slowStart))
 }
 
 func TestEvacuatedDomainGetsNoConnections(t *testing.T) {
--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -88,6 +88,7 @@
 	directory           *directory.Directory
 	table               *routing.Table
 	evacuations         *Evacuations
+	ends                map[string]evacuationEnd // last end of an evacuation, by domain
 	subscribers         map[*stream.Conn]*subscriber
 	encoded             feedFrames // updates to the last state that was sent
 	lastFed             feedState  // at lastFeedTime
@@ -128,6 +129,7 @@
 		}),
 		subscribers: make(map[*stream.Conn]*subscriber),
 		ackWaiters:  make(map[uint64][]chan struct{}),
+		ends:        make(map[string]evacuationEnd),
 		unacked:     make(map[string]uint64),
 	}
 	var initialVoters []netip.AddrPort
@@ -267,6 +269,7 @@
 	c.upstreams.save(now, c.directory.Revision(), func() []directory.Record { return c.directory.Since(0) })
 	c.addresses.save(now, c.balancers.revision, c.balancers.addresses)
 	c.refreshBalancers(now)
+	c.expireEnds()
 	c.updateGauges()
 	if now-c.lastRenewal >= renewInterval {
 		c.lastRenewal = now
--- a/internal/process/controller/evacuation.go
+++ b/internal/process/controller/evacuation.go
@@ -73,5 +73,59 @@
 	}
 	c.log.Info("evacuations in force", "index", e.Index(), "failure_domains", domains)
 	c.cfg.Metrics.Evacuations.Set(float64(len(domains)))
-	c.events <- func() { c.evacuations = &Evacuations{Index: e.Index(), Domains: domains, Ended: e.Ended()} }
+	c.events <- func() {
+		c.recordEnds(e.Ended(), time.Now())
+		c.evacuations = &Evacuations{Index: e.Index(), Domains: domains, Ended: c.recentEnds()}
+	}
+}
+
+const (
+	// replayTime is the time after the start in which the end of an evacuation may
+	// come from the log on disk, and its age is that of the order.
+	replayTime = 5 * time.Second
+	// clockTolerance is how much the clocks of two VMs may differ. The age of an
+	// order of another process is reduced by it.
+	clockTolerance = 10 * time.Second
+)
+
+// evacuationEnd is the end of an evacuation.
+type evacuationEnd struct {
+	index uint64
+	at    time.Duration // when this controller learned of it, or earlier
+}
+
+// recordEnds records when evacuations ended.
+func (c *Controller) recordEnds(ended []register.Evacuation, wall time.Time) {
+	for _, d := range ended {
+		if d.Index <= c.ends[d.Domain].index {
+			continue
+		}
+		at := c.now()
+		if at < replayTime {
+			at -= max(wall.Sub(time.UnixMilli(d.SinceMillis))-clockTolerance, 0)
+		}
+		c.ends[d.Domain] = evacuationEnd{d.Index, at}
+	}
+}
+
+// recentEnds returns the log index of each end after which upstreams of the domain may
+// still be in a slow start. Balancers that start later need not wait for them.
+func (c *Controller) recentEnds() map[string]uint64 {
+	recent := make(map[string]uint64)
+	for domain, end := range c.ends {
+		if c.table == nil || c.now()-end.at < c.table.LongestSlowStart() {
+			recent[domain] = end.index
+		}
+	}
+	return recent
+}
+
+// expireEnds takes ends that are no longer recent out of the feed.
+func (c *Controller) expireEnds() {
+	if c.evacuations == nil || len(c.evacuations.Ended) == 0 {
+		return
+	}
+	if recent := c.recentEnds(); len(recent) < len(c.evacuations.Ended) {
+		c.evacuations = &Evacuations{Index: c.evacuations.Index, Domains: c.evacuations.Domains, Ended: recent}
+	}
 }
--- a/internal/process/controller/evacuation_test.go
+++ b/internal/process/controller/evacuation_test.go
@@ -10,6 +10,7 @@
 	"heatherport/internal/process/stream"
 	"heatherport/internal/result"
 	"heatherport/internal/version/directory"
+	"heatherport/internal/version/register"
 	"heatherport/internal/version/routing"
 )
 
@@ -136,6 +137,42 @@
 	must.Eq(t, "", cold(4, time.Second).Owner)
 }
 
+// A balancer that starts long after the end of an evacuation must not treat the
+// upstreams of the domain as cold: where each domain was evacuated once, it would refuse
+// all connections for the length of a slow start.
+func TestStartingBalancerIsNotToldOfOldEnds(t *testing.T) {
+	ended := func(ago time.Duration) *register.Evacuations {
+		var r register.Register
+		for i, o := range []register.Order{{Domain: "akure", Evacuate: true}, {Domain: "akure", After: 1, AtMillis: time.Now().Add(-ago).UnixMilli()}} {
+			data, err := o.Encode()
+			must.NoError(t, err)
+			_, err = r.Apply(uint64(i+1), data)
+			must.NoError(t, err)
+		}
+		return r.Evacuations()
+	}
+	fed := func(uptime, ago, later time.Duration) map[string]uint64 {
+		c := fedController(t, 0)
+		c.table.SlowStarts = map[string]routing.SlowStart{"permits": {Duration: 2 * time.Second}}
+		c.started = time.Now().Add(-uptime)
+		c.evacuated(ended(ago))
+		(<-c.events)()
+		c.started = c.started.Add(-later)
+		c.tick()
+		must.Eq(t, 2, c.evacuations.Index)
+		return c.evacuations.Ended
+	}
+	fresh := map[string]uint64{"akure": 2}
+	must.Eq(t, fresh, fed(time.Minute, 0, time.Second))
+	must.MapEmpty(t, fed(time.Minute, 0, 3*time.Second))
+	// The log of a controller that starts holds ends of any age. The clocks of VMs may
+	// differ by some seconds.
+	must.Eq(t, fresh, fed(0, 8*time.Second, 0))
+	must.MapEmpty(t, fed(0, time.Minute, 0))
+	// A controller that runs hears of an end when it happens, whatever the clock says.
+	must.Eq(t, fresh, fed(time.Minute, time.Minute, 0))
+}
+
 func TestFeedCarriesEvacuations(t *testing.T) {
 	c := fedController(t, 3)
 	c.feedAll()
--- a/internal/process/controller/message.go
+++ b/internal/process/controller/message.go
@@ -118,8 +118,9 @@
 type Evacuations struct {
 	Index   uint64   `cbor:"1,keyasint"` // log index of the last change
 	Domains []string `cbor:"2,keyasint,omitempty"`
-	// Ended holds the log index of the end of earlier evacuations, by domain. Upstreams
-	// there may be in a slow start that they have not announced yet.
+	// Ended holds the log index of the end of evacuations that ended less than a slow
+	// start ago, by domain. Upstreams there may be in a slow start that they have not
+	// announced yet.
 	Ended map[string]uint64 `cbor:"3,keyasint,omitempty"`
 }
 
--- a/internal/version/register/evacuation.go
+++ b/internal/version/register/evacuation.go
@@ -74,16 +74,14 @@
 	return active
 }
 
-// Ended returns the log index of the end of each evacuation that is no longer in
-// force, by domain.
-func (e *Evacuations) Ended() map[string]uint64 {
-	ended := make(map[string]uint64)
+// Ended returns the evacuations that are no longer in force, by domain.
+func (e *Evacuations) Ended() (ended []Evacuation) {
 	if e == nil {
-		return ended
+		return nil
 	}
 	for _, d := range e.all {
 		if !d.Active && d.Index > 0 {
-			ended[d.Domain] = d.Index
+			ended = append(ended, d)
 		}
 	}
 	return ended
--- a/internal/version/register/evacuation_test.go
+++ b/internal/version/register/evacuation_test.go
@@ -25,7 +25,7 @@
 	must.NoError(t, apply(t, &r, 4, Order{Domain: "akure", After: 3}))
 	must.Eq(t, result.VersionStale, result.CodeOf(apply(t, &r, 5, start)))
 	must.SliceEmpty(t, r.Evacuations().Active())
-	must.Eq(t, map[string]uint64{"akure": 4}, r.Evacuations().Ended())
+	must.Eq(t, []Evacuation{{Domain: "akure", Index: 4, LastOrder: 4}}, r.Evacuations().Ended())
 	// The same order given anew is a new order.
 	start.After = 4
 	must.NoError(t, apply(t, &r, 6, start))
@@ -36,7 +36,7 @@
 	var r Register
 	must.NoError(t, apply(t, &r, 1, Order{Domain: "akure"})) // ends what never began
 	must.Eq(t, 0, r.Evacuations().Index())
-	must.MapEmpty(t, r.Evacuations().Ended())
+	must.SliceEmpty(t, r.Evacuations().Ended())
 	must.NoError(t, apply(t, &r, 2, Order{Domain: "akure", Evacuate: true, After: 1, By: "192.0.2.7:4000"}))
 	must.NoError(t, apply(t, &r, 3, Order{Domain: "akure", Evacuate: true, After: 2, By: "192.0.2.8:4000"}))
 	must.Eq(t, 2, r.Evacuations().Index())
--- a/internal/version/routing/routing.go
+++ b/internal/version/routing/routing.go
@@ -123,6 +123,14 @@
 	return ok
 }
 
+// LongestSlowStart returns the longest slow start of a service that has a limit.
+func (t *Table) LongestSlowStart() (longest time.Duration) {
+	for _, s := range t.SlowStarts {
+		longest = max(longest, s.Duration)
+	}
+	return longest
+}
+
 // Route returns the route of an address, or nil.
 func (t *Table) Route(address netip.AddrPort) *Route { return t.routes[address] }
 
