--- a/internal/soak/operator_test.go
+++ b/internal/soak/operator_test.go
@@ -124,8 +124,9 @@
 
 // evacuate orders the start or end of an evacuation at a random controller. While
 // the outcome is unknown, it repeats the order at a random controller, up to the
-// given number of attempts; with none it gives the first one up after 0.2 to
-// 2.2 ms, about the time until an acknowledgement. It reports whether the order was acknowledged.
+// given number of attempts; with none it gives the first one up after 0.2 to 2.2 ms,
+// about the time until an acknowledgement. It reports whether the order was
+// acknowledged.
 func (o *operator) evacuate(domain string, start bool, attempts int) bool {
 	o.mu.Lock()
 	e := o.evacuations[domain]
