controller: the replicated log does not wait for the synchronization of a link

Since links begin with digests a link carried no log messages until the peer had answered, and never if the peer's queue was full.

Change: only broadcasts wait; a peer that cannot answer closes the link. The failure has not been reproduced yet.

--- a/internal/process/controller/exchange.go
+++ b/internal/process/controller/exchange.go
@@ -48,6 +48,7 @@
 	return stream.Callbacks{
 		Open: func(conn *stream.Conn) {
 			c.log.Info("link open", "peer", address)
+			c.links.setConn(address, conn)
 			if !c.post(func() { c.introduce(conn) }) {
 				conn.Close()
 			}
@@ -73,7 +74,7 @@
 	c.reply(conn, KindDigests, Digests{Revision: c.directory.Revision(), Digests: c.directory.Digests()})
 }
 
-// synchronize sends what another controller lacks and takes the link into use, in one
+// synchronize sends what another controller lacks and lets broadcasts go to it, in one
 // step, so that nothing that is broadcast meanwhile is missed. An acknowledgement of a
 // change covers all earlier ones, so the records must be the first on the connection.
 func (c *Controller) synchronize(address netip.AddrPort, conn *stream.Conn, d Differing) {
@@ -86,7 +87,7 @@
 	for _, r := range suspicionReports(now, c.directory.Suspicions(now)) {
 		c.reply(conn, KindSuspicionReport, r)
 	}
-	c.links.setConn(address, conn)
+	c.links.setSynchronized(address, conn)
 	c.log.Info("link synchronized", "peer", address, "buckets", len(d.Buckets), "records", len(records))
 }
 
@@ -139,10 +140,13 @@
 	case KindDigests:
 		var d Digests
 		if c.decode(conn, body, &d) {
-			c.post(func() {
+			posted := c.post(func() {
 				_, buckets := c.directory.Differing(d.Digests)
 				c.reply(conn, KindDiffering, Differing{Revision: d.Revision, Buckets: buckets})
 			})
+			if !posted {
+				conn.Close() // without an answer the link would never be synchronized
+			}
 		}
 	case KindRecords:
 		var r Records
--- a/internal/process/controller/links.go
+++ b/internal/process/controller/links.go
@@ -14,6 +14,9 @@
 // link is the connection that this controller opens to another one.
 type link struct {
 	conn *stream.Conn // nil while disconnected
+	// synchronized reports that the peer was sent all records that it lacked, so that
+	// it may be sent changes. The replicated log and submissions do not wait for that.
+	synchronized bool
 	// calls are the submissions that wait for their result.
 	calls map[uint64]func(accepted bool)
 }
@@ -70,6 +73,17 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.byAddr[address].conn = c
+	l.byAddr[address].synchronized = false
+}
+
+// setSynchronized lets broadcasts go to a connection. It does nothing if another
+// connection has taken its place.
+func (l *links) setSynchronized(address netip.AddrPort, c *stream.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if k := l.byAddr[address]; k.conn == c {
+		k.synchronized = true
+	}
 }
 
 // connClosed removes a connection. The outcome of the submissions that wait on
@@ -98,14 +112,14 @@
 	return k != nil && k.conn != nil && k.conn.Send(frame)
 }
 
-// broadcast queues a frame for all controllers with an open connection and
+// broadcast queues a frame for all controllers with a synchronized connection and
 // returns their number.
 func (l *links) broadcast(frame []byte) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	n := 0
 	for _, k := range l.byAddr {
-		if k.conn != nil && k.conn.Send(frame) {
+		if k.conn != nil && k.synchronized && k.conn.Send(frame) {
 			n++
 		}
 	}
