--- a/Makefile
+++ b/Makefile
@@ -34,3 +34,4 @@
 known-red:
 	go run ./internal/measure/cmd forward
 	go run ./internal/measure/slopes/cmd relay
+	go test ./internal/connection/affinity -run 'TestReplay$$/slow' -known-red
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -182,6 +182,23 @@
 	}
 }
 
+// printControlLog writes what the controllers logged about leaders, voters and stalls.
+// The logs themselves are deleted with the test's folder.
+func (h *harness) printControlLog() {
+	for _, c := range h.controllers {
+		data, err := os.ReadFile(filepath.Join(c.dir, "log.json"))
+		if err != nil {
+			h.t.Logf("%s: %v", c.name, err)
+			continue
+		}
+		for line := range strings.Lines(string(data)) {
+			if strings.Contains(line, "leadership changed") || strings.Contains(line, "voter") || strings.Contains(line, "stalled") || strings.Contains(line, "failed to propose") {
+				h.t.Logf("%s: %s", c.name, strings.TrimSpace(line))
+			}
+		}
+	}
+}
+
 // shutdown kills the programs and stops the stand-ins that this run started, and
 // fails the test if violations were reported.
 func (h *harness) shutdown() {
@@ -209,5 +226,8 @@
 	for _, n := range h.networks {
 		n.Release()
 	}
+	if len(failures) > 0 {
+		h.printControlLog()
+	}
 	must.SliceEmpty(h.t, failures, must.Sprintf("seed %d:\n%s", h.seed, strings.Join(failures, "\n")))
 }
