--- a/internal/connection/affinity/choose.go
+++ b/internal/connection/affinity/choose.go
@@ -14,8 +14,8 @@
 const maxAvoidedShare = 1.0 / 3
 
 // choose returns the eligible upstream of a service with the least load that a
-// connection to a route may go to, or nil. Upstreams that are suspected or whose announcements have lapsed are
-// chosen only when there is no other.
+// connection to a route may go to, or nil. Upstreams that are suspected or whose
+// announcements have lapsed are chosen only when there is no other.
 func (e *Engine) choose(now time.Duration, v *View, r *routing.Route, service string, excluded []uint32) (*Upstream, *Choice) {
 	var best *Upstream
 	bestRank := rank{}
