--- a/internal/connection/affinity/affinity.go
+++ b/internal/connection/affinity/affinity.go
@@ -23,8 +23,16 @@
 // Answers do not pass through a balancer (direct server return). Whether an
 // upstream answers, and how fast, follows from what its callers retransmit,
 // abandon or acknowledge. Suspected upstreams get no new connections while
-// others are eligible. When a service as a whole answers late, new connections
-// beyond a concurrency limit are refused.
+// others are eligible.
+//
+// # Load
+//
+// Where the view lists the balancers, each has permits for connections to its
+// share of a service's slots, a limit for those to other shares (spillover), and a
+// queue for the rest (pool.go, share_choice.go, waiting.go). Otherwise the upstream
+// with the fewest open connections is chosen, and when a service as a whole answers
+// late, new connections beyond a concurrency limit are refused (choose.go,
+// admission.go, late.go).
 //
 // # Loss of the table
 //
