daemon: SIGHUP during a start or a stop does not end the process

Cause: the signal was caught only between start and stop. Its default action ends the process and cuts off calls in progress.

Change: the signal is caught from the start of Run to the end of the process. TestHangupDuringStartAndStopIsNotFatal ended the test binary before; it passes three of three.

--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -60,6 +60,7 @@
 // Run starts the program with the settings in file, waits until ctx ends and
 // stops it gracefully.
 func Run(ctx context.Context, file, name string, build func(Dependencies) Service) error {
+	hangups := catchHangups()
 	s, err := settings.LoadProgram(file, name)
 	if err != nil {
 		return err
@@ -88,7 +89,7 @@
 		return err
 	}
 	log.Info("started", "program", name, "domain", s.VM.Domain, "link", s.Link.Advertise, "seeds", s.Seeds)
-	(&reloader{file: file, program: name, log: log, reload: service.Component.Reload}).run(ctx)
+	(&reloader{file: file, program: name, log: log, reload: service.Component.Reload, hangups: hangups}).run(ctx)
 	log.Info("stopping", "program", name)
 	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.VM.StopTimeout)
 	defer cancel()
--- a/internal/process/daemon/daemon_test.go
+++ b/internal/process/daemon/daemon_test.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 
@@ -23,11 +24,24 @@
 const waitTimeout = 20 * time.Second
 
 // component is a Component without any work.
-type component struct{ stopped chan struct{} }
+type component struct {
+	stopped         chan struct{}
+	onStart, onStop func() // may be nil
+}
+
+func (c *component) Start(context.Context) error {
+	if c.onStart != nil {
+		c.onStart()
+	}
+	return nil
+}
+
+func (c *component) Reload(*settings.Program) {}
 
-func (c *component) Start(context.Context) error { return nil }
-func (c *component) Reload(*settings.Program)    {}
 func (c *component) Stop(context.Context) error {
+	if c.onStop != nil {
+		c.onStop()
+	}
 	close(c.stopped)
 	return nil
 }
@@ -43,6 +57,10 @@
 
 // startProgram runs a service with an HTTP handler until it accepts connections.
 func startProgram(t *testing.T, handler http.HandlerFunc) *program {
+	return startComponent(t, &component{stopped: make(chan struct{})}, handler)
+}
+
+func startComponent(t *testing.T, c *component, handler http.HandlerFunc) *program {
 	network, err := loopback.Reserve()
 	must.NoError(t, err)
 	t.Cleanup(network.Release)
@@ -67,7 +85,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &program{
 		t: t, address: netip.AddrPortFrom(host, 8167), stop: cancel, exit: make(chan error, 1),
-		component: &component{stopped: make(chan struct{})},
+		component: c,
 	}
 	go func() {
 		p.exit <- Run(ctx, file, settings.Balancer, func(d Dependencies) Service {
@@ -159,3 +177,16 @@
 	}))
 	<-c.stopped
 }
+
+// SIGHUP announces changed settings, also to a program that starts or stops. Its
+// default action would end the process and cut off the calls in progress.
+func TestHangupDuringStartAndStopIsNotFatal(t *testing.T) {
+	hangup := func() {
+		must.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+		time.Sleep(50 * time.Millisecond) // the signal arrives
+	}
+	c := &component{stopped: make(chan struct{}), onStart: hangup, onStop: hangup}
+	p := startComponent(t, c, func(w http.ResponseWriter, _ *http.Request) {})
+	p.stop()
+	p.expectExit()
+}
--- a/internal/process/daemon/reload.go
+++ b/internal/process/daemon/reload.go
@@ -23,14 +23,21 @@
 	program     string
 	log         hclog.Logger
 	reload      func(*settings.Program)
+	hangups     <-chan os.Signal
 	lastContent []byte
 }
 
+// catchHangups returns the channel to which SIGHUP is sent from now on. It is never
+// stopped: until the process has ended, the default action of the signal would end it
+// without a graceful stop.
+func catchHangups() <-chan os.Signal {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	return hangups
+}
+
 // run reloads settings until ctx ends.
 func (r *reloader) run(ctx context.Context) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	r.lastContent, _ = r.read()
@@ -38,7 +45,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-hup:
+		case <-r.hangups:
 			r.reloadIfChanged("signal")
 		case <-ticker.C:
 			r.reloadIfChanged("poll")
