--- a/cmd/heatherport-node/main.go
+++ b/cmd/heatherport-node/main.go
@@ -27,7 +27,12 @@
 
 const program = "heatherport-node"
 
-func main() { os.Exit(run(context.Background(), os.Args[1:], os.Stdout, os.Stderr)) }
+func main() {
+	// A changed settings file may be announced before the program listens for it. The
+	// default action of the signal would end the process; the file is read later.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
+	os.Exit(run(context.Background(), os.Args[1:], os.Stdout, os.Stderr))
+}
 
 // command is a program with its settings file.
 type command struct {
