--- a/internal/connection/affinity/cold_test.go
+++ b/internal/connection/affinity/cold_test.go
@@ -1,6 +1,7 @@
 package affinity
 
 import (
+	"math/rand/v2"
 	"net/netip"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
+	"heatherport/internal/load/share"
 	"heatherport/internal/result"
 )
 
@@ -182,3 +184,38 @@
 		}
 	}
 }
+
+// The domains that are left may be full. Their overload must not send connections to
+// the evacuated one: they wait, and are then refused.
+func TestFullDomainsDoNotOpenAnEvacuatedOne(t *testing.T) {
+	f := newFixture(2, 0)
+	f.upstreams[0].Evacuated = true
+	view := f.view()
+	view.Balancers = []share.Balancer{{Name: "b1"}}
+	e := New(Config{Name: "b1", Capacity: 1000, Lifetime: testLifetime, Rand: rand.New(rand.NewPCG(1, 0))})
+	const begin, attempts = 5 * time.Second, 20
+	placed, waiting := 0, 0
+	for i := range attempts {
+		p := opening(0)
+		p.Caller = netip.AddrPortFrom(callerAddr.Addr(), 1000+uint16(i))
+		p.Repeat = 200 * time.Millisecond
+		switch v := e.Decide(begin, view, p); {
+		case v.Upstream != nil:
+			must.Eq(t, f.upstreams[1].ID, v.Upstream.ID)
+			placed++
+		case v.Wait:
+			waiting++
+		default:
+			must.Eq(t, result.RefusedOverloaded, v.Code)
+		}
+	}
+	must.Positive(t, placed)
+	must.Less(t, attempts, placed)
+	refused := 0
+	e.Release(begin+maxWait+1, view, func(_ *Packet, v Verdict) {
+		must.Nil(t, v.Upstream)
+		must.Eq(t, result.RefusedOverloaded, v.Code)
+		refused++
+	})
+	must.Eq(t, waiting, refused)
+}
