load/outlier: openings are compared with peers; permits follow what answers

With half of the upstreams gone, resets made them 'slow', and as more than a third was slow none was avoided; their permits stayed. Ruled out: order alone. The balancer therefore also compares the time of all its openings with the usual one. Resets count as unresponsive, not as slow. Permits are those of upstreams that answer, and the ones of hanging attempts return. A wait in the queue that no copy can have overtaken does not excuse an upstream.

--- a/internal/connection/affinity/affinity.go
+++ b/internal/connection/affinity/affinity.go
@@ -46,6 +46,7 @@
 	"slices"
 	"time"
 
+	"heatherport/internal/load/outlier"
 	"heatherport/internal/result"
 	"heatherport/internal/version/directory"
 )
@@ -81,6 +82,11 @@
 // a copy may have passed through another balancer.
 func (p *Packet) isFirst() bool { return p.Copies == 0 && !p.Held }
 
+// mayBeGivenUp reports whether the caller of an opening packet that waited here may
+// have given it up, or sent a copy through another balancer. That no packet follows is
+// then no sign of a fault of the upstream.
+func (p *Packet) mayBeGivenUp() bool { return p.Held && (p.Copies > 0 || p.HeldFor >= p.Repeat) }
+
 // Verdict is the decision about a packet. A packet is dropped if Upstream is
 // nil. Refuse means that the caller is sent a reset, Wait that the packet is
 // decided on again later.
@@ -176,6 +182,7 @@
 	dataEnd    uint32        // sequence number after the caller's data
 	requests   int           // requests seen by this balancer
 	reported   bool          // the pending request or opening needs no further suspicion
+	awaited    bool          // an answer to the opening packet is waited for
 }
 
 // Engine chooses upstreams for opening packets and forwards the packets of open
@@ -195,6 +202,7 @@
 	suspicions []Suspicion                    // since the last Tick
 	cold       coldStarts
 	unopened   unopened
+	openings   outlier.Observer
 }
 
 // New returns an engine with an empty table.
@@ -271,9 +279,7 @@
 		return refusal(v.refusalCause(route, service), v.Current && p.isFirst())
 	}
 	c = &entry{service: service, sequence: p.Sequence, began: now - p.Waited, started: now, earlier: earlier}
-	// The caller of an opening that waited here may have given it up; that no
-	// packet follows is then no sign of a fault of the upstream.
-	c.reported = p.Held
+	c.reported = p.mayBeGivenUp()
 	if len(e.table) < e.cfg.Capacity {
 		e.table[k] = c
 	}
@@ -301,7 +307,7 @@
 	if c.pinned || tooSoon {
 		return forwardTo(v, p, u)
 	}
-	if p.Copies > 0 {
+	if p.Copies > 0 && e.openings.IsAtFault(&e.upstreamState(c.cookie).openings, c.placed) {
 		e.suspect(now, c, k, Unanswered)
 	}
 	verdict := Verdict{}
@@ -399,12 +405,18 @@
 // returns that upstream's cookie if the answer ended a suspicion.
 func (e *Engine) pin(now time.Duration, c *entry, v *View, cookie uint32) (cleared uint32) {
 	if cookie != 0 && cookie != c.cookie && v.Upstream(cookie) != nil {
+		e.stopAwaiting(c)
 		e.uncountLoad(now, c)
 		c.cookie = cookie
 		e.countLoad(now, c, v.Upstream(c.cookie))
 	}
 	c.pinned = true
-	if s := e.upstreamState(c.cookie); s.cause == Unanswered || s.cause == Abandoned {
+	s := e.upstreamState(c.cookie)
+	if c.awaited {
+		c.awaited = false
+		e.openings.Opened(now, c.placed, &s.openings)
+	}
+	if s.cause == Unanswered || s.cause == Abandoned {
 		s.cause = 0
 		return c.cookie
 	}
@@ -413,6 +425,7 @@
 
 func (e *Engine) assign(now time.Duration, c *entry, u *Upstream) {
 	if c.cookie != u.Cookie {
+		e.stopAwaiting(c)
 		e.uncountLoad(now, c)
 		c.cookie = u.Cookie
 		c.tried = append(c.tried, u.Cookie)
@@ -420,6 +433,19 @@
 	e.cold.add(now, u)
 	e.countLoad(now, c, u)
 	c.lastPacket, c.placed = now, now
+	if !c.reported && !c.awaited {
+		c.awaited = true
+		e.openings.Placed(now, &e.upstreamState(u.Cookie).openings)
+	}
+}
+
+// stopAwaiting records that no answer to the opening packet of a connection is waited
+// for any longer.
+func (e *Engine) stopAwaiting(c *entry) {
+	if c.awaited {
+		c.awaited = false
+		e.upstreamState(c.cookie).openings.Left()
+	}
 }
 
 // countLoad counts a connection to its upstream, which is nil if unknown.
@@ -447,6 +473,7 @@
 }
 
 func (e *Engine) remove(now time.Duration, k key, c *entry) {
+	e.stopAwaiting(c)
 	e.uncountLoad(now, c)
 	delete(e.table, k)
 }
--- a/internal/connection/affinity/pool.go
+++ b/internal/connection/affinity/pool.go
@@ -122,17 +122,26 @@
 		return
 	}
 	warm := p.splitCold(now, v.byService[p.service])
-	total := 0.0
 	for i, s := range p.division.shares(e.cfg.Name, v.Balancers, warm) {
-		total += s
 		if s > minShare {
 			p.own = append(p.own, ownUpstream{warm[i], s, int(math.Ceil(permitsPerSlot * s))})
 		}
 	}
 	p.updateDomains(warm)
-	p.permits = max(int(math.Round(permitsPerSlot*total)), 1)
-	p.spillover.Resize(float64(p.permits) / float64(max(len(p.domains), 1)))
 	e.updateAvoidance(now, v, p)
+	p.spillover.Resize(float64(p.permits) / float64(max(len(p.domains), 1)))
+}
+
+// updatePermits sets the permits to those for the slots of the own share that answer.
+// Those of upstreams that have died become idle long before their announcements lapse.
+func (e *Engine) updatePermits(now time.Duration, p *pool) {
+	slots := 0.0
+	for i := range p.own {
+		if o := &p.own[i]; !e.isDead(now, p, o.Upstream) {
+			slots += o.share
+		}
+	}
+	p.permits = max(int(math.Round(permitsPerSlot*slots)), 1)
 }
 
 // splitCold returns the upstreams that are not in a slow start, in a fixed order, and
@@ -202,6 +211,12 @@
 	p.avoidSlow = e.mayAvoidSlow(now, upstreams)
 	p.allAvoided = false
 	p.allAvoided = !slices.ContainsFunc(upstreams, func(u *Upstream) bool { return !e.isAvoided(now, p, u) })
+	e.updatePermits(now, p)
+}
+
+// isDead reports whether an upstream seems to answer nothing, while others do.
+func (e *Engine) isDead(now time.Duration, p *pool, u *Upstream) bool {
+	return !p.allAvoided && (u.Lapsed || e.isUnresponsive(now, u.Cookie))
 }
 
 // isAvoided reports whether there is a reason to expect no answer from an upstream,
@@ -210,13 +225,13 @@
 	if p.allAvoided {
 		return false
 	}
-	return u.Lapsed || e.isUnresponsive(now, u.Cookie) || p.avoidSlow && e.isSlow(now, u)
+	return e.isDead(now, p, u) || p.avoidSlow && e.isSlow(now, u)
 }
 
 // isUseless reports whether no answer is expected from an upstream at all. One that
 // answers late is worth using when all others are busy.
 func (e *Engine) isUseless(now time.Duration, p *pool, u *Upstream) bool {
-	return e.isAvoided(now, p, u) && (u.Lapsed || u.Ejected || e.upstreams[u.Cookie].cause != Overdue)
+	return e.isAvoided(now, p, u) && (u.Lapsed || u.Ejected || e.isUnresponsive(now, u.Cookie))
 }
 
 // tickPools updates what depends on time, and removes pools that are not used.
--- a/internal/connection/affinity/suspicion.go
+++ b/internal/connection/affinity/suspicion.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"heatherport/internal/load/outlier"
 )
 
 // Cause is the reason for which an upstream is suspected.
@@ -63,6 +65,7 @@
 	own       int           // of these, those that hold a permit
 	cause     Cause         // of the last suspicion, or 0
 	suspected time.Duration // time of the last suspicion
+	openings  outlier.Upstream
 	upstreamTimes
 }
 
@@ -148,7 +151,10 @@
 func (e *Engine) checkPending(now time.Duration, v *View, k key, c *entry) {
 	switch {
 	case c.reported:
-	case !c.pinned && c.lastPacket == c.started && now-c.started > abandonTimeout:
+	case e.openings.IsDelayed():
+		// The answers to what is pending now say nothing of the upstreams.
+		c.reported = c.requested != 0 || !c.pinned
+	case c.awaited && c.lastPacket == c.started && e.isAbandoned(now, c):
 		e.suspect(now, c, k, Abandoned)
 		if c.permit.pool != nil {
 			e.uncountLoad(now, c) // the upstream reset the connection
@@ -158,6 +164,14 @@
 	}
 }
 
+// isAbandoned reports whether a connection that has not opened and that the caller has
+// not repeated does not open because of its upstream.
+func (e *Engine) isAbandoned(now time.Duration, c *entry) bool {
+	s := e.upstreamState(c.cookie)
+	return e.openings.IsSilent(&s.openings) && e.openings.IsAtFault(&s.openings, c.placed) ||
+		now-c.started > abandonTimeout && e.openings.IsAtFault(&s.openings, c.placed)
+}
+
 // removeStale deletes the answer times of deleted routes, and the limiters of
 // services without open connections and recent answers.
 func (e *Engine) removeStale(now time.Duration, v *View) {
@@ -180,6 +194,7 @@
 func (e *Engine) IgnorePending() {
 	for _, c := range e.table {
 		c.reported, c.requested = true, 0
+		e.stopAwaiting(c)
 	}
 	e.suspicions = nil
 }
@@ -218,14 +233,14 @@
 }
 
 // isUnresponsive reports whether an upstream recently left an opening packet
-// unanswered.
+// unanswered or reset the connection, or seems to leave one unanswered now.
 func (e *Engine) isUnresponsive(now time.Duration, cookie uint32) bool {
-	return e.isSuspect(now, cookie) && e.upstreams[cookie].cause == Unanswered
+	s := e.upstreams[cookie]
+	return s != nil && (e.isSuspect(now, cookie) && s.cause != Overdue || e.openings.IsSilent(&s.openings))
 }
 
 // isSlow reports whether an upstream answers late or not at all: this balancer
-// suspects it for a reason other than an unanswered opening packet, or it is
-// ejected after the suspicions of several balancers.
+// has waited for an answer of it for too long, or it is ejected after the suspicions of several balancers.
 func (e *Engine) isSlow(now time.Duration, u *Upstream) bool {
 	return u.Ejected || e.isSuspect(now, u.Cookie) && !e.isUnresponsive(now, u.Cookie)
 }
