Slots are lent by need: load/demand, shares by max-min fairness, needs in feeds

Cause: in a crowd of one failure domain its balancers use their equal parts and what spillover finds by chance, while the balancers of other domains idle. Change: a balancer that needs more slots than an equal part says so; while one does, all report, controllers feed the union, and load/share divides by need: the same multiple for all, or max-min fair if needs exceed the slots. Nothing is sent at other times.

--- a/internal/connection/affinity/pool.go
+++ b/internal/connection/affinity/pool.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"heatherport/internal/load/demand"
 	"heatherport/internal/load/queue"
 	"heatherport/internal/load/share"
 	"heatherport/internal/load/spill"
@@ -48,6 +49,7 @@
 	cold       []*Upstream // in a slow start that this balancer owns
 	lanes      []*lane
 	times      serviceTimes
+	demand     demand.Meter
 	avoidSlow  bool // few upstreams are slow
 	allAvoided bool // there is no upstream without a reason to avoid it
 }
@@ -122,7 +124,7 @@
 		return
 	}
 	warm := p.splitCold(now, v.byService[p.service])
-	for i, s := range p.division.shares(e.cfg.Name, v.Balancers, warm) {
+	for i, s := range p.division.shares(e.cfg.Name, v.withNeeds(p.service), warm) {
 		if s > minShare {
 			p.own = append(p.own, ownUpstream{warm[i], s, int(math.Ceil(permitsPerSlot * s))})
 		}
@@ -144,6 +146,19 @@
 	p.permits = max(int(math.Round(permitsPerSlot*slots)), 1)
 }
 
+// withNeeds returns the balancers with what they need of a service.
+func (v *View) withNeeds(service string) []share.Balancer {
+	needs := v.Needs[service]
+	if len(needs) == 0 {
+		return v.Balancers
+	}
+	out := slices.Clone(v.Balancers)
+	for i := range out {
+		out[i].Need = needs[out[i].Name]
+	}
+	return out
+}
+
 // splitCold returns the upstreams that are not in a slow start, in a fixed order, and
 // keeps those in one that this balancer owns.
 func (p *pool) splitCold(now time.Duration, upstreams []*Upstream) []*Upstream {
@@ -237,6 +252,9 @@
 // tickPools updates what depends on time, and removes pools that are not used.
 func (e *Engine) tickPools(now time.Duration, v *View) {
 	e.refreshPools(now, v)
+	for _, p := range e.poolOrder {
+		p.demand.Tick(now)
+	}
 	e.poolOrder = slices.DeleteFunc(e.poolOrder, func(p *pool) bool {
 		e.updateAvoidance(now, v, p)
 		unused := p.queued() == 0 && p.ownOpen == 0 && p.spillover.Open() == 0 && len(v.byService[p.service]) == 0
--- a/internal/connection/affinity/view.go
+++ b/internal/connection/affinity/view.go
@@ -47,6 +47,9 @@
 	// Balancers holds the balancers that controllers feed, sorted by name. If this
 	// balancer is not among them, permits do not apply.
 	Balancers []share.Balancer
+	// Needs holds the slots that balancers need, by service and name of the balancer.
+	// It has only the services of which a balancer needs more than an equal part.
+	Needs     map[string]map[string]float64
 	byCookie  map[uint32]*Upstream
 	byService map[string][]*Upstream
 	// evacuated holds the services that have serving upstreams in evacuated failure
--- a/internal/connection/affinity/waiting.go
+++ b/internal/connection/affinity/waiting.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"heatherport/internal/load/demand"
 	"heatherport/internal/load/queue"
 	"heatherport/internal/result"
 	"heatherport/internal/version/routing"
@@ -49,6 +50,9 @@
 	if p.Waited > r.Timeout {
 		return Verdict{Code: result.DropExpired}
 	}
+	if p.Copies == 0 {
+		pl.demand.Arrived()
+	}
 	l := pl.lane(r)
 	if l.Len() == 0 {
 		if found := e.findRoom(now, pl, &restriction{route: r}); found.upstream != nil {
@@ -223,6 +227,28 @@
 	return at, ok
 }
 
+// Needs returns what the callers of this balancer need of the services, as far as others
+// are to know it.
+func (e *Engine) Needs() map[string]demand.Need {
+	out := make(map[string]demand.Need)
+	for _, p := range e.poolOrder {
+		_, lent := e.poolView.Needs[p.service]
+		if need := p.demand.Report(p.times.usual.get(), p.division.equalPart(), lent); need.Slots > 0 {
+			out[p.service] = need
+		}
+	}
+	return out
+}
+
+// equalPart returns the slots of each balancer if all need the same.
+func (d *division) equalPart() float64 {
+	slots := 0
+	for i := range d.upstreams {
+		slots += d.upstreams[i].Slots
+	}
+	return float64(slots) / float64(max(len(d.balancers), 1))
+}
+
 // Usage is the use of permits, spillover and queues of all services.
 type Usage struct {
 	Permits   int // connections that the own shares admit
--- a/internal/load/share/share_test.go
+++ b/internal/load/share/share_test.go
@@ -18,7 +18,7 @@
 func fleet(t *rapid.T) ([]Balancer, []Upstream) {
 	balancers := make([]Balancer, rapid.IntRange(1, 30).Draw(t, "balancers"))
 	for i := range balancers {
-		balancers[i] = Balancer{fmt.Sprintf("b%02d", i), rapid.SampledFrom(domainNames).Draw(t, "domain")}
+		balancers[i] = Balancer{Name: fmt.Sprintf("b%02d", i), Domain: rapid.SampledFrom(domainNames).Draw(t, "domain")}
 	}
 	upstreams := make([]Upstream, rapid.IntRange(0, 40).Draw(t, "upstreams"))
 	for i := range upstreams {
@@ -140,7 +140,7 @@
 // evenFleet returns balancers and upstreams of two slots spread over three domains.
 func evenFleet(balancers, upstreams int) (b []Balancer, u []Upstream) {
 	for i := range balancers {
-		b = append(b, Balancer{fmt.Sprintf("b%03d", i), domainNames[i%3]})
+		b = append(b, Balancer{Name: fmt.Sprintf("b%03d", i), Domain: domainNames[i%3]})
 	}
 	for i := range upstreams {
 		u = append(u, Upstream{fmt.Sprintf("u%04d", i), domainNames[i%3], 2})
--- a/internal/process/balancer/balancer.go
+++ b/internal/process/balancer/balancer.go
@@ -90,6 +90,7 @@
 	lastRebalance  time.Duration
 	lastPublish    time.Duration
 	reported       []reportedSuspicion
+	needs          needs
 	omittedCounted uint64 // omitted log lines already counted in the metric
 	changed        bool
 }
@@ -223,6 +224,7 @@
 	b.rebalanceFeeds()
 	b.expireReported(b.now())
 	b.reportSuspicions(b.forwarder.tick())
+	b.reportNeeds(b.now())
 	b.updateIsolation(b.now())
 	b.updateGauges()
 	if now := b.now(); !b.ready.Load() || now-b.lastPublish > publishInterval {
@@ -236,7 +238,7 @@
 	now := b.now()
 	b.lastPublish = now
 	confirmed := b.isConfirmed()
-	view := &affinity.View{Routes: b.table, Confirmed: confirmed, Current: confirmed && now > startupTime, Balancers: b.balancers}
+	view := &affinity.View{Routes: b.table, Confirmed: confirmed, Current: confirmed && now > startupTime, Balancers: b.balancers, Needs: b.fedNeeds()}
 	if now > b.lifetime {
 		view.RetiredTargets = b.retired
 	}
--- a/internal/process/balancer/feeds.go
+++ b/internal/process/balancer/feeds.go
@@ -61,6 +61,7 @@
 	lapsed  map[string]bool
 	ejected map[string]bool
 	fleet   *controller.Fleet // balancers that this controller knows; nil before it says so
+	needs   *controller.Needs // what they need, as far as it is lent
 }
 
 // wantedFeeds returns the number of feeds to take now.
@@ -113,6 +114,9 @@
 	f.conn = conn
 	b.subscribe(f)
 	b.repeatSuspicions(conn)
+	if len(b.needs.sent) > 0 {
+		conn.Send(b.needsFrame())
+	}
 }
 
 // pickSource returns the source to connect to, or nil. It prefers a controller
@@ -223,6 +227,9 @@
 		f.fleet = m.Fleet
 		b.updateFleet()
 	}
+	if m.Needs != nil {
+		f.needs = m.Needs
+	}
 	if m.Resumed {
 		b.resumeUpstreams(f, m)
 	}
--- a/internal/process/balancer/forwarder.go
+++ b/internal/process/balancer/forwarder.go
@@ -13,6 +13,7 @@
 
 	"heatherport/internal/connection/affinity"
 	"heatherport/internal/connection/backlog"
+	"heatherport/internal/load/demand"
 	"heatherport/internal/process/logging"
 	"heatherport/internal/process/metrics"
 	"heatherport/internal/process/stall"
@@ -310,6 +311,13 @@
 	}
 }
 
+// needs returns what callers need of the services, as far as others are to know it.
+func (f *forwarder) needs() map[string]demand.Need {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.engine.Needs()
+}
+
 // evacuatedConnections returns the open connections to evacuated upstreams.
 func (f *forwarder) evacuatedConnections(view *affinity.View) int {
 	f.mu.Lock()
--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -92,6 +92,7 @@
 	table               *routing.Table
 	evacuations         *Evacuations
 	fleets              fleetTable
+	needs               needsTable
 	ends                map[string]evacuationEnd // last end of an evacuation, by domain
 	confirmed           bool                     // table and evacuations hold all that was acknowledged
 	subscribers         map[*stream.Conn]*subscriber
@@ -127,6 +128,7 @@
 		addresses: newHintStore[netip.Addr](s.VM.DataDir, balancersFile, 0, cfg.Log.Named("balancers")),
 		balancers: newBalancerTable(),
 		fleets:    fleetTable{byController: make(map[string]*Fleet)},
+		needs:     needsTable{byController: make(map[string]*Needs)},
 		stall:     stall.NewDetector(stallLimit, stallDrain),
 		clock:     stall.Clock,
 		events:    make(chan func(), eventQueue),
@@ -299,6 +301,7 @@
 	c.addresses.save(now, c.balancers.revision, c.balancers.addresses)
 	c.refreshBalancers(now)
 	c.refreshFleet(now)
+	c.refreshNeeds(now)
 	c.expireEnds()
 	c.updateGauges()
 	if now-c.lastRenewal >= renewInterval {
--- a/internal/process/controller/exchange.go
+++ b/internal/process/controller/exchange.go
@@ -83,6 +83,9 @@
 	c.reply(conn, KindRecords, Records{Number: c.recordsNumber, Records: records})
 	c.reply(conn, KindBalancers, Balancers{Addresses: c.balancers.addresses()})
 	c.reply(conn, KindFleet, c.ownFleet())
+	if c.needs.sent != nil {
+		c.reply(conn, KindNeeds, c.needs.sent)
+	}
 	now := c.now()
 	for _, r := range suspicionReports(now, c.directory.Suspicions(now)) {
 		c.reply(conn, KindSuspicionReport, r)
@@ -173,6 +176,11 @@
 		if c.decode(conn, body, &f) {
 			c.post(func() { c.handleFleet(&f) })
 		}
+	case KindNeeds:
+		var n Needs
+		if c.decode(conn, body, &n) {
+			c.post(func() { c.handleNeeds(c.subscribers[conn], &n) })
+		}
 	case KindSubmit:
 		var s Submit
 		if c.decode(conn, body, &s) {
--- a/internal/process/controller/feed.go
+++ b/internal/process/controller/feed.go
@@ -16,6 +16,7 @@
 	address netip.Addr
 	started bool // an update was sent
 	state   feedState
+	needs   *Needs // that it reported last; nil for none
 }
 
 func (c *Controller) subscribe(conn *stream.Conn, s Subscribe) {
@@ -42,7 +43,7 @@
 	}
 	now := feedState{
 		table: c.table, revision: c.directory.Revision(),
-		evacuations: c.evacuations, fleet: c.fleets.fed, confirmed: c.confirmed && c.stall.IsOver(c.clock()), controllers: append(c.peers.members(peerMaxAge), c.member()),
+		evacuations: c.evacuations, fleet: c.fleets.fed, needs: c.needs.fed, confirmed: c.confirmed && c.stall.IsOver(c.clock()), controllers: append(c.peers.members(peerMaxAge), c.member()),
 	}
 	for conn, s := range c.subscribers {
 		if !s.started {
@@ -90,6 +91,8 @@
 	case now.table != last.table, now.evacuations != last.evacuations, now.fleet != last.fleet, now.confirmed != last.confirmed, !slices.Equal(now.controllers, last.controllers),
 		c.directory.UrgentRevision() > last.revision:
 		return since >= urgentFeedInterval
+	case now.needs != last.needs:
+		return since >= needsInterval
 	}
 	return since >= feedInterval
 }
@@ -114,7 +117,7 @@
 	}
 	f := FeedUpdate{
 		Confirmed: now.confirmed, Controllers: now.controllers,
-		SameRoutes: s.Routes == now.table.Number, Resumed: true, Evacuations: now.evacuations, Fleet: now.fleet,
+		SameRoutes: s.Routes == now.table.Number, Resumed: true, Evacuations: now.evacuations, Fleet: now.fleet, Needs: now.needs,
 	}
 	f.Upstreams, f.DifferingBuckets = c.directory.Differing(s.Digests)
 	if !f.SameRoutes {
@@ -144,13 +147,14 @@
 	table       *routing.Table
 	evacuations *Evacuations // replaced, never modified
 	fleet       *Fleet       // replaced, never modified
+	needs       *Needs       // replaced, never modified
 	revision    uint64       // of the directory
 	confirmed   bool
 	controllers []Member
 }
 
 func (s *feedState) equal(o *feedState) bool {
-	return s.table == o.table && s.evacuations == o.evacuations && s.fleet == o.fleet && s.revision == o.revision && s.confirmed == o.confirmed && slices.Equal(s.controllers, o.controllers)
+	return s.table == o.table && s.evacuations == o.evacuations && s.fleet == o.fleet && s.needs == o.needs && s.revision == o.revision && s.confirmed == o.confirmed && slices.Equal(s.controllers, o.controllers)
 }
 
 // feedBase is what an update starts from, as far as its content depends on it.
@@ -158,6 +162,7 @@
 	table           *routing.Table
 	evacuations     *Evacuations
 	fleet           *Fleet
+	needs           *Needs
 	revision        uint64
 	sameControllers bool
 }
@@ -174,7 +179,7 @@
 	if !to.equal(&c.encoded.state) {
 		c.encoded = feedFrames{state: *to, frames: make(map[feedBase][]byte)}
 	}
-	base := feedBase{table: from.table, evacuations: from.evacuations, fleet: from.fleet, revision: from.revision, sameControllers: slices.Equal(from.controllers, to.controllers)}
+	base := feedBase{table: from.table, evacuations: from.evacuations, fleet: from.fleet, needs: from.needs, revision: from.revision, sameControllers: slices.Equal(from.controllers, to.controllers)}
 	if frame, ok := c.encoded.frames[base]; ok {
 		return frame
 	}
@@ -192,6 +197,9 @@
 	if from.fleet != to.fleet {
 		f.Fleet = to.fleet
 	}
+	if from.needs != to.needs {
+		f.Needs = to.needs
+	}
 	frame, err := stream.Encode(KindFeedUpdate, f)
 	if err != nil {
 		c.log.Error("failed to encode feed update", "error", err)
--- a/internal/process/controller/message.go
+++ b/internal/process/controller/message.go
@@ -26,6 +26,7 @@
 	KindFleet                                  // controller to controller: Fleet
 	KindDigests                                // controller to controller: Digests
 	KindDiffering                              // the reply: Differing
+	KindNeeds                                  // balancer to controller, and between controllers: Needs
 )
 
 // Member describes a controller to others.
@@ -133,6 +134,8 @@
 	Evacuations *Evacuations `cbor:"8,keyasint,omitempty"`
 	// Fleet is set when it changed.
 	Fleet *Fleet `cbor:"9,keyasint,omitempty"`
+	// Needs is set when it changed.
+	Needs *Needs `cbor:"10,keyasint,omitempty"`
 }
 
 // Evacuations lists the failure domains that get no new connections.
