load/uplink: the balancer's link is part of admission; metrics of its bytes

Packets then queue for hundreds of milliseconds, connections hold permits for 100 ms in place of 40, and callers repeat what they sent. limits.link_mbps was read by nothing. Change: setting [vm] link_mbps; connections are charged with the average bytes of those to their address, urgent ones may go a burst beyond the target, dear ones keep to their turn; what does not fit is refused at the first packet with code 729. A queue, seen in the delay of all openings, lowers the target until it is empty. Tried and taken back: stopping all new connections while two windows of 0.2 s are full. Metrics cookie_link_bytes_total and link_use.

--- a/internal/connection/affinity/admission.go
+++ b/internal/connection/affinity/admission.go
@@ -85,6 +85,7 @@
 	Permits      int     // zero if the limit applies
 	Spillover    int     // connections open to upstreams in other shares
 	Queued       int     // connection attempts that wait
+	LinkUse      float64 // part of the balancer's link in use, if that is the cause
 }
 
 func (l *limiter) overload() *Overload {
--- a/internal/connection/affinity/affinity.go
+++ b/internal/connection/affinity/affinity.go
@@ -47,6 +47,7 @@
 	"time"
 
 	"heatherport/internal/load/outlier"
+	"heatherport/internal/load/uplink"
 	"heatherport/internal/result"
 	"heatherport/internal/version/directory"
 )
@@ -63,6 +64,7 @@
 	Acknowledged uint32
 	Copies       uint32 // copies of this opening packet that the caller sent before
 	Length       int    // bytes of data
+	Size         int    // bytes of the datagram
 	// Waited is the time since the caller sent the first copy of this opening
 	// packet.
 	Waited time.Duration
@@ -129,6 +131,7 @@
 	Domain   string        // failure domain of this balancer
 	Capacity int           // maximum number of table entries
 	Lifetime time.Duration // maximum lifetime of a connection
+	Link     *uplink.Link  // of this balancer; nil for one without limit
 	Rand     *rand.Rand
 }
 
@@ -183,6 +186,7 @@
 	requests   int           // requests seen by this balancer
 	reported   bool          // the pending request or opening needs no further suspicion
 	awaited    bool          // an answer to the opening packet is waited for
+	size       int           // bytes of its packets, with the overhead of the link
 }
 
 // Engine chooses upstreams for opening packets and forwards the packets of open
@@ -207,6 +211,9 @@
 
 // New returns an engine with an empty table.
 func New(cfg Config) *Engine {
+	if cfg.Link == nil {
+		cfg.Link = &uplink.Link{}
+	}
 	return &Engine{
 		cfg: cfg, table: make(map[key]*entry), upstreams: make(map[uint32]*upstreamState),
 		answers: make(map[netip.AddrPort]*answerTime), limiters: make(map[string]*limiter),
@@ -256,6 +263,9 @@
 	if route == nil {
 		return refusal(result.RefusedNoRoute, v.Current && p.isFirst())
 	}
+	if !e.admitsByLink(now, route, p) {
+		return Verdict{Code: result.RefusedLinkFull, Refuse: true, Overload: &Overload{LinkUse: e.cfg.Link.Use(now)}}
+	}
 	service := route.PickService(e.cfg.Rand.Uint64())
 	if pl := e.pool(now, v, k, service); pl != nil {
 		verdict := e.placeShared(now, v, pl, route, p)
@@ -358,6 +368,7 @@
 		return forwardTo(v, p, v.Upstream(p.Cookie))
 	}
 	c.lastSeq = p.Sequence
+	e.measureSize(c, p)
 	var opened time.Duration
 	var cleared uint32
 	if !c.pinned {
--- a/internal/connection/affinity/suspicion.go
+++ b/internal/connection/affinity/suspicion.go
@@ -84,6 +84,7 @@
 	mean      time.Duration
 	samples   int
 	lastReuse time.Duration // last second or later request on one connection
+	size      float64       // average bytes of a connection; zero while unknown
 }
 
 func (a *answerTime) add(d time.Duration) {
--- a/internal/connection/affinity/waiting.go
+++ b/internal/connection/affinity/waiting.go
@@ -144,6 +144,7 @@
 // overloaded returns the verdict on an attempt that does not wait any longer.
 func (e *Engine) overloaded(now time.Duration, p *pool, a *attempt) Verdict {
 	v := refusal(result.RefusedOverloaded, a.isCertain(now))
+	e.refundLink(now, e.poolView, &a.packet)
 	v.Overload = &Overload{Permits: p.permits, Open: p.ownOpen, Spillover: p.spillover.Open(), Queued: p.queued()}
 	return v
 }
--- a/internal/load/outlier/outlier.go
+++ b/internal/load/outlier/outlier.go
@@ -76,6 +76,10 @@
 	o.usual = min(o.usual, o.average)
 }
 
+// Delay returns by how much openings at all upstreams take longer than usual: the queue
+// at the observer's link.
+func (o *Observer) Delay() time.Duration { return o.average - o.usual }
+
 // IsDelayed reports whether openings at all upstreams take far longer than usual.
 func (o *Observer) IsDelayed() bool { return o.average > max(delayedRatio*o.usual, minMargin) }
 
--- a/internal/process/balancer/balancer.go
+++ b/internal/process/balancer/balancer.go
@@ -15,6 +15,7 @@
 
 	"heatherport/internal/connection/affinity"
 	"heatherport/internal/load/share"
+	"heatherport/internal/load/uplink"
 	"heatherport/internal/process/controller"
 	"heatherport/internal/process/logging"
 	"heatherport/internal/process/metrics"
@@ -114,14 +115,16 @@
 	b.forwarder = &forwarder{
 		codec: cfg.Codec, listen: s.Packets, log: cfg.Log, view: &b.view, started: b.started,
 		flowLog: logging.NewRateLimited(cfg.Log), metrics: cfg.Metrics, clock: stall.Clock, stall: stall.NewDetector(stallLimit, stallDrain),
-		engine: affinity.New(affinity.Config{
-			Name:     keyName(controller.BalancerKey(s.VM.Name)),
-			Domain:   s.VM.Domain,
-			Capacity: tableCapacity,
-			Lifetime: s.Lifetime,
-			Rand:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		}),
+		uplink: uplink.New(s.LinkRate),
 	}
+	b.forwarder.engine = affinity.New(affinity.Config{
+		Name:     keyName(controller.BalancerKey(s.VM.Name)),
+		Domain:   s.VM.Domain,
+		Capacity: tableCapacity,
+		Lifetime: s.Lifetime,
+		Link:     b.forwarder.uplink,
+		Rand:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	})
 	return b
 }
 
--- a/internal/process/balancer/forwarder.go
+++ b/internal/process/balancer/forwarder.go
@@ -14,6 +14,7 @@
 	"heatherport/internal/connection/affinity"
 	"heatherport/internal/connection/backlog"
 	"heatherport/internal/load/demand"
+	"heatherport/internal/load/uplink"
 	"heatherport/internal/process/logging"
 	"heatherport/internal/process/metrics"
 	"heatherport/internal/process/stall"
@@ -73,6 +74,7 @@
 
 	mu       sync.Mutex // guards the fields below and flowLog
 	engine   *affinity.Engine
+	uplink   *uplink.Link
 	waiting  backlog.Queue
 	queued   backlog.Held  // packets in the queues of the engine
 	deadline deadlineTimer // of the queues of the engine
@@ -158,11 +160,14 @@
 	f.metrics.Received.Inc()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.uplink.Received(now, len(buf)-head)
 	p, err := f.codec.Decode(buf[head:])
 	if err != nil {
 		f.drop(&p, result.CodeOf(err))
 		return
 	}
+	p.Size = len(buf)
+	f.metrics.LinkBytes(metrics.Received, purposeOf(&p), len(buf)-head)
 	p.Delayed = f.isDelayed(now)
 	if p.Opening && !f.stall.IsOver(f.clock()) {
 		f.drop(&p, result.DropStale)
@@ -205,10 +210,13 @@
 	case verdict.Upstream != nil:
 		f.codec.SetCookie(buf[head:], verdict.Upstream.Cookie)
 		f.codec.Encapsulate(buf[:head], verdict.Upstream)
-		f.send(buf, verdict.Upstream.Address)
+		f.send(now, buf, verdict.Upstream.Address)
+		f.metrics.LinkBytes(metrics.Sent, purposeOf(p), len(buf))
 		f.metrics.Forwarded.Inc()
 	case verdict.Refuse:
-		f.send(f.codec.AppendReset(reply, p), f.codec.ReturnAddr(p.Caller.Addr()))
+		reset := f.codec.AppendReset(reply, p)
+		f.send(now, reset, f.codec.ReturnAddr(p.Caller.Addr()))
+		f.metrics.LinkBytes(metrics.Sent, metrics.Refusals, len(reset))
 		f.metrics.Refused(verdict.Code)
 	default:
 		f.drop(p, verdict.Code)
@@ -266,6 +274,7 @@
 			f.drop(&p, result.DropStale)
 			return true
 		}
+		p.Size = len(item.Datagram)
 		p.Waited, p.Held, p.HeldFor = now-item.Began, true, now-(item.Expires-p.Repeat-repeatMargin)
 		verdict := f.engine.Decide(now, view, &p)
 		switch {
@@ -292,12 +301,24 @@
 	f.metrics.PermitsUsed.Set(float64(u.Own))
 	f.metrics.Spillover.Set(float64(u.Spillover))
 	f.metrics.Queued.Set(float64(u.Queued))
+	f.metrics.LinkUse.Set(f.uplink.Use(time.Since(f.started)))
 	if u.Permits != f.permits {
 		f.log.Info("permits changed", "permits", u.Permits, "before", f.permits, "balancers", len(f.view.Load().Balancers))
 		f.permits = u.Permits
 	}
 }
 
+// purposeOf returns what a packet uses the link for.
+func purposeOf(p *affinity.Packet) metrics.Purpose {
+	switch {
+	case p.Opening:
+		return metrics.Openings
+	case p.Length > 0:
+		return metrics.Data
+	}
+	return metrics.Acknowledgements
+}
+
 func (f *forwarder) drop(p *affinity.Packet, code result.Code) {
 	f.metrics.Dropped(code)
 	if f.flowLog.Allow(time.Now()) {
@@ -305,7 +326,8 @@
 	}
 }
 
-func (f *forwarder) send(datagram []byte, to netip.AddrPort) {
+func (f *forwarder) send(now time.Duration, datagram []byte, to netip.AddrPort) {
+	f.uplink.Sent(now, len(datagram))
 	if _, err := f.conn.WriteToUDPAddrPort(datagram, to); err != nil {
 		f.log.Debug("failed to send packet", "to", to, "error", err)
 	}
--- a/internal/process/balancer/report.go
+++ b/internal/process/balancer/report.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"heatherport/internal/connection/affinity"
+	"heatherport/internal/result"
 )
 
 // flowID returns the name of a connection in log lines.
@@ -68,6 +69,8 @@
 	fields := []any{"flow", flowID(p), "cause", v.Code.String(), "opening", p.Opening, "routes", number, "confirmed", view.Confirmed}
 	switch o := v.Overload; {
 	case o == nil:
+	case v.Code == result.RefusedLinkFull:
+		fields = append(fields, "link_use", o.LinkUse)
 	case o.Permits > 0:
 		fields = append(fields, "waited_ms", p.Waited.Milliseconds(), "permits", o.Permits, "open", o.Open, "spillover", o.Spillover, "queued", o.Queued)
 	default:
--- a/internal/process/metrics/programs.go
+++ b/internal/process/metrics/programs.go
@@ -71,6 +71,8 @@
 	EvacuatedOpen       prometheus.Gauge
 	ColdUpstreams       prometheus.Gauge
 	OwnedSlowStarts     prometheus.Gauge
+	LinkUse             prometheus.Gauge
+	linkBytes           linkBytes
 
 	dropped *prometheus.CounterVec
 	refused *prometheus.CounterVec
@@ -103,10 +105,46 @@
 		ColdUpstreams:       r.gauge("cold_upstreams", "Upstreams in a slow start with a limit."),
 		OwnedSlowStarts:     r.gauge("owned_slow_starts", "Cold upstreams to which this balancer alone opens connections."),
 		dropped:             r.counterVec("cookie_packets_dropped_total", "Packets dropped, by the name of the result code.", "cause"),
+		LinkUse:             r.gauge("link_use", "Part of the network link in use in the busier direction; 0 if its rate is not set."),
+		linkBytes:           newLinkBytes(r.counterVec("cookie_link_bytes_total", "Bytes of datagrams of callers, without the overhead of frames, by direction and purpose.", "direction", "purpose")),
 		refused:             r.counterVec("cookie_connections_refused_total", "Resets sent to callers, by the name of the result code.", "cause"),
 	}
 }
 
+// Purpose is what a packet uses the link of a balancer for.
+type Purpose int
+
+// The purposes.
+const (
+	Openings Purpose = iota
+	Data
+	Acknowledgements // and ends of connections
+	Refusals
+	purposes
+)
+
+var purposeNames = [purposes]string{"openings", "data", "acknowledgements", "refusals"}
+
+// linkBytes holds the counters of all directions and purposes, so that none is looked up
+// for each packet.
+type linkBytes map[Direction]*[purposes]prometheus.Counter
+
+func newLinkBytes(v *prometheus.CounterVec) linkBytes {
+	out := make(linkBytes)
+	for _, d := range []Direction{Sent, Received} {
+		out[d] = new([purposes]prometheus.Counter)
+		for p, name := range purposeNames {
+			out[d][p] = v.WithLabelValues(string(d), name)
+		}
+	}
+	return out
+}
+
+// LinkBytes counts the bytes of a datagram of callers.
+func (b *Balancer) LinkBytes(d Direction, p Purpose, bytes int) {
+	b.linkBytes[d][p].Add(float64(bytes))
+}
+
 // Dropped counts a packet that was dropped because of code.
 func (b *Balancer) Dropped(code result.Code) { b.dropped.WithLabelValues(code.Name()).Inc() }
 
--- a/internal/process/settings/program.go
+++ b/internal/process/settings/program.go
@@ -33,7 +33,10 @@
 	// Shares divides the slots of upstreams among the balancers, which queue what
 	// finds no room. Without it each balancer adapts a limit to the answer times.
 	Shares bool
-	Log    Log
+	// LinkRate is the rate of the VM's link in bytes per second and direction; zero if
+	// it is unknown.
+	LinkRate float64
+	Log      Log
 }
 
 // The defaults and bounds of optional keys of a Program.
@@ -48,6 +51,8 @@
 	defaultColdExcess      = 1.0
 	maxColdExcess          = 100
 	maxColdSlack           = 10_000
+	maxLinkMbps            = 1_000_000
+	bytesPerMegabit        = 1_000_000 / 8
 )
 
 // The programs of a fleet.
@@ -86,6 +91,7 @@
 		ColdExcess:          r.number("upstreams", "cold_excess", defaultColdExcess, 1, maxColdExcess),
 		ColdSlack:           r.number("upstreams", "cold_slack", 0, 0, maxColdSlack),
 		Shares:              r.choice("load", "shares", "false", "true", "false") == "true",
+		LinkRate:            r.number("vm", "link_mbps", 0, 0, maxLinkMbps) * bytesPerMegabit,
 		Log:                 r.log(),
 	}
 	switch program {
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -105,6 +105,7 @@
 	RefusedEvacuated    Code = 726
 	RefusedRegion       Code = 727
 	RefusedCold         Code = 728
+	RefusedLinkFull     Code = 729
 
 	Internal      Code = 901
 	PromiseBroken Code = 902
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -98,6 +98,7 @@
 	{RefusedEvacuated, "refused_evacuated", "all upstreams of the service are in evacuated failure domains; no request was run", "end an evacuation or add upstreams elsewhere"},
 	{RefusedRegion, "refused_region", "no upstream in a region that the route allows; no request was run", "add upstreams there or change the route"},
 	{RefusedCold, "refused_cold", "all upstreams left have just started and take few connections; no request was run", "try again after the service's slow start"},
+	{RefusedLinkFull, "refused_link_full", "the network link of the balancer cannot carry the connection; no request was run", "try again after a second; add balancers in the failure domain"},
 
 	{PromiseBroken, "promise_broken", "the demo detected the violation of a guarantee", "report it"},
 	{Internal, "internal", "a defect in heatherport", "report it"},
