affinity: packets after a connection's end count for the link

Cause: connections were charged without the acknowledgements that follow their end, some 8 % of their bytes, so that the link was filled beyond its target and a queue of 0.1 to 0.2 s stayed at it. Change: these are added to the average.

--- a/internal/connection/affinity/affinity.go
+++ b/internal/connection/affinity/affinity.go
@@ -187,6 +187,7 @@
 	reported   bool          // the pending request or opening needs no further suspicion
 	awaited    bool          // an answer to the opening packet is waited for
 	size       int           // bytes of its packets, with the overhead of the link
+	ended      bool          // the caller sent its last data
 }
 
 // Engine chooses upstreams for opening packets and forwards the packets of open
--- a/internal/connection/affinity/link.go
+++ b/internal/connection/affinity/link.go
@@ -39,16 +39,21 @@
 }
 
 // measureSize adds a packet to the bytes of its connection, and those of a connection
-// that ends to the average of its address.
+// that ends to the average of its address. Acknowledgements may follow its end.
 func (e *Engine) measureSize(c *entry, p *Packet) {
-	before := c.size
-	c.size += p.Size + uplink.FrameOverhead
-	if !p.Ending || c.requests == 0 || before == 0 {
+	size := p.Size + uplink.FrameOverhead
+	c.size += size
+	if c.requests == 0 {
 		return
 	}
 	a := e.answerTime(p.Service)
-	if a.size == 0 {
+	switch {
+	case c.ended:
+		a.size += sizeWeight * float64(size)
+	case p.Ending && a.size == 0:
 		a.size = float64(c.size)
+	case p.Ending:
+		a.size += sizeWeight * (float64(c.size) - a.size)
 	}
-	a.size += sizeWeight * (float64(c.size) - a.size)
+	c.ended = c.ended || p.Ending
 }
--- a/internal/load/uplink/uplink.go
+++ b/internal/load/uplink/uplink.go
@@ -111,6 +111,9 @@
 	}
 	l.fill(now)
 	l.lowest = max(l.lowest, a.Priority)
+	if a.Bytes == 0 {
+		a.Bytes = l.average
+	}
 	if l.tokens < l.floor(now, a) {
 		return false
 	}
