affinity: attempts wait for a quarter of their objective at most

Hypothesis: attempts that wait until their answer would just be in time are refused so late that the caller's next attempt cannot be answered in time either.

--- a/internal/connection/affinity/waiting.go
+++ b/internal/connection/affinity/waiting.go
@@ -14,6 +14,9 @@
 	// maxWait is the longest time for which an attempt is queued that can still be
 	// refused: a caller retransmits after 200 ms.
 	maxWait = 150 * time.Millisecond
+	// maxWaitPart is the part of its objective, 1 / maxWaitPart, that an attempt may wait:
+	// a caller that is refused has the rest for another attempt.
+	maxWaitPart = 4
 	// refusalMargin is the time before a caller's retransmission in which its
 	// attempt is no longer refused, because the retransmitted packet may pass
 	// through another balancer.
@@ -118,7 +121,7 @@
 	if r.LatencyObjective > 0 {
 		// Slow answers alone make no attempt late.
 		expected := min(p.times.expected(time.Duration(p.times.work), tailRatio), r.LatencyObjective/2)
-		item.Deadline = min(item.Deadline, now-a.packet.Waited+r.LatencyObjective-expected)
+		item.Deadline = min(item.Deadline, now-a.packet.Waited+r.LatencyObjective-expected, a.arrived+r.LatencyObjective/maxWaitPart)
 	}
 	if a.packet.Copies > 0 || item.Deadline < now {
 		item.Late, item.Deadline = true, a.arrived+a.packet.Repeat+lateMargin
