affinity: what waited is refused before a quarter of its objective has passed

Cause: the timer of refusals and the way of the packet came on top of the wait, so that each attempt that was refused after its wait had been held for longer than a quarter.

--- a/internal/connection/affinity/waiting.go
+++ b/internal/connection/affinity/waiting.go
@@ -17,6 +17,8 @@
 	// maxWaitPart is the part of its objective, 1 / maxWaitPart, that an attempt may wait:
 	// a caller that is refused has the rest for another attempt.
 	maxWaitPart = 4
+	// expirySlack is the time by which an attempt may be refused after its deadline.
+	expirySlack = 8 * time.Millisecond
 	// refusalMargin is the time before a caller's retransmission in which its
 	// attempt is no longer refused, because the retransmitted packet may pass
 	// through another balancer.
@@ -121,7 +123,7 @@
 	if r.LatencyObjective > 0 {
 		// Slow answers alone make no attempt late.
 		expected := min(p.times.expected(time.Duration(p.times.work), tailRatio), r.LatencyObjective/2)
-		item.Deadline = min(item.Deadline, now-a.packet.Waited+r.LatencyObjective-expected, a.arrived+r.LatencyObjective/maxWaitPart)
+		item.Deadline = min(item.Deadline, now-a.packet.Waited+r.LatencyObjective-expected, a.arrived+maxWaitOf(r))
 	}
 	if a.packet.Copies > 0 || item.Deadline < now {
 		item.Late, item.Deadline = true, a.arrived+a.packet.Repeat+lateMargin
@@ -129,6 +131,13 @@
 	return item
 }
 
+// maxWaitOf returns the time that an attempt may wait. Half of it is left where the
+// slack is longer.
+func maxWaitOf(r *routing.Route) time.Duration {
+	part := r.LatencyObjective / maxWaitPart
+	return max(part-expirySlack, part/2)
+}
+
 // waitingLimit returns the number of attempts that can be placed within a time,
 // given the rate of responses.
 func (p *pool) waitingLimit(within time.Duration) int {
