--- a/internal/load/demand/demand.go
+++ b/internal/load/demand/demand.go
@@ -24,6 +24,9 @@
 	// its mind with each tick.
 	hungryRatio = 1.0
 	fedRatio    = 0.75
+	// headroom is the part of the square root of the busy slots that is needed beyond
+	// them, because arrivals vary. Spillover covers more than that.
+	headroom = 0.5
 	// minChange is the relative change of a need that is reported.
 	minChange = 0.15
 )
@@ -74,8 +77,7 @@
 	}
 	need := Need{Hungry: busy > ratio*equal}
 	if need.Hungry || lent && busy > 0 {
-		// Arrivals vary by the square root of their number.
-		need.Slots = busy + math.Sqrt(busy)
+		need.Slots = busy + headroom*math.Sqrt(busy)
 	}
 	if need.Hungry == m.last.Hungry && math.Abs(need.Slots-m.last.Slots) <= minChange*m.last.Slots {
 		return m.last
