affinity: ejected upstreams are used when all others are busy

Hypothesis: with most upstreams slow the third that is ejected stands idle, although it answers within the objective. Ejection says that an upstream is worse than others, not that it answers nothing; that each balancer sees for itself within some milliseconds.

--- a/internal/connection/affinity/pool.go
+++ b/internal/connection/affinity/pool.go
@@ -246,7 +246,7 @@
 // isUseless reports whether no answer is expected from an upstream at all. One that
 // answers late is worth using when all others are busy.
 func (e *Engine) isUseless(now time.Duration, p *pool, u *Upstream) bool {
-	return e.isAvoided(now, p, u) && (u.Lapsed || u.Ejected || e.isUnresponsive(now, u.Cookie))
+	return e.isAvoided(now, p, u) && (u.Lapsed || e.isUnresponsive(now, u.Cookie))
 }
 
 // tickPools updates what depends on time, and removes pools that are not used.
