affinity: a pending request shows a slow upstream; replays lend slots and have links

Hypothesis: the average of answers shows an upstream that has become slow only after several slow answers; a request that is pending for 3.5 times the average shows it at the next tick. Tests that fail on the code before: full links blame no upstream (17 suspicions without the comparison), and dead upstreams are found before controllers tell.

--- a/internal/connection/affinity/affinity.go
+++ b/internal/connection/affinity/affinity.go
@@ -501,6 +501,7 @@
 			e.uncountLoad(now, c)
 		}
 		e.checkPending(now, v, k, c)
+		e.learnFromPending(now, c)
 		e.checkOverrun(now, c)
 		if u := v.Upstream(c.cookie); u == nil || u.State == directory.Gone {
 			c.permit.release(now) // the upstream will not answer
--- a/internal/connection/affinity/patterns_test.go
+++ b/internal/connection/affinity/patterns_test.go
@@ -318,3 +318,34 @@
 		})
 	}
 }
+
+// TestFullLinksBlameNoUpstream replays a crowd in one domain whose links are full: all
+// openings there are delayed by up to a quarter of a second, and some packets are lost.
+func TestFullLinksBlameNoUpstream(t *testing.T) {
+	const narrowLink = 240_000 // bytes per second
+	for seed := range uint64(seeds) {
+		r := newReplay(seed, true)
+		r.limitLinks(narrowLink)
+		r.run(r.table(replayTick, replayEnd, during(constant(.27, .13), domainTimes(9, constant(.27, .13)))), replayEnd+time.Second)
+		must.Zero(t, r.suspected)
+	}
+}
+
+// TestDeadUpstreamsAreFoundAtOnce replays the death of half of the upstreams: their
+// permits must return, and most attempts must reach one that answers, long before
+// controllers tell.
+func TestDeadUpstreamsAreFoundAtOnce(t *testing.T) {
+	for seed := range uint64(seeds) {
+		r := newReplay(seed, true)
+		r.after(replayStart, func() {
+			for i, u := range r.upstreams {
+				u.gone = i%2 == 0
+			}
+		})
+		r.from, r.to = replayStart+replayTick, replayStart+time.Second
+		r.run(r.table(replayTick, replayEnd, constant(.2, .1)), replayStart+time.Second+replayTick)
+		o := r.outcome(.5)
+		must.GreaterEq(t, 0.9, o.inTime)
+		must.Positive(t, r.suspected)
+	}
+}
--- a/internal/connection/affinity/replay_test.go
+++ b/internal/connection/affinity/replay_test.go
@@ -10,6 +10,7 @@
 
 	"heatherport/internal/connection/backlog"
 	"heatherport/internal/load/share"
+	"heatherport/internal/load/uplink"
 	"heatherport/internal/version/directory"
 	"heatherport/internal/version/routing"
 )
@@ -28,7 +29,12 @@
 	remoteDelay   = 700 * time.Microsecond // balancer to an upstream in another domain
 	replayTick    = 100 * time.Millisecond
 	replayView    = 500 * time.Millisecond
-	replayTimeout = 3 * time.Second // of the routes
+	replayPacket  = 39                     // bytes of a packet without data
+	replayData    = 1100                   // bytes of a packet with a request
+	replayNeeds   = 200 * time.Millisecond // between reports of needs and their effect
+	replayTimeout = 3 * time.Second        // of the routes
+	// replayLinkQueue is the wait at a link beyond which packets are lost.
+	replayLinkQueue = 250 * time.Millisecond
 )
 
 // replayRoute is a route of the replayed service.
@@ -111,9 +117,31 @@
 	return x
 }
 
+// replayLink is one direction of a balancer's link: packets queue at it, and are lost
+// beyond replayLinkQueue.
+type replayLink struct {
+	rate float64 // bytes per second; zero for no limit
+	free time.Duration
+}
+
+// pass returns for how long a packet that arrives now takes, false if it is lost.
+func (l *replayLink) pass(now time.Duration, size int) (time.Duration, bool) {
+	if l.rate == 0 {
+		return 0, true
+	}
+	wait := max(l.free-now, 0)
+	if wait > replayLinkQueue {
+		return 0, false
+	}
+	wait += time.Duration(float64(size+uplink.FrameOverhead) / l.rate * float64(time.Second))
+	l.free = now + wait
+	return wait, true
+}
+
 // replayBalancer is an engine with the queues of a forwarder.
 type replayBalancer struct {
 	*Engine
+	in, out replayLink
 	name    string
 	waiting backlog.Queue
 	late    map[netip.AddrPort]*Packet // packets in the backlog
@@ -130,6 +158,7 @@
 	events    replayEvents
 	listed    bool // balancers know each other
 	routes    *routing.Table
+	needs     map[string]map[string]float64 // as fed
 	balancers []*replayBalancer
 	upstreams []*replayUpstream
 	records   []Upstream
@@ -138,6 +167,7 @@
 	ports     int
 	refused   int
 	started   int // attempts
+	suspected int // suspicions of upstreams
 	from, to  time.Duration
 }
 
@@ -171,9 +201,31 @@
 		r.every(time.Duration(r.Int64N(int64(replayView))), replayView, func() { r.updateView(b) })
 	}
 	r.updateViews()
+	if listed {
+		r.every(replayNeeds, replayNeeds, r.feedNeeds)
+	}
 	return r
 }
 
+// feedNeeds gathers what balancers need, and feeds it if one needs more than its part.
+func (r *replay) feedNeeds() {
+	needs, hungry := make(map[string]float64), false
+	for _, b := range r.balancers {
+		if n := b.Needs()["permits"]; n.Slots > 0 && !b.down && !b.left {
+			needs[b.name] = n.Slots
+			hungry = hungry || n.Hungry
+		}
+	}
+	before := r.needs
+	r.needs = nil
+	if hungry {
+		r.needs = map[string]map[string]float64{"permits": needs}
+	}
+	if hungry || before != nil {
+		r.after(replayNeeds, r.updateViews)
+	}
+}
+
 func domainName(i int) string { return string(rune('a' + i%replayDomains)) }
 
 func (r *replay) after(d time.Duration, do func()) {
@@ -190,7 +242,7 @@
 
 // updateView gives a balancer the current upstreams and balancers.
 func (r *replay) updateView(b *replayBalancer) {
-	v := &View{Routes: r.routes, Current: true}
+	v := &View{Routes: r.routes, Current: true, Needs: r.needs}
 	if r.listed {
 		for i, o := range r.balancers {
 			if !o.down && !o.left {
@@ -211,7 +263,7 @@
 	if b.down {
 		return
 	}
-	b.Tick(r.now, b.view)
+	r.suspected += len(b.Tick(r.now, b.view))
 	r.release(b)
 }
 
@@ -277,13 +329,13 @@
 		a.done = true
 		return
 	}
-	r.after(callerDelay, func() {
-		b := r.balancers[a.balancer]
+	b := r.balancers[a.balancer]
+	r.receive(b, replayPacket, func() {
 		if b.down {
 			return
 		}
 		p := &Packet{
-			Caller: a.caller, Service: a.route.address, Opening: true, Sequence: 1, Copies: uint32(copies),
+			Caller: a.caller, Service: a.route.address, Opening: true, Sequence: 1, Copies: uint32(copies), Size: replayPacket,
 			Waited: copyTimes[copies], Repeat: copyTimes[copies+1] - copyTimes[copies],
 		}
 		r.carryOut(b, a, p, b.Decide(r.now, b.view, p))
@@ -291,6 +343,34 @@
 	})
 }
 
+// receive delivers a packet of a caller to a balancer through its link.
+func (r *replay) receive(b *replayBalancer, size int, do func()) {
+	r.after(callerDelay, func() {
+		if wait, ok := b.in.pass(r.now, size); ok {
+			r.after(wait, func() {
+				b.cfg.Link.Received(r.now, size)
+				do()
+			})
+		}
+	})
+}
+
+// forward sends a packet of a balancer through its link.
+func (r *replay) forward(b *replayBalancer, size int, delay time.Duration, do func()) {
+	b.cfg.Link.Sent(r.now, size)
+	if wait, ok := b.out.pass(r.now, size); ok {
+		r.after(wait+delay, do)
+	}
+}
+
+// limitLinks gives all balancers links of a rate in bytes per second and direction, which
+// they do not know.
+func (r *replay) limitLinks(rate float64) {
+	for _, b := range r.balancers {
+		b.in.rate, b.out.rate = rate, rate
+	}
+}
+
 // carryOut does what a forwarder does with the verdict on an opening packet.
 func (r *replay) carryOut(b *replayBalancer, a *replayAttempt, p *Packet, v Verdict) (released bool) {
 	switch {
@@ -306,7 +386,7 @@
 		r.reachOpening(b, a, v.Upstream)
 	case v.Refuse:
 		r.refused++
-		r.after(callerDelay, func() {
+		r.forward(b, replayPacket, callerDelay, func() {
 			if !a.opened && !a.done {
 				a.done = true
 				r.retry(a.replayRequest)
@@ -341,7 +421,7 @@
 // reachOpening delivers an opening packet to an upstream, which answers it.
 func (r *replay) reachOpening(b *replayBalancer, a *replayAttempt, u *Upstream) {
 	cookie := u.Cookie
-	r.after(r.upstreamDelay(b, u), func() {
+	r.forward(b, replayPacket, r.upstreamDelay(b, u), func() {
 		if r.find(cookie).gone {
 			return
 		}
@@ -362,15 +442,22 @@
 
 // send sends a packet of an open connection.
 func (r *replay) send(a *replayAttempt, p Packet) {
-	p.Caller, p.Service = a.caller, a.route.address
-	r.after(callerDelay, func() {
-		b := r.balancers[a.balancer]
+	p.Caller, p.Service, p.Size = a.caller, a.route.address, replayPacket
+	if p.Length > 0 {
+		p.Size = replayData
+	}
+	b := r.balancers[a.balancer]
+	r.receive(b, p.Size, func() {
 		if b.down {
 			return
 		}
 		v := b.Decide(r.now, b.view, &p)
-		if v.Upstream != nil && p.Length > 0 {
-			r.after(r.upstreamDelay(b, v.Upstream), func() { r.reachRequest(r.find(p.Cookie), a) })
+		if v.Upstream != nil {
+			r.forward(b, p.Size, r.upstreamDelay(b, v.Upstream), func() {
+				if p.Length > 0 {
+					r.reachRequest(r.find(p.Cookie), a)
+				}
+			})
 		}
 		r.release(b)
 	})
--- a/internal/connection/affinity/times.go
+++ b/internal/connection/affinity/times.go
@@ -21,6 +21,10 @@
 	// tailRatio is the ratio of a long response time to the average. With the
 	// deviation of the deployments, one in 20 responses takes longer.
 	tailRatio = 2
+	// pendingRatio is the ratio of the time of a pending request to the average from
+	// which the upstream counts as slower. With the deviation of the deployments, one
+	// request in 300 takes longer.
+	pendingRatio = 3.5
 	// calmMaxAge is the time after which service times under load count as usual if
 	// there are no others: the service may have become slower.
 	calmMaxAge = time.Minute
@@ -103,6 +107,21 @@
 	}
 }
 
+// learnFromPending raises the service time of an upstream by a request that it has not
+// answered for far longer than usual. The average of answers shows that it has become
+// slow only after several of them.
+func (e *Engine) learnFromPending(now time.Duration, c *entry) {
+	p := c.permit.pool
+	if p == nil || c.requested == 0 || c.requests != 1 || c.opened == 0 {
+		return
+	}
+	s := e.upstreamState(c.cookie)
+	work := now - c.requested - c.opened
+	if service := average(float64(work) / c.crowd); s.service > 0 && float64(service) > pendingRatio*float64(s.service) {
+		s.service, s.work, s.measured = service, max(s.work, average(work)), now
+	}
+}
+
 // checkOverrun lowers the limit of spillover for a connection that is taking too
 // long. Its answer may come much later if the upstream has a long queue.
 func (e *Engine) checkOverrun(now time.Duration, c *entry) {
