--- a/internal/load/share/share_test.go
+++ b/internal/load/share/share_test.go
@@ -85,6 +85,65 @@
 	})
 }
 
+// withNeeds draws needs for the balancers.
+func withNeeds(t *rapid.T, balancers []Balancer) {
+	for i := range balancers {
+		balancers[i].Need = rapid.OneOf(rapid.Just(0.0), rapid.Float64Range(0.1, 20)).Draw(t, "need")
+	}
+}
+
+// Slots that are lent must be in exactly one share, and no balancer gets less than
+// another that has more than it needs.
+func TestLentSharesArePartitionAndFair(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		balancers, upstreams := fleet(t)
+		withNeeds(t, balancers)
+		total := totalSlots(upstreams, "")
+		covered := make([]float64, len(upstreams))
+		got := make([]float64, len(balancers))
+		for i, b := range balancers {
+			shares := Of(b.Name, balancers, upstreams)
+			got[i] = sum(shares)
+			for j, s := range shares {
+				must.GreaterEq(t, 0, s)
+				covered[j] += s
+			}
+		}
+		for i, u := range upstreams {
+			must.InDelta(t, float64(u.Slots), covered[i], tolerance)
+		}
+		for i, b := range balancers {
+			if b.Need == 0 || got[i] >= b.Need-tolerance {
+				continue
+			}
+			for j, o := range balancers {
+				if got[j] > got[i]+tolerance {
+					t.Fatalf("%s gets %g of %g, %s gets %g", b.Name, got[i], b.Need, o.Name, got[j])
+				}
+			}
+		}
+		must.InDelta(t, total, sum(got), tolerance)
+	})
+}
+
+// A crowd of nine times in one domain: its balancers get what they need while it fits,
+// the others keep what they need.
+func TestCrowdIsLentWhatOthersDoNotNeed(t *testing.T) {
+	balancers, upstreams := evenFleet(12, 24)
+	for i := range balancers {
+		balancers[i].Need = 1
+		if balancers[i].Domain == "a" {
+			balancers[i].Need = 9
+		}
+	}
+	must.InDelta(t, 48*9.0/(4*9+8), sum(Of("b000", balancers, upstreams)), tolerance)
+	for i := range balancers {
+		balancers[i].Need *= 2 // more than there is
+	}
+	must.InDelta(t, 2, sum(Of("b001", balancers, upstreams)), tolerance)
+	must.InDelta(t, (48-8*2)/4.0, sum(Of("b000", balancers, upstreams)), tolerance)
+}
+
 // Balancers receive the lists in different orders.
 func TestOrderDoesNotMatter(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
