load/uplink: the same callers are refused for a second

Hypothesis: a caller that is refused comes twice more at once. If chance decides, half of all attempts must be refused to keep away an eighth of the callers, and each refusal costs the link two packets; if the same callers are refused, an eighth is. Change: what is short decides which part of the callers, by a hash of their address and the second, is refused; shedding begins when half of a burst is left. Urgent ones follow a burst later.

--- a/internal/connection/affinity/link.go
+++ b/internal/connection/affinity/link.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"heatherport/internal/load/uplink"
 	"heatherport/internal/version/routing"
 )
@@ -12,7 +14,8 @@
 
 // linkAttempt returns an opening packet as an attempt to use the link.
 func (e *Engine) linkAttempt(r *routing.Route, p *Packet) uplink.Attempt {
-	return uplink.Attempt{Priority: r.Priority, Bytes: e.answerTime(p.Service).size}
+	address := p.Caller.Addr().As16()
+	return uplink.Attempt{Priority: r.Priority, Bytes: e.answerTime(p.Service).size, Caller: xxhash.Sum64(address[:])}
 }
 
 // admitsByLink reports whether the link carries a connection. Copies are not refused:
--- a/internal/load/uplink/uplink.go
+++ b/internal/load/uplink/uplink.go
@@ -5,8 +5,9 @@
 // queue at the link delay those of all open connections, callers repeat what they sent,
 // and answers come late that others would have had in time. What the link cannot carry
 // is therefore refused at the first packet. Each connection is charged with the bytes
-// that connections to its address take on average; a refusal costs two packets, and
-// its caller comes again.
+// that connections to its address take on average. A refusal costs two packets, and its
+// caller comes again: the same callers are refused for a while, so that none is admitted
+// in the place of another.
 //
 // A queue that has formed all the same, because sizes vary or something else uses the
 // link, shows in the delay of all openings: fewer connections are admitted until it is
@@ -15,7 +16,12 @@
 // It fails where all openings are delayed for another reason than the link.
 package uplink
 
-import "time"
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 const (
 	// FrameOverhead is the size in bytes of what a link carries beyond a datagram: the
@@ -33,6 +39,13 @@
 	burstTime = 100 * time.Millisecond
 	// window is the time over which use is measured.
 	window = 200 * time.Millisecond
+	// shedFrom is the part of a burst that is left when the first callers are refused; a
+	// burst later all are. Urgent callers are refused a burst after others.
+	shedFrom = 0.5
+	// maxDebt bounds the bursts that may be used beyond the target.
+	maxDebt = 1.0
+	// shedTurn is the time for which the same callers are refused.
+	shedTurn = time.Second
 	// dearRatio is the multiple of the average bytes from which a connection is dear.
 	dearRatio = 2.0
 	// dearTurn is the time after which a dear connection comes before others, so that
@@ -102,6 +115,7 @@
 type Attempt struct {
 	Priority int     // lower is more urgent
 	Bytes    float64 // that connections to its address take; zero while unknown
+	Caller   uint64  // hash of the caller's address
 }
 
 // Admits reports whether the link can carry one more connection, and charges it if so.
@@ -114,7 +128,7 @@
 	if a.Bytes == 0 {
 		a.Bytes = l.average
 	}
-	if l.tokens < l.floor(now, a) {
+	if l.tokens < l.floor(now, a) || l.isShed(now, a) {
 		return false
 	}
 	l.tokens -= a.Bytes
@@ -156,20 +170,34 @@
 func (l *Link) fill(now time.Duration) {
 	l.tokens += l.target() * l.rate * (now - l.filled).Seconds()
 	l.filled = now
-	l.tokens = min(max(l.tokens, -2*l.burst()), l.burst())
+	l.tokens = min(max(l.tokens, -maxDebt*l.burst()), l.burst())
 }
 
-// floor returns the tokens that must be left for an attempt to be admitted: none for an
-// urgent one until a burst has gone beyond the target, more for a dear one that has had
-// its turn.
+// floor returns the tokens that must be left for an attempt to be admitted: more for a
+// dear one that has had its turn.
 func (l *Link) floor(now time.Duration, a Attempt) float64 {
-	switch {
-	case a.Priority < l.lowest:
-		return -l.burst()
-	case l.isDear(a) && now-l.lastDear < dearTurn:
+	if l.isDear(a) && a.Priority >= l.lowest && now-l.lastDear < dearTurn {
 		return l.burst() / 2
 	}
-	return 0
+	return -2 * l.burst()
+}
+
+// isShed reports whether the callers that are refused include that of an attempt. They
+// are the same ones for shedTurn: a caller that was refused comes again at once, and
+// would be admitted in the place of another that then comes again.
+func (l *Link) isShed(now time.Duration, a Attempt) bool {
+	part := shedFrom - l.tokens/l.burst()
+	if a.Priority < l.lowest {
+		part--
+	}
+	if part <= 0 {
+		return false
+	}
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:], a.Caller)
+	binary.LittleEndian.PutUint64(b[8:], uint64(now/shedTurn))
+	position := float64(xxhash.Sum64(b[:])) / (1 << 64)
+	return position < part
 }
 
 func (l *Link) isDear(a Attempt) bool { return l.average > 0 && a.Bytes > dearRatio*l.average }
--- a/internal/load/uplink/uplink_test.go
+++ b/internal/load/uplink/uplink_test.go
@@ -11,7 +11,8 @@
 const (
 	rate = 450_000.0 // bytes per second
 	// packet is the size of an opening packet or a reset.
-	packet = 31
+	packet  = 31
+	callers = 200
 	// retries is the number of times that a refused caller comes again, at once.
 	retries = 2
 )
@@ -40,6 +41,7 @@
 			if random.Float64() >= k.perSecond*step.Seconds() {
 				continue
 			}
+			k.Caller = random.Uint64N(callers)
 			for try := 0; ; try++ {
 				if l.Admits(now, k.Attempt) {
 					k.admitted++
@@ -88,6 +90,27 @@
 	must.GreaterEq(t, 10, dear.admitted, must.Sprint("at least four a second"))
 }
 
+// The callers that are refused are the same for a second, and others after it: of those
+// that come again at once, none takes the place of another.
+func TestSameCallersAreRefusedForATurn(t *testing.T) {
+	l := New(rate)
+	l.tokens = 0 // half of the callers are refused
+	first, later := 0, 0
+	for caller := range uint64(200) {
+		a := Attempt{Priority: 2, Caller: caller}
+		l.filled = 0
+		if l.isShed(0, a) {
+			first++
+			must.True(t, l.isShed(shedTurn/2, a))
+			if !l.isShed(shedTurn, a) {
+				later++
+			}
+		}
+	}
+	must.Between(t, 70, first, 130)
+	must.Between(t, first/4, later, 3*first/4)
+}
+
 // What the link can carry is admitted.
 func TestLoadThatFitsIsAdmitted(t *testing.T) {
 	status, urgent, dear := crowd(1.0)
