--- a/internal/connection/affinity/affinity.go
+++ b/internal/connection/affinity/affinity.go
@@ -22,14 +22,15 @@
 //
 // Answers do not pass through a balancer (direct server return). Whether an
 // upstream answers, and how fast, follows from what its callers retransmit,
-// abandon or acknowledge. Suspected upstreams get no new connections while
-// others are eligible.
+// abandon or acknowledge, compared with other upstreams (internal/load/outlier).
+// Suspected upstreams get no new connections while others are eligible.
 //
 // # Load
 //
 // Where the view lists the balancers, each has permits for connections to its
 // share of a service's slots, a limit for those to other shares (spillover), and a
-// queue for the rest (pool.go, share_choice.go, waiting.go). Otherwise the upstream
+// queue for the rest (pool.go, share_choice.go, waiting.go). What its network link cannot
+// carry is refused before (link.go). Without that list the upstream
 // with the fewest open connections is chosen, and when a service as a whole answers
 // late, new connections beyond a concurrency limit are refused (choose.go,
 // admission.go, late.go).
@@ -43,7 +44,6 @@
 import (
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"time"
 
 	"heatherport/internal/load/outlier"
@@ -238,258 +238,6 @@
 	return e.forwardEstablished(now, v, p)
 }
 
-// placeOpening chooses the upstream of an opening packet.
-func (e *Engine) placeOpening(now time.Duration, v *View, p *Packet) Verdict {
-	k := key{p.Caller, p.Service}
-	c := e.table[k]
-	var earlier *uint32
-	switch {
-	case c == nil:
-	case c.sequence == p.Sequence && len(c.tried) > 0:
-		return e.placeCopy(now, v, p, c)
-	case p.Copies > 0 && c.pinned && isNear(p.Sequence, c.lastSeq):
-		// A late copy for a connection that opened at another balancer.
-		return forwardTo(v, p, v.Upstream(c.cookie))
-	case now-p.Waited < c.began:
-		// The caller has opened another connection since.
-		return Verdict{Code: result.DropStale}
-	default:
-		e.remove(now, k, c) // the caller reused its port
-		if c.pinned {
-			earlier = &c.lastSeq
-		}
-	}
-	e.replaceAttempt(k)
-	route := v.route(p.Service)
-	if route == nil {
-		return refusal(result.RefusedNoRoute, v.Current && p.isFirst())
-	}
-	if !e.admitsByLink(now, route, p) {
-		return Verdict{Code: result.RefusedLinkFull, Refuse: true, Overload: &Overload{LinkUse: e.cfg.Link.Use(now)}}
-	}
-	service := route.PickService(e.cfg.Rand.Uint64())
-	if pl := e.pool(now, v, k, service); pl != nil {
-		verdict := e.placeShared(now, v, pl, route, p)
-		if placed := e.table[k]; placed != nil {
-			placed.earlier = earlier
-		}
-		return verdict
-	}
-	// A copy is not refused: another balancer may have forwarded the packet
-	// before it.
-	if l := e.limiter(service); p.isFirst() && !l.admits(now, route) {
-		return Verdict{Code: result.RefusedOverloaded, Refuse: true, Overload: l.overload()}
-	}
-	if e.isLate(route, p) {
-		if deferred := e.deferLate(now, route, e.limiter(service), p); deferred != nil {
-			return *deferred
-		}
-	}
-	u, choice := e.choose(now, v, route, service, nil)
-	if u == nil {
-		return refusal(v.refusalCause(route, service), v.Current && p.isFirst())
-	}
-	c = &entry{service: service, sequence: p.Sequence, began: now - p.Waited, started: now, earlier: earlier}
-	c.reported = p.mayBeGivenUp()
-	if len(e.table) < e.cfg.Capacity {
-		e.table[k] = c
-	}
-	e.assign(now, c, u)
-	e.unopened.add(now)
-	return Verdict{Upstream: u, Choice: choice}
-}
-
-// refusal returns a verdict that drops a packet. The connection is refused only
-// if it is certain that none of its packets was forwarded.
-func refusal(code result.Code, certain bool) Verdict {
-	return Verdict{Code: code, Refuse: certain}
-}
-
-// placeCopy chooses the upstream of a repeated opening packet. It prefers one
-// that earlier copies were not sent to.
-func (e *Engine) placeCopy(now time.Duration, v *View, p *Packet, c *entry) Verdict {
-	k := key{p.Caller, p.Service}
-	silence := now - c.lastPacket
-	c.lastPacket = now
-	u := v.Upstream(c.cookie)
-	// The opening may have waited here and been placed only just before its copy
-	// arrived.
-	tooSoon := silence < minSilence && u != nil && u.isEligible()
-	if c.pinned || tooSoon {
-		return forwardTo(v, p, u)
-	}
-	if p.Copies > 0 && e.openings.IsAtFault(&e.upstreamState(c.cookie).openings, c.placed) {
-		e.suspect(now, c, k, Unanswered)
-	}
-	verdict := Verdict{}
-	if len(c.tried) < maxTried {
-		if other, choice := e.chooseOther(now, v, k, c); other != nil && !e.isSuspect(now, other.Cookie) {
-			u = other
-			verdict.Choice = choice
-		}
-	}
-	if u == nil || u.State == directory.Gone || u.Evacuated || !e.isAllowed(now, v.route(p.Service), u) {
-		verdict.Code = result.DropUpstreamGone
-		return verdict
-	}
-	e.assign(now, c, u)
-	verdict.Upstream = u
-	return verdict
-}
-
-// forwardTo returns the verdict that forwards a packet to the upstream of its
-// connection. Connections to an incarnation that has ended are reset, so that
-// callers need not wait for a timeout.
-func forwardTo(v *View, p *Packet, u *Upstream) Verdict {
-	switch {
-	case u == nil:
-		return Verdict{Code: result.DropUnknownTag}
-	case !v.allows(p.Service, u.Service):
-		return Verdict{Code: result.DropServiceMismatch}
-	case u.Ended:
-		return Verdict{Code: result.DropUpstreamGone, Refuse: !p.Reset}
-	}
-	return Verdict{Upstream: u}
-}
-
-// forwardEstablished forwards a packet that is not an opening packet.
-func (e *Engine) forwardEstablished(now time.Duration, v *View, p *Packet) Verdict {
-	k := key{p.Caller, p.Service}
-	c := e.table[k]
-	if c == nil {
-		if p.Cookie == 0 {
-			return Verdict{Code: result.DropNoCookie}
-		}
-		c = &entry{cookie: p.Cookie, pinned: true, lastSeq: p.Sequence}
-		if len(e.table) < e.cfg.Capacity {
-			e.table[k] = c
-		}
-	}
-	if c.isOther(p) {
-		return forwardTo(v, p, v.Upstream(p.Cookie))
-	}
-	c.lastSeq = p.Sequence
-	e.measureSize(c, p)
-	var opened time.Duration
-	var cleared uint32
-	if !c.pinned {
-		cleared = e.pin(now, c, v, p.Cookie)
-		e.unopened = unopened{}
-		opened = now - c.started
-		if len(c.tried) == 1 {
-			c.opened = now - c.placed
-		}
-	}
-	c.lastPacket = now
-	answered := e.measureAnswer(now, v, c, p)
-	switch {
-	case p.Ending, p.Reset:
-		e.uncountLoad(now, c)
-	case p.Length > 0 || c.counted:
-		e.countLoad(now, c, v.Upstream(c.cookie))
-	}
-	verdict := forwardTo(v, p, v.Upstream(c.cookie))
-	verdict.Opened = opened
-	verdict.Answered = answered
-	verdict.Cleared = cleared
-	return verdict
-}
-
-// isOther reports whether a packet belongs to another connection from the same port:
-// its sequence number is far from those of this connection, and it carries the cookie
-// of another upstream or follows the connection that used the port before. A cookie
-// that differs may also come from a copy that went through another balancer.
-func (c *entry) isOther(p *Packet) bool {
-	if c.pinned {
-		return p.Cookie != 0 && p.Cookie != c.cookie && !isNear(p.Sequence, c.lastSeq)
-	}
-	isUnknown := p.Cookie != 0 && !slices.Contains(c.tried, p.Cookie)
-	followsEarlier := c.earlier != nil && isNear(p.Sequence, *c.earlier)
-	return (isUnknown || followsEarlier) && !isNear(p.Sequence, c.sequence)
-}
-
-func isNear(a, b uint32) bool {
-	distance := int32(a - b)
-	return -sequenceWindow < distance && distance < sequenceWindow
-}
-
-// pin fixes the upstream of a connection to the one whose answer opened it. It
-// returns that upstream's cookie if the answer ended a suspicion.
-func (e *Engine) pin(now time.Duration, c *entry, v *View, cookie uint32) (cleared uint32) {
-	if cookie != 0 && cookie != c.cookie && v.Upstream(cookie) != nil {
-		e.stopAwaiting(c)
-		e.uncountLoad(now, c)
-		c.cookie = cookie
-		e.countLoad(now, c, v.Upstream(c.cookie))
-	}
-	c.pinned = true
-	s := e.upstreamState(c.cookie)
-	if c.awaited {
-		c.awaited = false
-		e.openings.Opened(now, c.placed, &s.openings)
-	}
-	if s.cause == Unanswered || s.cause == Abandoned {
-		s.cause = 0
-		return c.cookie
-	}
-	return 0
-}
-
-func (e *Engine) assign(now time.Duration, c *entry, u *Upstream) {
-	if c.cookie != u.Cookie {
-		e.stopAwaiting(c)
-		e.uncountLoad(now, c)
-		c.cookie = u.Cookie
-		c.tried = append(c.tried, u.Cookie)
-	}
-	e.cold.add(now, u)
-	e.countLoad(now, c, u)
-	c.lastPacket, c.placed = now, now
-	if !c.reported && !c.awaited {
-		c.awaited = true
-		e.openings.Placed(now, &e.upstreamState(u.Cookie).openings)
-	}
-}
-
-// stopAwaiting records that no answer to the opening packet of a connection is waited
-// for any longer.
-func (e *Engine) stopAwaiting(c *entry) {
-	if c.awaited {
-		c.awaited = false
-		e.upstreamState(c.cookie).openings.Left()
-	}
-}
-
-// countLoad counts a connection to its upstream, which is nil if unknown.
-func (e *Engine) countLoad(now time.Duration, c *entry, u *Upstream) {
-	if c.counted {
-		return
-	}
-	c.counted = true
-	e.upstreamState(c.cookie).open++
-	e.limiter(c.service).open++
-	if p := e.pools[c.service]; p != nil && e.hasShares && u != nil {
-		c.permit = p.takePermit(u, e.upstreamState(c.cookie))
-		c.crowd = p.crowd(u, e.upstreams[c.cookie].open)
-		c.calm = p.isCalm(now)
-	}
-}
-
-func (e *Engine) uncountLoad(now time.Duration, c *entry) {
-	if c.counted {
-		c.counted = false
-		e.upstreamState(c.cookie).open--
-		e.limiter(c.service).open--
-		c.permit.release(now)
-	}
-}
-
-func (e *Engine) remove(now time.Duration, k key, c *entry) {
-	e.stopAwaiting(c)
-	e.uncountLoad(now, c)
-	delete(e.table, k)
-}
-
 // Tick expires idle connections and returns the suspicions raised since the
 // last call.
 func (e *Engine) Tick(now time.Duration, v *View) []Suspicion {
