--- a/internal/connection/affinity/suspicion.go
+++ b/internal/connection/affinity/suspicion.go
@@ -169,8 +169,8 @@
 // not repeated does not open because of its upstream.
 func (e *Engine) isAbandoned(now time.Duration, c *entry) bool {
 	s := e.upstreamState(c.cookie)
-	return e.openings.IsSilent(&s.openings) && e.openings.IsAtFault(&s.openings, c.placed) ||
-		now-c.started > abandonTimeout && e.openings.IsAtFault(&s.openings, c.placed)
+	isOverdue := e.openings.IsSilent(&s.openings) || now-c.started > abandonTimeout
+	return isOverdue && e.openings.IsAtFault(&s.openings, c.placed)
 }
 
 // removeStale deletes the answer times of deleted routes, and the limiters of
--- a/internal/load/uplink/uplink.go
+++ b/internal/load/uplink/uplink.go
@@ -42,8 +42,9 @@
 	// shedFrom is the part of a burst that is left when the first callers are refused; a
 	// burst later all are. Urgent callers are refused a burst after others.
 	shedFrom = 0.5
-	// maxDebt bounds the bursts that may be used beyond the target.
-	maxDebt = 1.0
+	// maxDebt bounds the bursts that may be used beyond the target: at that, no urgent
+	// caller is left to refuse.
+	maxDebt = 1 + shedFrom
 	// shedTurn is the time for which the same callers are refused.
 	shedTurn = time.Second
 	// dearRatio is the multiple of the average bytes from which a connection is dear.
@@ -59,7 +60,7 @@
 // knows no rate and admits all connections.
 type Link struct {
 	rate     float64 // bytes per second in each direction; zero if unknown
-	tokens   float64 // bytes that may be admitted, down to minus a burst
+	tokens   float64 // bytes that may be admitted; negative for a debt
 	filled   time.Duration
 	average  float64 // bytes of a connection
 	lowest   int     // greatest priority number seen; lower is more urgent
@@ -128,7 +129,7 @@
 	if a.Bytes == 0 {
 		a.Bytes = l.average
 	}
-	if l.tokens < l.floor(now, a) || l.isShed(now, a) {
+	if l.isShed(now, a) || l.awaitsTurn(now, a) {
 		return false
 	}
 	l.tokens -= a.Bytes
@@ -173,13 +174,10 @@
 	l.tokens = min(max(l.tokens, -maxDebt*l.burst()), l.burst())
 }
 
-// floor returns the tokens that must be left for an attempt to be admitted: more for a
-// dear one that has had its turn.
-func (l *Link) floor(now time.Duration, a Attempt) float64 {
-	if l.isDear(a) && a.Priority >= l.lowest && now-l.lastDear < dearTurn {
-		return l.burst() / 2
-	}
-	return -2 * l.burst()
+// awaitsTurn reports whether a dear attempt must wait until more is left or dearTurn has
+// passed since the last one. Urgent attempts do not.
+func (l *Link) awaitsTurn(now time.Duration, a Attempt) bool {
+	return l.isDear(a) && a.Priority >= l.lowest && now-l.lastDear < dearTurn && l.tokens < shedFrom*l.burst()
 }
 
 // isShed reports whether the callers that are refused include that of an attempt. They
