affinity: connections that have not opened hold no permit

Waits of more than half of the time until the caller repeats say nothing of the upstream either: such connections were abandoned, and upstreams suspected. Change: an unopened connection returns its permit after twice the margin of load/outlier (0.1 s at least).

--- a/internal/connection/affinity/affinity.go
+++ b/internal/connection/affinity/affinity.go
@@ -87,7 +87,7 @@
 // mayBeGivenUp reports whether the caller of an opening packet that waited here may
 // have given it up, or sent a copy through another balancer. That no packet follows is
 // then no sign of a fault of the upstream.
-func (p *Packet) mayBeGivenUp() bool { return p.Held && (p.Copies > 0 || p.HeldFor >= p.Repeat) }
+func (p *Packet) mayBeGivenUp() bool { return p.Held && (p.Copies > 0 || p.HeldFor >= p.Repeat/2) }
 
 // Verdict is the decision about a packet. A packet is dropped if Upstream is
 // nil. Refuse means that the caller is sent a reset, Wait that the packet is
@@ -248,6 +248,9 @@
 		case idle > loadTimeout:
 			e.uncountLoad(now, c)
 		}
+		if !c.pinned && now-c.placed > e.openings.Timeout() {
+			e.uncountLoad(now, c) // a connection that has not opened takes no slot
+		}
 		e.checkPending(now, v, k, c)
 		e.learnFromPending(now, c)
 		e.checkOverrun(now, c)
--- a/internal/connection/affinity/share_test.go
+++ b/internal/connection/affinity/share_test.go
@@ -11,6 +11,7 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
+	"heatherport/internal/load/outlier"
 	"heatherport/internal/load/share"
 	"heatherport/internal/result"
 	"heatherport/internal/version/directory"
@@ -558,3 +559,18 @@
 		e.refreshPools(0, views[i%2])
 	}
 }
+
+// After an outage callers have given up connections that waited for the routes. These
+// would hold permits for two seconds without a request, while others are refused.
+func TestConnectionsThatDoNotOpenReturnTheirPermits(t *testing.T) {
+	s := newSharing(t, 2, 4)
+	s.fill()
+	must.Eq(t, 8, s.Usage().Own)
+	s.now += new(outlier.Observer).Timeout()
+	s.Tick(s.now, s.view())
+	must.Eq(t, 8, s.Usage().Own)
+	s.now += time.Millisecond
+	s.Tick(s.now, s.view())
+	must.Zero(t, s.Usage().Own)
+	must.Zero(t, s.Usage().Spillover)
+}
--- a/internal/load/outlier/outlier.go
+++ b/internal/load/outlier/outlier.go
@@ -21,6 +21,9 @@
 	marginRatio = 4
 	// minMargin covers scheduling, and the different distances of failure domains.
 	minMargin = 20 * time.Millisecond
+	// minTimeout is the shortest Timeout. Callers repeat a lost opening packet after
+	// 200 ms.
+	minTimeout = 100 * time.Millisecond
 	// averageWeight averages the last 16 openings.
 	averageWeight = 1.0 / 16
 	// delayedRatio is the ratio of the average to the usual time of openings from which
@@ -90,6 +93,9 @@
 // to open after the earlier one.
 func (o *Observer) margin() time.Duration { return max(marginRatio*o.average, minMargin) }
 
+// Timeout returns the time within which nearly all connections open.
+func (o *Observer) Timeout() time.Duration { return max(2*o.margin(), minTimeout) }
+
 // IsSilent reports whether an upstream has opened none of the connections that wait,
 // while one that was placed later at another upstream has opened.
 func (o *Observer) IsSilent(u *Upstream) bool {
