--- a/internal/process/balancer/forwarder_test.go
+++ b/internal/process/balancer/forwarder_test.go
@@ -15,6 +15,7 @@
 
 	"heatherport/internal/connection/affinity"
 	"heatherport/internal/load/share"
+	"heatherport/internal/load/uplink"
 	"heatherport/internal/process/logging"
 	"heatherport/internal/process/metrics"
 	"heatherport/internal/process/stall"
@@ -95,12 +96,14 @@
 	var current atomic.Pointer[affinity.View]
 	current.Store(view.Index([]affinity.Upstream{u}))
 	log := hclog.NewNullLogger()
+	link := new(uplink.Link)
 	h.forwarder = &forwarder{
 		codec: testCodec{netip.MustParseAddrPort(h.caller.LocalAddr().String()).Port()}, listen: netip.MustParseAddrPort("127.0.0.1:0"),
 		log: log, flowLog: logging.NewRateLimited(log), metrics: metrics.NewBalancer(prometheus.NewRegistry()), view: &current, started: time.Now(),
 		clock:  func() time.Duration { return time.Hour },
 		stall:  stall.NewDetector(stallLimit, stallDrain),
-		engine: affinity.New(affinity.Config{Capacity: 10, Lifetime: time.Minute, Rand: rand.New(rand.NewPCG(1, 1))}),
+		uplink: link,
+		engine: affinity.New(affinity.Config{Capacity: 10, Lifetime: time.Minute, Link: link, Rand: rand.New(rand.NewPCG(1, 1))}),
 	}
 	h.stall.Tick(time.Hour - idle)
 	must.NoError(t, h.start())
@@ -274,3 +277,18 @@
 	d.set(time.Second, time.Second+1, do) // the timer has fired
 	<-fired
 }
+
+// What the link cannot carry is refused at the first packet; packets of open connections
+// pass.
+func TestFullLinkRefusesFirstPackets(t *testing.T) {
+	h := newHarness(t, 0)
+	h.mu.Lock()
+	h.uplink = uplink.New(10) // bytes per second
+	h.uplink.Charge(time.Since(h.started), 1000)
+	h.engine = affinity.New(affinity.Config{Capacity: 10, Lifetime: time.Minute, Link: h.uplink, Rand: rand.New(rand.NewPCG(1, 1))})
+	h.mu.Unlock()
+	h.send(testPacket(kindOpening, 1000, 0))
+	must.Eq(t, testPacket(kindRefusal, 1000, 0), h.receive(h.caller))
+	h.send(testPacket(kindData, 1001, 9))
+	must.Eq(t, append([]byte{7}, testPacket(kindData, 1001, 9)...), h.receive(h.upstream))
+}
