review: a controller that was cut off for a minute ends all upstreams on return

Cause: a controller ends upstreams from which it heard nothing for 60 s, with the state of a withdrawal, which wins over the announcements of the same incarnation everywhere. Tried: one of four controllers is silently cut off from all for 64 s and joined again.

--- a/review/standins/client.go
+++ b/review/standins/client.go
@@ -35,6 +35,7 @@
 	echo     uint32 // the last one received on the flow
 	peerISN  uint32
 	isOpen   bool
+	isClosed bool   // the endpoint sends no more
 	server   string // id of the endpoint that answered last
 	lastSent time.Time
 }
@@ -170,6 +171,7 @@
 				continue
 			}
 			f.ack += uint32(len(p.data))
+			f.isClosed = p.flags&flagFIN != 0
 			f.seq += uint32(len(data))
 			f.send(&packet{flags: flagACK, seq: f.seq, ack: f.ack, echo: f.echo})
 			words := strings.Fields(string(p.data))
--- a/review/standins/heartbeat.go
+++ b/review/standins/heartbeat.go
@@ -21,7 +21,7 @@
 		return err
 	}
 	var ackedAt atomic.Pointer[time.Time]
-	t := startTraffic(clients, w.routeOne(), 100*time.Millisecond)
+	t := startTraffic(clients, w.routeOne(), 100*time.Millisecond, func(*flow, string, outcome) {})
 	for _, e := range w.endpoints {
 		e.ran = func(e *endpoint, from netip.AddrPort, id string) {
 			w.note("endpoint %s of %s runs %s", e.id, e.service, id)
@@ -47,6 +47,14 @@
 		w.note("version 8 was not acknowledged within 15 s")
 	}
 	time.Sleep(10 * time.Second)
+	// A restart shows what a balancer without state gets from the controllers.
+	b := w.balancers[0]
+	b.end()
+	if err := b.start(); err != nil {
+		return err
+	}
+	time.Sleep(6 * time.Second)
+	w.note("%s, started 6 s ago, is in rotation: %t", b.name, w.router.inRotation(b))
 	t.stop()
 	w.note("%d requests, %d answered", t.attempted.Load(), t.answered_.Load())
 	return nil
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -25,8 +25,11 @@
 )
 
 var cases = map[string]func(w *world) error{
-	"foreign-heartbeat": foreignHeartbeat,
-	"rolling-restart":   rollingRestart,
+	"foreign-heartbeat":  foreignHeartbeat,
+	"rolling-restart":    rollingRestart,
+	"cut-off-controller": cutOffController,
+	"late-withdrawal":    lateWithdrawal,
+	"service-returns":    serviceReturns,
 }
 
 func main() {
@@ -79,6 +82,7 @@
 )
 
 func (w *world) routeOne() netip.AddrPort { return netip.AddrPortFrom(w.routeHost(), portOne) }
+func (w *world) routeTwo() netip.AddrPort { return netip.AddrPortFrom(w.routeHost(), portTwo) }
 
 // startDeployment starts the programs, endpoints and clients, and puts a first configuration
 // in force.
@@ -118,12 +122,14 @@
 	running              sync.WaitGroup
 	mu                   sync.Mutex
 	sent                 map[string]time.Time // opening of the flow, by request
+	ended                func(f *flow, id string, o outcome)
 	attempted, answered_ atomic.Int64
 }
 
-// startTraffic sends a request on a new flow from each client at an interval.
-func startTraffic(clients []*client, to netip.AddrPort, interval time.Duration) *traffic {
-	t := &traffic{sent: make(map[string]time.Time)}
+// startTraffic sends a request on a new flow from each client at an interval. It calls ended
+// with each outcome.
+func startTraffic(clients []*client, to netip.AddrPort, interval time.Duration, ended func(f *flow, id string, o outcome)) *traffic {
+	t := &traffic{sent: make(map[string]time.Time), ended: ended}
 	for _, c := range clients {
 		t.running.Go(func() {
 			for !t.stopped.Load() {
@@ -146,6 +152,7 @@
 	if o == answered {
 		o = f.request(id, 1500*time.Millisecond)
 	}
+	t.ended(f, id, o)
 	if o == answered {
 		t.answered_.Add(1)
 		c.w.note("client %s request %s sent and answered by %s", f.from, id, f.server)
