--- a/review/standins/proxy.go
+++ b/review/standins/proxy.go
@@ -47,6 +47,9 @@
 func (x *linkProxy) serve(in net.Conn) {
 	defer in.Close()
 	from := x.w.programOf(in.RemoteAddr().(*net.TCPAddr).AddrPort())
+	if from == nil {
+		return // its end has gone, or isn't listed yet: nothing may pass the cut unseen
+	}
 	if x.isCut(from) {
 		x.waitForJoin(from)
 		return
@@ -95,9 +98,19 @@
 func (w *world) isCut(p *program) bool { return p != nil && w.cut.Load() == p }
 
 // programOf returns the program of the case that has a connection from an address of this
-// machine, or nil.
+// machine, or nil. The lists of the kernel may miss one while others come and go.
 func (w *world) programOf(from netip.AddrPort) *program {
-	inode := inodeOf(from)
+	for range 20 {
+		if p := w.ownerOf(inodeOf(from)); p != nil {
+			return p
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return nil
+}
+
+// ownerOf returns the program that has a socket open.
+func (w *world) ownerOf(inode string) *program {
 	if inode == "" {
 		return nil
 	}
--- a/review/standins/world.go
+++ b/review/standins/world.go
@@ -7,6 +7,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -24,16 +25,50 @@
 	"time"
 )
 
-// Ports of the programs, which have an address each.
+// Ports of the programs, which have an address each. They are free on all addresses of the
+// machine when a run begins.
+var packetPort, readyPort, apiPort, linkPort, metricsPort, endpointPort uint16
+
+// Ports below the range from which connections take theirs.
 const (
-	packetPort   = 8172
-	readyPort    = 8167
-	apiPort      = 8166
-	linkPort     = 7720
-	metricsPort  = 7735
-	endpointPort = 8080
+	lowestPort  = 10_000
+	portsToDraw = 20_000
 )
 
+// drawPorts sets the ports.
+func drawPorts() error {
+	drawn := make(map[uint16]bool)
+	for _, p := range []*uint16{&packetPort, &readyPort, &apiPort, &linkPort, &metricsPort, &endpointPort} {
+		for range 1000 {
+			if port := uint16(lowestPort + rand.IntN(portsToDraw)); !drawn[port] && isFree(port) {
+				*p = port
+				drawn[port] = true
+				break
+			}
+		}
+		if *p == 0 {
+			return errors.New("no free port")
+		}
+	}
+	return nil
+}
+
+// isFree reports whether no one listens at a port.
+func isFree(port uint16) bool {
+	address := netip.AddrPortFrom(netip.IPv4Unspecified(), port).String()
+	l, err := net.Listen("tcp4", address)
+	if err != nil {
+		return false
+	}
+	defer l.Close()
+	c, err := net.ListenPacket("udp4", address)
+	if err != nil {
+		return false
+	}
+	c.Close()
+	return true
+}
+
 // Bounds, as the small deployments have them.
 const (
 	contactTime  = 4000 * time.Millisecond
@@ -50,7 +85,6 @@
 type world struct {
 	trouble bool
 	prefix  [3]byte
-	lock    net.Listener
 	dir     string
 	begun   time.Time
 
@@ -74,21 +108,15 @@
 	resets map[netip.AddrPort]string // endpoint that last reset a flow, by its client's end
 }
 
-// newWorld reserves a loopback network and a temporary folder.
+// newWorld takes a loopback network and a temporary folder.
 func newWorld(recordPath string) (*world, error) {
 	w := &world{trouble: os.Getenv("TROUBLE") != "0", begun: time.Now(), resets: make(map[netip.AddrPort]string)}
 	w.http = &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	second := byte(1 + os.Getpid()%240)
-	for third := range 250 {
-		w.prefix = [3]byte{127, second, byte(third)}
-		l, err := net.Listen("tcp", netip.AddrPortFrom(w.host(254), 9999).String())
-		if err == nil {
-			w.lock = l
-			break
-		}
-	}
-	if w.lock == nil {
-		return nil, fmt.Errorf("no free loopback network")
+	// Runs beside each other have networks of their own.
+	n := os.Getpid() % (240 * 250)
+	w.prefix = [3]byte{127, byte(1 + n/250), byte(n % 250)}
+	if err := drawPorts(); err != nil {
+		return nil, err
 	}
 	var err error
 	if w.dir, err = os.MkdirTemp("", "review"); err != nil {
