review: the stand-ins are test files

Cause: TestProgramStartsNoProcess failed, since it lets only test files import os/exec. review/build.sh builds the stand-ins with go test -c now.

--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 # deploy/system.toml.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -tags review -o review/bin/standins ./review/standins
+go test -c -tags review -o review/bin/standins ./review/standins
--- a/review/standins/endpoint.go
+++ b/review/standins/endpoint_test.go
@@ -1,6 +1,6 @@
 //go:build review
 
-package main
+package standins
 
 import (
 	"encoding/binary"
--- a/review/standins/world.go
+++ b/review/standins/world_test.go
@@ -1,8 +1,8 @@
 //go:build review
 
-// Command standins plays one case of the review: it starts the real programs as separate
+// Package standins plays the cases of the review: it starts the real programs as separate
 // processes on loopback addresses, and plays platform, endpoints, clients and operator.
-package main
+package standins
 
 import (
 	"bytes"
