--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,7 @@
 fuzz:
 	go test -fuzz FuzzDecodePacket -fuzztime 60s -fuzzminimizetime 10x -parallel 2 ./internal/request/wire
 	go test -fuzz 'FuzzDecode$$' -fuzztime 60s -fuzzminimizetime 10x -parallel 2 ./platform
+	go test -fuzz FuzzAnnouncement -fuzztime 60s -fuzzminimizetime 10x -parallel 2 ./platform
 	go test -fuzz FuzzReadConfiguration -fuzztime 60s -fuzzminimizetime 10x -parallel 2 ./platform
 	go test -fuzz FuzzDecodeRelay -fuzztime 60s -fuzzminimizetime 10x -parallel 2 ./internal/request/relay
 
--- a/internal/process/balancer/evacuations_test.go
+++ b/internal/process/balancer/evacuations_test.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -51,8 +52,8 @@
 	update := fullUpdate(t, 1, true)
 	update.Routes.SlowStarts = map[string]routing.SlowStart{"permits": {Duration: 2 * time.Second}}
 	update.Upstreams = []directory.Record{
-		{ID: "i-1", Service: "permits", Domain: "akure", State: directory.Serving, Slots: 2, StartMillis: 1, Seq: 1},
-		{ID: "i-2", Service: "permits", Domain: "ibadan", State: directory.Serving, Slots: 2, StartMillis: 1, Seq: 1, SlowStart: time.Minute, Owner: b.name},
+		{ID: "i-1", Service: "permits", Address: netip.MustParseAddrPort("192.0.2.1:80"), Domain: "akure", State: directory.Serving, Slots: 2, StartMillis: 1, Seq: 1},
+		{ID: "i-2", Service: "permits", Address: netip.MustParseAddrPort("192.0.2.2:80"), Domain: "ibadan", State: directory.Serving, Slots: 2, StartMillis: 1, Seq: 1, SlowStart: time.Minute, Owner: b.name},
 	}
 	update.Evacuations = &controller.Evacuations{Index: 3, Domains: []string{"akure"}}
 	fakes[0].feed(update)
--- a/internal/process/balancer/feeds.go
+++ b/internal/process/balancer/feeds.go
@@ -271,6 +271,11 @@
 	changed := 0
 	var health healthChanges
 	for _, r := range records {
+		if err := r.Check(); err != nil {
+			b.metrics.InvalidRecords.Inc()
+			b.log.Warn("invalid record skipped", "controller", f.source.address, "error", err)
+			continue
+		}
 		isNew := b.directory.Merge(b.now(), r)
 		if isNew || f.lapsed[r.ID] != r.Lapsed || f.ejected[r.ID] != r.Ejected {
 			changed++
--- a/internal/process/balancer/feeds_test.go
+++ b/internal/process/balancer/feeds_test.go
@@ -487,6 +487,22 @@
 	})
 }
 
+// Guards against one upstream's record that closes the feeds: acknowledged configurations
+// reached no balancer.
+func TestUnreadableRecordDoesNotEndTheFeed(t *testing.T) {
+	fakes := startFakes(t, 1)
+	b := startBalancer(t, fakes...)
+	update := fullUpdate(t, 1, true)
+	odd, good := upstreamRecord(false), upstreamRecord(false)
+	odd.ID, good.ID = "\xff\xfe-2", "i-good"
+	update.Upstreams = []directory.Record{odd, good}
+	conn := fakes[0].feed(update)
+	eventually(t, "first version", func() bool { return b.number() == 1 })
+	eventually(t, "the other upstream", func() bool { return b.view.Load().Upstream(good.Tag()) != nil })
+	must.Nil(t, b.view.Load().Upstream(odd.Tag()))
+	must.True(t, conn.Send(nil), must.Sprint("the feed was closed"))
+}
+
 // An update that cannot be decoded leaves a gap: later updates carry the changes since
 // it. The feed is closed, and the next one starts from what the balancer holds.
 func TestUndecodableUpdateRestartsFeed(t *testing.T) {
--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -185,7 +185,7 @@
 	c.cancel = cancel
 	c.links = newLinks(ctx, c.self.Link, c.linkCallbacks)
 	for _, r := range c.upstreams.load() {
-		c.directory.Merge(c.now(), r)
+		c.merge(r, upstreamsFile)
 	}
 	invited := c.addresses.load()
 	c.balancers.add(c.now(), invited...)
--- a/internal/process/controller/exchange.go
+++ b/internal/process/controller/exchange.go
@@ -4,6 +4,7 @@
 	"net/netip"
 
 	"heatherport/internal/process/stream"
+	"heatherport/internal/version/directory"
 	"heatherport/internal/version/raft"
 )
 
@@ -225,9 +226,20 @@
 	c.links.connect(h.Self.Link)
 }
 
+// merge takes a record from another controller or from disk. An invalid record is skipped:
+// it names no upstream, and the others do not depend on it.
+func (c *Controller) merge(r directory.Record, source string) {
+	if err := r.Check(); err != nil {
+		c.cfg.Metrics.InvalidRecords.Inc()
+		c.log.Warn("invalid record skipped", "source", source, "error", err)
+		return
+	}
+	c.directory.Merge(c.now(), r)
+}
+
 func (c *Controller) mergeRecords(conn *stream.Conn, r Records) {
 	for _, record := range r.Records {
-		c.directory.Merge(c.now(), record)
+		c.merge(record, conn.RemoteAddr().String())
 	}
 	// Other controllers receive these records from the same peer.
 	c.sharedRevision = max(c.sharedRevision, c.directory.Revision())
--- a/internal/process/controller/exchange_test.go
+++ b/internal/process/controller/exchange_test.go
@@ -13,6 +13,7 @@
 	"heatherport/internal/process/metrics"
 	"heatherport/internal/process/settings"
 	"heatherport/internal/process/stream"
+	"heatherport/internal/result"
 	"heatherport/internal/version/directory"
 )
 
@@ -82,3 +83,35 @@
 	c.handleMessage(stream.NewConn(ours), KindRecords, body)
 	must.Eq(t, 1, len(c.events))
 }
+
+// Guards against one upstream's record that closes the links between controllers: a build
+// that took it sends it first on each link.
+func TestUnreadableRecordDoesNotEndTheLink(t *testing.T) {
+	c := fedController(t, 0)
+	ours, theirs := net.Pipe()
+	defer theirs.Close()
+	conn := stream.NewConn(ours)
+	odd, good := announcement(directory.Serving, 1), announcement(directory.Serving, 1)
+	odd.ID, odd.Address = "\xff\xfe-2", netip.MustParseAddrPort("192.0.2.10:80")
+	frame, err := stream.Encode(KindRecords, Records{Number: 1, Records: []directory.Record{odd, good}})
+	must.NoError(t, err)
+	_, body, _ := stream.DecodeFrame(frame)
+	c.handleMessage(conn, KindRecords, body)
+	must.Eq(t, 1, len(c.events))
+	(<-c.events)()
+	must.Eq(t, 1, c.directory.Len())
+	must.NotNil(t, c.directory.Get(good.ID))
+	must.True(t, conn.Send(frame), must.Sprint("the link was closed"))
+}
+
+// Guards against an announcement that cannot be passed on: it was acknowledged, and no link
+// or feed lasted while a controller held it.
+func TestAnnouncementThatCannotBePassedOnIsRefused(t *testing.T) {
+	c := fedController(t, 1)
+	c.table = nil
+	c.runControl(t)
+	odd := announcement(directory.Serving, 1)
+	odd.ID = "\xff\xfe-2"
+	_, err := c.Announce(t.Context(), odd)
+	must.Eq(t, result.BadAnnouncement, result.CodeOf(err))
+}
--- a/internal/process/controller/withdraw_test.go
+++ b/internal/process/controller/withdraw_test.go
@@ -74,6 +74,18 @@
 	}
 }
 
+// Guards against a saved directory that is lost for one record that cannot be read.
+func TestUnreadableSavedRecordLeavesTheOthers(t *testing.T) {
+	dir := t.TempDir()
+	s := newHintStore[directory.Record](dir, upstreamsFile, time.Minute, hclog.NewNullLogger())
+	odd := announcement(directory.Serving, 1)
+	odd.Service = "\xff"
+	must.NoError(t, s.write([]directory.Record{odd, announcement(directory.Serving, 1)}))
+	records := s.load()
+	must.Len(t, 2, records)
+	must.NoError(t, records[1].Check())
+}
+
 // Without changes the saved state is written again, so that it does not count as old.
 func TestUnchangedStateIsSavedAgainWithinTheRetention(t *testing.T) {
 	s := newHintStore[int](t.TempDir(), upstreamsFile, time.Minute, hclog.NewNullLogger())
--- a/internal/process/metrics/programs.go
+++ b/internal/process/metrics/programs.go
@@ -56,6 +56,7 @@
 	Copies              prometheus.Counter
 	Suspicions          *prometheus.CounterVec // by cause
 	FeedsLost           prometheus.Counter
+	InvalidRecords      prometheus.Counter
 	OmittedLogLines     prometheus.Counter
 	OpenTime            prometheus.Histogram
 	ViewTime            prometheus.Histogram
@@ -91,6 +92,7 @@
 		Copies:              r.counter("cookie_opening_copies_total", "Repeated opening packets."),
 		Suspicions:          r.counterVec("cookie_suspicions_total", "Suspicions of upstreams by passive health checks, by cause.", "cause"),
 		FeedsLost:           r.counter("feeds_lost_total", "Lost feeds from controllers."),
+		InvalidRecords:      r.counter("invalid_records_total", "Records of upstreams from controllers that were skipped because they cannot be read or used."),
 		OmittedLogLines:     r.counter("log_lines_left_out_total", "Log lines about connections omitted by the rate limit."),
 		ViewTime:            r.histogram("view_seconds", "Time to build the view of routes and upstreams that decisions use."),
 		OpenTime:            r.histogram("cookie_open_seconds", "Time from the first opening packet to the caller's first packet after opening."),
@@ -163,6 +165,7 @@
 	LeaderChanges       prometheus.Counter
 	LogFailures         prometheus.Counter
 	UnknownMessages     prometheus.Counter
+	InvalidRecords      prometheus.Counter
 	SentBytes           *prometheus.CounterVec // by kind of message
 	FeatureLevel        prometheus.Gauge
 	LinksLost           prometheus.Counter
@@ -187,6 +190,7 @@
 		LogFailures:         r.counter("log_failures_total", "Disk failures that closed the log."),
 		SentBytes:           r.counterVec("sent_bytes_total", "Bytes of messages sent to other controllers and to balancers, by kind.", "kind"),
 		UnknownMessages:     r.counter("unknown_messages_total", "Messages of kinds that only newer builds know, which were ignored."),
+		InvalidRecords:      r.counter("invalid_records_total", "Records of upstreams from other controllers or from disk that were skipped because they cannot be read or used."),
 		FeatureLevel:        r.gauge("feature_level", "Feature level in force in the replicated log."),
 		LinksLost:           r.counter("links_lost_total", "Lost links to other controllers."),
 		FeedUpdates:         r.counter("feed_updates_encoded_total", "Feed updates encoded; one may be sent to many balancers."),
--- a/internal/version/directory/directory.go
+++ b/internal/version/directory/directory.go
@@ -20,85 +20,9 @@
 	"net/netip"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"heatherport/internal/result"
 )
 
-// State is the state of an upstream.
-type State uint8
-
-// The states, in the order in which an incarnation passes through them.
-const (
-	Serving State = iota + 1
-	Leaving       // finishes its open connections; accepts no new ones
-	Gone          // has withdrawn or was replaced at its address
-)
-
-var stateNames = [...]string{"", "serving", "leaving", "gone"}
-
-// String returns the name of s.
-func (s State) String() string {
-	if int(s) < len(stateNames) {
-		return stateNames[s]
-	}
-	return "unknown"
-}
-
-// Record describes one incarnation of an upstream.
-type Record struct {
-	ID          string         `cbor:"1,keyasint"`
-	Handle      uint64         `cbor:"2,keyasint"` // identifies the upstream in packets sent to it
-	Service     string         `cbor:"3,keyasint"`
-	Address     netip.AddrPort `cbor:"4,keyasint"`
-	Domain      string         `cbor:"5,keyasint"`
-	Slots       int            `cbor:"6,keyasint"` // requests served at a time
-	State       State          `cbor:"7,keyasint"`
-	StartMillis int64          `cbor:"8,keyasint"` // start in Unix milliseconds, by its own clock
-	Seq         uint64         `cbor:"9,keyasint"` // sequence number of the announcement
-	// SlowStart is how much longer the upstream serves requests slowly after its
-	// start.
-	SlowStart time.Duration `cbor:"10,keyasint,omitempty"`
-	// Lapsed reports that no announcement arrived within Config.LapseAfter.
-	Lapsed bool `cbor:"11,keyasint,omitempty"`
-	// Ejected reports that several balancers recently suspected the upstream of
-	// not answering.
-	Ejected bool `cbor:"12,keyasint,omitempty"`
-	// Owner is the name of the balancer that alone opens connections to the upstream
-	// during its slow start.
-	Owner string `cbor:"13,keyasint,omitempty"`
-}
-
-// Tag returns the 32-bit tag of the incarnation, which connection cookies
-// carry.
-func (r *Record) Tag() uint32 {
-	h := xxhash.New()
-	h.WriteString(r.ID)
-	var b [8]byte
-	for i := range b {
-		b[i] = byte(r.StartMillis >> (8 * i))
-	}
-	h.Write(b[:])
-	tag := uint32(h.Sum64())
-	if tag == 0 {
-		return 1 // zero means no cookie
-	}
-	return tag
-}
-
-// supersedes reports whether r replaces old, a record with the same identifier.
-func (r *Record) supersedes(old *Record) bool {
-	switch {
-	case r.StartMillis != old.StartMillis:
-		return r.StartMillis > old.StartMillis
-	case r.State != old.State:
-		return r.State > old.State
-	case r.Seq != old.Seq:
-		return r.Seq > old.Seq
-	}
-	return r.Owner > old.Owner
-}
-
 // Entry is a record with local bookkeeping.
 type Entry struct {
 	Record
@@ -179,6 +103,9 @@
 // Announce takes an announcement that came from the upstream itself. A delayed
 // announcement of an earlier incarnation changes nothing and is not an error.
 func (d *Directory) Announce(now time.Duration, r Record) (changed bool, err error) {
+	if err := r.Check(); err != nil {
+		return false, err
+	}
 	old := d.entries[r.ID]
 	if old != nil && old.StartMillis == r.StartMillis && (old.Service != r.Service || old.Address != r.Address) {
 		return false, result.Errorf(result.IncarnationConflict, "%s has already announced service %s at %s", r.ID, old.Service, old.Address)
@@ -188,12 +115,15 @@
 
 // Merge takes a record from an announcement or from another controller. It
 // reports whether anything other than its last update and sequence number has
-// changed.
+// changed. A record that Check rejects changes nothing.
 func (d *Directory) Merge(now time.Duration, r Record) (changed bool) {
 	// Whether an upstream has lapsed or is ejected is decided by each controller
 	// from the announcements and suspicions that reach it.
 	r.Lapsed, r.Ejected = false, false
 	d.now = now
+	if r.Check() != nil {
+		return false
+	}
 	old := d.entries[r.ID]
 	if old != nil && !r.supersedes(&old.Record) {
 		return false
