--- a/internal/process/balancer/balancer.go
+++ b/internal/process/balancer/balancer.go
@@ -95,6 +95,7 @@
 	routesSince    time.Duration    // when the first routes arrived
 	firstFeed      time.Duration    // when the first feed opened
 	lastRebalance  time.Duration
+	lastConfirm    time.Duration // of the upstreams
 	lastPublish    time.Duration
 	nextPublish    time.Duration // earliest time of the next view
 	reported       []reportedSuspicion
@@ -111,11 +112,11 @@
 		log: cfg.Log, metrics: cfg.Metrics, name: s.VM.Name, domain: s.VM.Domain,
 		shares: s.Shares, regions: s.Domains, coldExcess: s.ColdExcess, coldSlack: s.ColdSlack,
 		lifetime: s.Lifetime, stopTimeout: s.VM.StopTimeout,
-		started:   time.Now(),
-		link:      s.Link.Listen,
-		events:    make(chan func(), eventQueue),
-		directory: directory.New(directory.Config{Retention: s.Lifetime}),
+		started: time.Now(),
+		link:    s.Link.Listen,
+		events:  make(chan func(), eventQueue),
 	}
+	b.directory = directory.New(directory.Config{Retention: s.Lifetime, Forgotten: b.noteForgotten})
 	b.view.Store((&affinity.View{}).Index(nil))
 	for _, seed := range s.Seeds {
 		b.addSource(s.LinkAddress(seed.Addr()), "")
@@ -239,6 +240,7 @@
 }
 
 func (b *Balancer) tick() {
+	b.confirmUpstreams(b.now())
 	b.directory.Tick(b.now())
 	b.rebalanceFeeds()
 	b.expireReported(b.now())
--- a/internal/process/balancer/feeds.go
+++ b/internal/process/balancer/feeds.go
@@ -399,6 +399,46 @@
 	return slices.ContainsFunc(b.feeds, func(f *feed) bool { return f.confirmed })
 }
 
+// confirmInterval is the time between two checks of which upstreams controllers hear of.
+const confirmInterval = time.Second
+
+// confirmUpstreams confirms the upstreams that a controller hears of. An upstream that all
+// controllers which feed this balancer find silent is forgotten after a while. While none of
+// them has a leader, they may be cut off from the upstreams themselves, and nothing is
+// forgotten.
+func (b *Balancer) confirmUpstreams(now time.Duration) {
+	if now-b.lastConfirm < confirmInterval {
+		return
+	}
+	b.lastConfirm = now
+	isCutOff := !b.isConfirmed()
+	for _, e := range b.directory.Entries() {
+		if isCutOff || b.isHeard(e.ID) {
+			b.directory.Confirm(now, e.ID)
+		}
+	}
+}
+
+// isHeard reports whether a controller that feeds this balancer hears of an upstream.
+func (b *Balancer) isHeard(id string) bool {
+	return slices.ContainsFunc(b.feeds, func(f *feed) bool {
+		lapsed, ok := f.lapsed[id]
+		return ok && !lapsed
+	})
+}
+
+// noteForgotten removes what the feeds say about an upstream that is forgotten.
+func (b *Balancer) noteForgotten(e *directory.Entry) {
+	for _, f := range b.feeds {
+		delete(f.lapsed, e.ID)
+		delete(f.ejected, e.ID)
+	}
+	if e.State != directory.Gone {
+		b.log.Info("silent upstream forgotten", "upstream", e.ID, "service", e.Service, "address", e.Address, "born", e.StartMillis)
+	}
+	b.changed = true
+}
+
 // isLapsed reports whether an upstream has lapsed according to all feeds that
 // know it.
 func (b *Balancer) isLapsed(id string) bool {
--- a/internal/process/controller/calls.go
+++ b/internal/process/controller/calls.go
@@ -122,6 +122,9 @@
 	}
 	defer c.calls.end()
 	err = c.change(ctx, r.ID, func() (bool, error) {
+		if !c.stall.IsOver(c.clock()) {
+			return false, result.Errorf(result.NotReady, "the process stood still; the announcement may be old")
+		}
 		if c.table != nil && !c.table.HasService(r.Service) {
 			return false, result.Errorf(result.BadAnnouncement, "upstream %s announces unknown service %q", r.ID, r.Service)
 		}
@@ -131,6 +134,7 @@
 			return false, err
 		}
 		c.renewed = append(c.renewed, r.Tag())
+		c.noteEndedAnnouncement(&r)
 		if changed {
 			c.log.Info("upstream announced", "upstream", r.ID, "service", r.Service, "address", r.Address, "state", r.State.String(), "born", r.StartMillis, "seq", r.Seq)
 		}
--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -17,6 +17,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"heatherport/internal/process/logging"
 	"heatherport/internal/process/metrics"
 	"heatherport/internal/process/settings"
 	"heatherport/internal/process/stall"
@@ -110,6 +111,9 @@
 	ackWaiters          map[uint64][]chan struct{}
 	unacked             map[string]uint64 // number of the Records message with the unacknowledged end of an upstream, by ID
 	sharedRevision      uint64            // revision of the directory sent to peers
+	forgotten           []string          // silent upstreams that were forgotten since the last line about them
+	endedLog            *logging.RateLimited
+	stallEnded          time.Time // when the last stall was noticed
 	lastRenewal         time.Duration
 	lastHello           time.Duration
 	hellos              int
@@ -120,13 +124,14 @@
 // New returns a controller that is not started.
 func New(cfg Config) *Controller {
 	s := cfg.Settings
-	c := &Controller{
+	var c *Controller
+	c = &Controller{
 		cfg:       cfg,
 		log:       cfg.Log,
 		self:      Member{Domain: s.VM.Domain, Link: s.Link.Advertise, API: s.API, Level: register.FeatureLevel},
 		started:   time.Now(),
 		peers:     newPeerTable(),
-		upstreams: newHintStore[directory.Record](s.VM.DataDir, upstreamsFile, s.Lifetime, cfg.Log.Named("upstreams")),
+		upstreams: newHintStore[directory.Record](s.VM.DataDir, upstreamsFile, s.Lifetime/2, cfg.Log.Named("upstreams")),
 		addresses: newHintStore[netip.Addr](s.VM.DataDir, balancersFile, 0, cfg.Log.Named("balancers")),
 		balancers: newBalancerTable(),
 		fleets:    fleetTable{byController: make(map[string]*Fleet)},
@@ -134,11 +139,12 @@
 		speeds:    newGathered(speedsInterval, MergeSpeeds),
 		stall:     stall.NewDetector(stallLimit, stallDrain),
 		clock:     stall.Clock,
+		endedLog:  logging.NewRateLimited(cfg.Log),
 		events:    make(chan func(), eventQueue),
 		calls:     newCallTracker(),
 		directory: directory.New(directory.Config{
 			LapseAfter: lapseHeartbeats * s.Heartbeat,
-			Retention:  s.Lifetime,
+			Retention:  s.Lifetime, EndedRetention: max(endedRetention, s.Lifetime), Forgotten: func(e *directory.Entry) { c.noteForgotten(e) },
 		}),
 		subscribers: make(map[*stream.Conn]*subscriber),
 		ackWaiters:  make(map[uint64][]chan struct{}),
@@ -184,10 +190,8 @@
 	c.listener = l
 	c.cancel = cancel
 	c.links = newLinks(ctx, c.self.Link, c.linkCallbacks)
-	for _, r := range c.upstreams.load() {
-		c.merge(r, upstreamsFile)
-	}
-	invited := c.addresses.load()
+	c.restoreUpstreams()
+	invited, _ := c.addresses.load()
 	c.balancers.add(c.now(), invited...)
 	c.diskTasks.Go(func() { c.upstreams.run(ctx.Done()) })
 	c.diskTasks.Go(func() { c.addresses.run(ctx.Done()) })
@@ -291,15 +295,10 @@
 
 func (c *Controller) tick() {
 	now := c.now()
-	if gap := c.stall.Tick(c.clock()); gap > 0 {
-		c.log.Warn("process stalled", "for", gap)
-	}
-	// The clock of the directory stands still while the VM is suspended.
-	if gap := now - c.lastTick; gap > stallLimit {
-		c.directory.Excuse(gap)
-	}
+	c.noteStall(now)
 	c.lastTick = now
 	c.directory.Tick(now)
+	c.logForgotten()
 	c.upstreams.save(now, c.directory.Revision(), func() []directory.Record { return c.directory.Since(0) })
 	c.addresses.save(now, c.balancers.revision, c.balancers.addresses)
 	c.refreshBalancers(now)
--- a/internal/process/controller/exchange.go
+++ b/internal/process/controller/exchange.go
@@ -4,7 +4,6 @@
 	"net/netip"
 
 	"heatherport/internal/process/stream"
-	"heatherport/internal/version/directory"
 	"heatherport/internal/version/raft"
 )
 
@@ -164,7 +163,7 @@
 	case KindRenewals:
 		var r Renewals
 		if c.decode(conn, body, &r) {
-			c.post(func() { c.directory.Renew(c.now(), r.Tags) })
+			c.post(func() { c.renew(conn, r) })
 		}
 	case KindSuspicionReport:
 		var d SuspicionReport
@@ -226,20 +225,14 @@
 	c.links.connect(h.Self.Link)
 }
 
-// merge takes a record from another controller or from disk. An invalid record is skipped:
-// it names no upstream, and the others do not depend on it.
-func (c *Controller) merge(r directory.Record, source string) {
-	if err := r.Check(); err != nil {
-		c.cfg.Metrics.InvalidRecords.Inc()
-		c.log.Warn("invalid record skipped", "source", source, "error", err)
+func (c *Controller) mergeRecords(conn *stream.Conn, r Records) {
+	if c.isHeldUp(conn) {
 		return
 	}
-	c.directory.Merge(c.now(), r)
-}
-
-func (c *Controller) mergeRecords(conn *stream.Conn, r Records) {
 	for _, record := range r.Records {
-		c.merge(record, conn.RemoteAddr().String())
+		if c.isUsable(&record, conn.RemoteAddr().String()) {
+			c.directory.Merge(c.now(), record)
+		}
 	}
 	// Other controllers receive these records from the same peer.
 	c.sharedRevision = max(c.sharedRevision, c.directory.Revision())
--- a/internal/process/controller/hintstore.go
+++ b/internal/process/controller/hintstore.go
@@ -28,7 +28,7 @@
 // stall. The state is only a hint: nothing depends on its being up to date.
 type hintStore[T any] struct {
 	dir, file     string
-	maxAge        time.Duration // of entries that load returns; zero for any
+	refresh       time.Duration // time after which unchanged entries are written again; zero for never
 	log           hclog.Logger
 	queue         chan []T
 	savedRevision uint64        // revision that was last queued
@@ -41,44 +41,40 @@
 	Entries  []T   `cbor:"2,keyasint"`
 }
 
-func newHintStore[T any](dir, file string, maxAge time.Duration, log hclog.Logger) *hintStore[T] {
-	return &hintStore[T]{dir: dir, file: file, maxAge: maxAge, log: log, queue: make(chan []T, 1)}
+func newHintStore[T any](dir, file string, refresh time.Duration, log hclog.Logger) *hintStore[T] {
+	return &hintStore[T]{dir: dir, file: file, refresh: refresh, log: log, queue: make(chan []T, 1)}
 }
 
-// load returns the entries that an earlier process saved.
-func (s *hintStore[T]) load() []T {
-	entries, err := s.read()
+// load returns the entries that an earlier process saved, and the time since.
+func (s *hintStore[T]) load() (entries []T, age time.Duration) {
+	entries, age, err := s.read()
 	if err != nil && !errors.Is(err, fs.ErrNotExist) {
 		s.log.Warn("failed to read saved state; starting without it", "file", s.file, "error", err)
 	}
-	return entries
+	return entries, age
 }
 
-func (s *hintStore[T]) read() ([]T, error) {
+func (s *hintStore[T]) read() (entries []T, age time.Duration, err error) {
 	folder, err := vfs.Dir(s.dir)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	data, err := readFile(folder, s.file)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	var saved savedEntries[T]
 	if err := cbor.Unmarshal(data, &saved); err != nil {
-		return nil, result.Wrapf(err, result.StorageCorrupt, "decode %s", s.file)
+		return nil, 0, result.Wrapf(err, result.StorageCorrupt, "decode %s", s.file)
 	}
-	if age := time.Since(time.UnixMilli(saved.AtMillis)); s.maxAge > 0 && age > s.maxAge {
-		s.log.Info("saved state is too old", "file", s.file, "age", age.String(), "entries", len(saved.Entries))
-		return nil, nil
-	}
-	return saved.Entries, nil
+	return saved.Entries, max(time.Since(time.UnixMilli(saved.AtMillis)), 0), nil
 }
 
 // save queues the entries of a revision for writing if it has changed, or if those on
-// disk would soon be too old. While a write is in progress and another one is queued,
-// it does nothing.
+// disk have not been written for long. While a write is in progress and another one is
+// queued, it does nothing.
 func (s *hintStore[T]) save(now time.Duration, revision uint64, entries func() []T) {
-	isAging := s.maxAge > 0 && now-s.savedAt > s.maxAge/2
+	isAging := s.refresh > 0 && now-s.savedAt > s.refresh
 	if revision == s.savedRevision && !isAging || now-s.savedAt < saveInterval || len(s.queue) == cap(s.queue) {
 		return
 	}
--- a/internal/process/controller/stall_test.go
+++ b/internal/process/controller/stall_test.go
@@ -7,6 +7,7 @@
 	"github.com/shoenig/test/must"
 
 	"heatherport/internal/process/stream"
+	"heatherport/internal/result"
 	"heatherport/internal/version/directory"
 )
 
@@ -93,3 +94,73 @@
 	c.feedAll()
 	must.True(t, c.lastFed.confirmed)
 }
+
+// Guards against a paused controller that takes what waited unread for a sign of life: the
+// upstream may have withdrawn since, and the others may have forgotten it.
+func TestAnnouncementsReadAfterAStallDoNotCount(t *testing.T) {
+	c := fedController(t, 1)
+	now := time.Hour
+	c.clock = func() time.Duration { return now }
+	c.noteStall(0)
+	record, err := stream.Encode(KindRecords, Records{Number: 1, Records: []directory.Record{announcement(directory.Serving, 1)}})
+	must.NoError(t, err)
+	_, records, _ := stream.DecodeFrame(record)
+	renewal, err := stream.Encode(KindRenewals, Renewals{Tags: []uint32{c.directory.Get("i-0").Tag()}})
+	must.NoError(t, err)
+	_, renewals, _ := stream.DecodeFrame(renewal)
+	before := discardConn(t)
+	now += 2 * time.Minute
+	for _, noticed := range []bool{false, true} {
+		if noticed {
+			c.noteStall(now)
+			now += stallDrain / 2
+		}
+		c.handleMessage(before, KindRecords, records)
+		c.handleMessage(before, KindRenewals, renewals)
+		(<-c.events)()
+		(<-c.events)()
+		must.Nil(t, c.directory.Get("i-1"))
+		must.False(t, before.Send(record), must.Sprint("the link is open"))
+		before = discardConn(t)
+		if !noticed {
+			before = discardConn(t)
+		}
+	}
+	// A link that was set up after the stall carries no old messages.
+	after := discardConn(t)
+	c.handleMessage(after, KindRecords, records)
+	(<-c.events)()
+	must.NotNil(t, c.directory.Get("i-1"))
+}
+
+// Guards against a paused controller that reads an announcement whose upstream has withdrawn
+// elsewhere since.
+func TestAnnouncementReadAfterAStallIsRefused(t *testing.T) {
+	c := fedController(t, 1)
+	c.table = nil
+	now := time.Hour
+	c.clock = func() time.Duration { return now }
+	c.noteStall(0)
+	now += 2 * time.Minute
+	c.runControl(t)
+	_, err := c.Announce(t.Context(), announcement(directory.Serving, 1))
+	must.Eq(t, result.NotReady, result.CodeOf(err))
+	must.Nil(t, c.directory.Get("i-1"))
+}
+
+// Guards against a suspended controller whose clock stood still: what it knew is as old as
+// it was suspended.
+func TestSuspensionAgesUpstreams(t *testing.T) {
+	c := fedController(t, 0)
+	c.directory = directory.New(directory.Config{Retention: time.Minute, Forgotten: c.noteForgotten})
+	c.directory.Merge(0, announcement(directory.Serving, 1))
+	now := time.Hour
+	c.clock = func() time.Duration { return now }
+	c.noteStall(0)
+	now += 2 * time.Minute
+	c.noteStall(controlInterval)
+	c.lastTick = controlInterval
+	c.directory.Tick(controlInterval)
+	must.Zero(t, c.directory.Len())
+	must.Eq(t, []string{"i-1"}, c.forgotten)
+}
--- a/internal/process/metrics/programs.go
+++ b/internal/process/metrics/programs.go
@@ -175,6 +175,8 @@
 	ConfigurationNumber prometheus.Gauge
 	IsLeader            prometheus.Gauge
 	Evacuations         prometheus.Gauge
+	Forgotten           prometheus.Counter
+	EndedAnnouncements  prometheus.Counter
 
 	calls *prometheus.CounterVec
 }
@@ -191,6 +193,8 @@
 		SentBytes:           r.counterVec("sent_bytes_total", "Bytes of messages sent to other controllers and to balancers, by kind.", "kind"),
 		UnknownMessages:     r.counter("unknown_messages_total", "Messages of kinds that only newer builds know, which were ignored."),
 		InvalidRecords:      r.counter("invalid_records_total", "Records of upstreams from other controllers or from disk that were skipped because they cannot be read or used."),
+		Forgotten:           r.counter("upstreams_forgotten_total", "Upstreams that were forgotten because no controller heard of them for the lifetime of a connection."),
+		EndedAnnouncements:  r.counter("ended_announcements_total", "Announcements of incarnations that have ended, which changed nothing."),
 		FeatureLevel:        r.gauge("feature_level", "Feature level in force in the replicated log."),
 		LinksLost:           r.counter("links_lost_total", "Lost links to other controllers."),
 		FeedUpdates:         r.counter("feed_updates_encoded_total", "Feed updates encoded; one may be sent to many balancers."),
--- a/internal/process/stream/stream.go
+++ b/internal/process/stream/stream.go
@@ -51,6 +51,7 @@
 // Conn is a connection. Its methods are safe for concurrent use.
 type Conn struct {
 	conn  net.Conn
+	since time.Time
 	queue chan []byte
 	done  chan struct{}
 	once  sync.Once
@@ -58,7 +59,7 @@
 
 // NewConn returns a connection that is not served: messages are queued only.
 func NewConn(c net.Conn) *Conn {
-	return &Conn{conn: c, queue: make(chan []byte, queueLength), done: make(chan struct{})}
+	return &Conn{conn: c, since: time.Now(), queue: make(chan []byte, queueLength), done: make(chan struct{})}
 }
 
 // Encode returns the frame of a message. A frame may be sent on several
@@ -91,6 +92,9 @@
 	return Kind(datagram[4]), datagram[headerSize:], true
 }
 
+// OpenedAt returns the time at which the connection was opened or accepted.
+func (c *Conn) OpenedAt() time.Time { return c.since }
+
 // Send queues a frame. It reports false when the connection has ended. A
 // connection whose queue is full is closed.
 func (c *Conn) Send(frame []byte) bool {
--- a/internal/version/directory/digest_test.go
+++ b/internal/version/directory/digest_test.go
@@ -67,6 +67,9 @@
 func TestForgottenUpstreamIsMissing(t *testing.T) {
 	a, b := newServingDirectory(50), newServingDirectory(50)
 	b.Withdraw(0, "i-3")
+	for i := range 50 {
+		b.Confirm(retention, fmt.Sprint("i-", i))
+	}
 	b.Tick(retention + 1)
 	records, buckets := b.Differing(a.Digests())
 	must.Eq(t, []string{"i-3"}, a.Missing(buckets, records))
--- a/internal/version/directory/directory.go
+++ b/internal/version/directory/directory.go
@@ -9,14 +9,24 @@
 // Within an incarnation Gone wins over Leaving and Leaving over Serving;
 // between equal states the higher sequence number wins. Two controllers that got the
 // same announcement may have chosen different owners of the slow start; of these the
-// greater name wins. An incarnation ends
-// when a later one starts at its address. The latest incarnation at an address
-// stays known after its end, so that a delayed record of an earlier one cannot
-// revive that one.
+// greater name wins.
+//
+// # Silence and end
+//
+// An incarnation ends when it withdraws or when a later one starts at its address. Silence
+// ends nothing: a controller that is cut off hears of no upstream, although all live. An
+// upstream that is silent for longer than a connection may live is forgotten where it is
+// silent, without a trace, and known again with its next announcement or the next record
+// of another controller.
+//
+// An ended incarnation stays known for longer than a silent one anywhere, and for longer
+// than a network holds up an announcement, so that none of these can revive it. Records
+// that are passed on or saved carry their age for the same reason.
 package directory
 
 import (
 	"container/list"
+	"math"
 	"net/netip"
 	"time"
 
@@ -26,11 +36,13 @@
 // Entry is a record with local bookkeeping.
 type Entry struct {
 	Record
-	LastUpdate time.Duration // when the record was last confirmed
+	Known      time.Duration // when the incarnation became known here
+	LastUpdate time.Duration // when the record was last confirmed; later after Excuse
 	Revision   uint64        // directory revision of its last change
 	Ended      time.Duration // when it became Gone
 	ColdUntil  time.Duration // end of its slow start
 
+	heard      time.Duration // when the upstream was last heard of, anywhere
 	tag        uint32        // of the incarnation
 	lastQuorum time.Duration // last time at which a quorum suspected it
 	change     *list.Element // position in Directory.changes
@@ -45,9 +57,12 @@
 	// LapseAfter is the time without an announcement after which an upstream is
 	// marked as lapsed. Zero leaves that to the sender of the records.
 	LapseAfter time.Duration
-	// Retention is the time for which ended upstreams stay known. It is also the
-	// time without an announcement after which an upstream counts as ended.
+	// Retention is the time for which silent upstreams stay known; zero for no limit.
 	Retention time.Duration
+	// EndedRetention is the time for which ended upstreams stay known; zero for Retention.
+	EndedRetention time.Duration
+	// Forgotten is called, if it is set, with each upstream that is forgotten.
+	Forgotten func(e *Entry)
 }
 
 // Directory is the merged state. It is not safe for concurrent use.
@@ -121,7 +136,9 @@
 	// from the announcements and suspicions that reach it.
 	r.Lapsed, r.Ejected = false, false
 	d.now = now
-	if r.Check() != nil {
+	heard := now - r.age()
+	r.SilentMillis = 0
+	if r.Check() != nil || d.isExpired(now, r.State, heard) {
 		return false
 	}
 	old := d.entries[r.ID]
@@ -135,21 +152,44 @@
 			d.end(now, holder)
 		}
 	}
-	if old != nil && old.StartMillis == r.StartMillis && old.State == r.State && !old.Lapsed {
+	isLapsed := d.cfg.LapseAfter > 0 && now-heard > d.cfg.LapseAfter
+	if old != nil && old.StartMillis == r.StartMillis && old.State == r.State && (!old.Lapsed || isLapsed) {
 		old.Seq = r.Seq
-		old.LastUpdate = now
+		old.LastUpdate = max(old.LastUpdate, heard)
+		old.heard = max(old.heard, heard)
 		return d.updateSlowStart(now, old, &r)
 	}
-	d.put(now, old, r)
+	d.put(now, heard, old, r)
 	return true
 }
 
-func (d *Directory) put(now time.Duration, old *Entry, r Record) {
-	e := &Entry{Record: r, tag: r.Tag(), LastUpdate: now, ColdUntil: now + r.SlowStart}
+// Restore takes a record that this process saved. The upstream has a new time to announce
+// itself before it lapses: while the process was down, it could not.
+func (d *Directory) Restore(now time.Duration, r Record) {
+	if d.Merge(now, r) {
+		d.entries[r.ID].LastUpdate = now
+	}
+}
+
+// isExpired reports whether a directory forgets an upstream in a state that was last heard
+// of, or ended, at a time.
+func (d *Directory) isExpired(now time.Duration, s State, at time.Duration) bool {
+	retention := d.cfg.Retention
+	if s == Gone && d.cfg.EndedRetention > 0 {
+		retention = d.cfg.EndedRetention
+	}
+	return retention > 0 && now-at > retention
+}
+
+func (d *Directory) put(now, heard time.Duration, old *Entry, r Record) {
+	e := &Entry{Record: r, tag: r.Tag(), Known: now, LastUpdate: heard, heard: heard, ColdUntil: now + r.SlowStart}
 	if r.State == Gone {
-		e.Ended = now
+		e.Ended = heard
 	}
 	if old != nil {
+		if old.StartMillis == r.StartMillis {
+			e.Known = old.Known
+		}
 		d.release(old)
 	}
 	d.entries[r.ID] = e
@@ -184,10 +224,15 @@
 	return changed
 }
 
-// export returns the record of an entry with the rest of its slow start.
+// export returns the record of an entry with its age and the rest of its slow start.
 func (d *Directory) export(e *Entry) Record {
 	r := e.Record
 	r.SlowStart = max(e.ColdUntil-d.now, 0)
+	since := e.heard
+	if e.State == Gone {
+		since = e.Ended
+	}
+	r.SilentMillis = uint32(min(max((d.now-since).Milliseconds(), 0), math.MaxUint32))
 	return r
 }
 
@@ -229,22 +274,38 @@
 		if e == nil || e.State == Gone {
 			continue
 		}
-		e.LastUpdate = now
+		e.LastUpdate, e.heard = now, now
 		changed = d.setLapsed(e, false) || changed
 	}
 	return changed
 }
 
-// Excuse extends the time until upstreams lapse or count as ended by a stall of
-// this process, in which it read no announcements.
+// Confirm confirms an upstream of which others have heard, in a directory that does not mark
+// upstreams as lapsed itself.
+func (d *Directory) Confirm(now time.Duration, id string) {
+	if e := d.entries[id]; e != nil {
+		e.heard = now
+	}
+}
+
+// Excuse extends the time until upstreams lapse by a stall of this process, in which it read
+// no announcements. It does not make them younger: others may have heard that they ended.
 func (d *Directory) Excuse(stall time.Duration) {
 	for _, e := range d.entries {
 		e.LastUpdate += stall
 	}
 }
 
-// Tick marks upstreams without recent announcements as lapsed or ended, ends
-// expired ejections and evicts upstreams whose retention has passed.
+// Age makes upstreams older by a time in which the clock of the directory stood still.
+func (d *Directory) Age(suspended time.Duration) {
+	for _, e := range d.entries {
+		e.heard -= suspended
+		e.Ended -= suspended
+	}
+}
+
+// Tick marks upstreams without recent announcements as lapsed, ends expired ejections and
+// forgets upstreams whose retention has passed.
 func (d *Directory) Tick(now time.Duration) (changed bool) {
 	d.now = now
 	changed = d.tickReports(now)
@@ -252,21 +313,27 @@
 		changed = d.expireEjection(now, e) || changed
 		switch {
 		case e.State == Gone:
-			if now-e.Ended > d.cfg.Retention {
-				delete(d.entries, id)
-				d.release(e)
+			if d.isExpired(now, Gone, e.Ended) {
+				d.forget(id, e)
 			}
-		case d.cfg.LapseAfter == 0:
-		case now-e.LastUpdate > d.cfg.Retention:
-			d.end(now, e)
+		case d.isExpired(now, e.State, e.heard):
+			d.forget(id, e)
 			changed = true
-		case now-e.LastUpdate > d.cfg.LapseAfter:
+		case d.cfg.LapseAfter > 0 && now-e.LastUpdate > d.cfg.LapseAfter:
 			changed = d.setLapsed(e, true) || changed
 		}
 	}
 	return changed
 }
 
+func (d *Directory) forget(id string, e *Entry) {
+	delete(d.entries, id)
+	d.release(e)
+	if d.cfg.Forgotten != nil {
+		d.cfg.Forgotten(e)
+	}
+}
+
 func (d *Directory) setLapsed(e *Entry, lapsed bool) bool {
 	if e.Lapsed == lapsed {
 		return false
--- a/internal/version/directory/record.go
+++ b/internal/version/directory/record.go
@@ -53,6 +53,10 @@
 	// Owner is the name of the balancer that alone opens connections to the upstream
 	// during its slow start.
 	Owner string `cbor:"13,keyasint,omitempty"`
+	// SilentMillis is the age of the record in a message or file: the time since the
+	// upstream was last heard of, or since it ended. A receiver must not take an old
+	// record for a sign of life.
+	SilentMillis uint32 `cbor:"14,keyasint,omitempty"`
 }
 
 // Limits of the fields of a record. One record must not take the processor or the message
@@ -111,6 +115,9 @@
 	return nil
 }
 
+// age returns the age of a received record.
+func (r *Record) age() time.Duration { return time.Duration(r.SilentMillis) * time.Millisecond }
+
 // Tag returns the 32-bit tag of the incarnation, which connection cookies
 // carry.
 func (r *Record) Tag() uint32 {
