--- a/cmd/heatherport-node/main.go
+++ b/cmd/heatherport-node/main.go
@@ -103,7 +103,7 @@
 		Settings: d.Settings, Log: d.Log, ParseRoutes: platform.ParseConfiguration,
 		Metrics: metrics.NewController(d.Registry),
 	})
-	return daemon.Service{Component: c, Listen: d.Settings.API, Handler: platform.ControlHandler(c)}
+	return daemon.Service{Component: c, Listen: d.Settings.API, Handler: platform.ControlHandler(c), ConnContext: controller.WithCallConn}
 }
 
 func newOperator(controllers []string, client *http.Client) operator {
--- a/internal/process/controller/calls.go
+++ b/internal/process/controller/calls.go
@@ -121,6 +121,7 @@
 		return nearerAPI, err
 	}
 	defer c.calls.end()
+	callConnOf(ctx).note(r.ID, r.StartMillis)
 	err = c.change(ctx, r.ID, func() (bool, error) {
 		if !c.stall.IsOver(c.clock()) {
 			return false, result.Errorf(result.NotReady, "the process stood still; the announcement may be old")
@@ -149,8 +150,8 @@
 	return nearerAPI, nil
 }
 
-// Withdraw ends the incarnation of an upstream. A withdrawal names no incarnation: one
-// that was read late could end an incarnation that started since.
+// Withdraw ends the incarnation of an upstream that withdraws. The call does not name it: a
+// call that arrives late, or is read late, must not end an incarnation that started since.
 func (c *Controller) Withdraw(ctx context.Context, id string) (err error) {
 	defer func() { c.cfg.Metrics.Call("withdraw", err) }()
 	if err := c.calls.begin(); err != nil {
@@ -161,14 +162,34 @@
 		if !c.stall.IsOver(c.clock()) {
 			return false, result.Errorf(result.NotReady, "the process stood still; the withdrawal may be old")
 		}
-		changed := c.directory.Withdraw(c.now(), id)
-		if changed {
-			c.log.Info("upstream withdrew", "upstream", id)
-		}
-		return changed, nil
+		return c.withdraw(callConnOf(ctx), id)
 	})
 }
 
+// withdraw ends the incarnation that withdraws on a connection, and reports whether it did.
+func (c *Controller) withdraw(conn *callConn, id string) (ended bool, err error) {
+	e := c.directory.Get(id)
+	if e == nil {
+		c.log.Info("withdrawal of an unknown upstream", "upstream", id)
+		return false, nil
+	}
+	if conn != nil {
+		start, announced := conn.incarnation(id)
+		switch {
+		case announced && start != e.StartMillis:
+			c.log.Info("late withdrawal ignored", "upstream", id, "born", start, "current_born", e.StartMillis)
+			return false, nil
+		case !announced && conn.accepted.Before(c.started.Add(e.Known)):
+			c.log.Info("withdrawal rejected: its connection is older than the incarnation", "upstream", id, "born", e.StartMillis, "connection_age", time.Since(conn.accepted).String())
+			return false, result.Errorf(result.NotReady, "%s: the withdrawal may be of an earlier incarnation", id)
+		}
+	}
+	if ended = c.directory.Withdraw(c.now(), id, e.StartMillis); ended {
+		c.log.Info("upstream withdrew", "upstream", id, "service", e.Service, "address", e.Address, "born", e.StartMillis)
+	}
+	return ended, nil
+}
+
 // change applies a change to an upstream on the control goroutine. A change
 // that ends the upstream, also when it is repeated, waits until another
 // controller acknowledges it, because balancers must learn of it even if this
--- a/internal/process/controller/feed_test.go
+++ b/internal/process/controller/feed_test.go
@@ -54,7 +54,7 @@
 	c.feedAll()
 	must.Eq(t, 1, c.encodedUpdates()) // the full state
 	full := len(c.fullFeed.frame)
-	c.directory.Withdraw(0, "i-7")
+	c.directory.Withdraw(0, "i-7", 1)
 	c.lastFeedTime -= urgentFeedInterval
 	c.feedAll()
 	must.Eq(t, 2, c.encodedUpdates())
@@ -74,7 +74,7 @@
 	i := 0
 	for conn, s := range all {
 		c.subscribers[conn] = s
-		c.directory.Withdraw(0, fmt.Sprint("i-", i))
+		c.directory.Withdraw(0, fmt.Sprint("i-", i), 1)
 		i++
 		c.lastFeedTime -= urgentFeedInterval
 		c.feedAll()
--- a/internal/process/controller/stall_test.go
+++ b/internal/process/controller/stall_test.go
@@ -62,7 +62,7 @@
 	c.lastFeedTime = -feedInterval
 	c.feedAll()
 	before := c.encodedUpdates()
-	c.directory.Withdraw(0, "i-1")
+	c.directory.Withdraw(0, "i-1", 1)
 	c.lastFeedTime -= urgentFeedInterval
 	c.feedAll()
 	must.Eq(t, before+1, c.encodedUpdates())
--- a/internal/process/controller/withdraw_test.go
+++ b/internal/process/controller/withdraw_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -128,3 +129,69 @@
 	}
 	must.Between(t, 3, saves, 5)
 }
+
+// Guards against a withdrawal that a partition held up and that ends the next incarnation
+// under the same identifier for good.
+func TestLateWithdrawalEndsNoLaterIncarnation(t *testing.T) {
+	c := fedController(t, 0)
+	c.table = nil
+	c.runControl(t)
+	connect := func() context.Context { return WithCallConn(t.Context(), nil) }
+	announce := func(conn context.Context, start int64) {
+		r := announcement(directory.Serving, 1)
+		r.StartMillis = start
+		_, err := c.Announce(conn, r)
+		must.NoError(t, err)
+	}
+	state := func() directory.State { return c.directory.Get("i-1").State }
+	withAnnouncement, without := connect(), connect()
+	announce(withAnnouncement, 10)
+	announce(connect(), 20)
+
+	must.NoError(t, c.Withdraw(withAnnouncement, "i-1"))
+	must.Eq(t, directory.Serving, state())
+	must.Eq(t, result.NotReady, result.CodeOf(c.Withdraw(without, "i-1")))
+	must.Eq(t, directory.Serving, state())
+
+	// The incarnation itself withdraws on a connection of its own, old or new.
+	announce(without, 20)
+	must.NoError(t, c.Withdraw(without, "i-1"))
+	must.Eq(t, directory.Gone, state())
+	announce(connect(), 30)
+	must.NoError(t, c.Withdraw(connect(), "i-1"))
+	must.Eq(t, directory.Gone, state())
+	must.Eq(t, 30, c.directory.Get("i-1").StartMillis)
+}
+
+// A controller that has not heard of the next incarnation yet ends the one that it knows, and
+// nothing else where the next one is known.
+func TestWithdrawalAtAControllerThatIsBehind(t *testing.T) {
+	behind, ahead := fedController(t, 0), fedController(t, 0)
+	old, next := announcement(directory.Serving, 1), announcement(directory.Serving, 1)
+	next.StartMillis++
+	behind.directory.Merge(0, old)
+	ahead.directory.Merge(0, next)
+	ended, err := behind.withdraw(callConnOf(WithCallConn(t.Context(), nil)), old.ID)
+	must.NoError(t, err)
+	must.True(t, ended)
+	for _, r := range behind.directory.Since(0) {
+		ahead.directory.Merge(0, r)
+	}
+	must.Eq(t, directory.Serving, ahead.directory.Get(old.ID).State)
+	for _, r := range ahead.directory.Since(0) {
+		behind.directory.Merge(0, r)
+	}
+	must.Eq(t, directory.Serving, behind.directory.Get(old.ID).State)
+}
+
+// What is remembered of a connection is bounded.
+func TestConnectionOfManyUpstreams(t *testing.T) {
+	conn := callConnOf(WithCallConn(t.Context(), nil))
+	for i := range 2 * maxAnnounced {
+		conn.note(fmt.Sprint("i-", i), 1)
+	}
+	conn.note("i-0", 2)
+	must.MapLen(t, maxAnnounced, conn.announced)
+	start, _ := conn.incarnation("i-0")
+	must.Eq(t, 2, start)
+}
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -55,6 +55,8 @@
 	Component Component
 	Listen    netip.AddrPort
 	Handler   http.Handler
+	// ConnContext, if it is set, returns the context of the calls on a connection.
+	ConnContext func(ctx context.Context, c net.Conn) context.Context
 }
 
 // Run starts the program with the settings in file, waits until ctx ends and
@@ -102,20 +104,17 @@
 // until the component has stopped, so that routers see a balancer that is not
 // ready rather than one that does not respond.
 func serve(lc fx.Lifecycle, deps Dependencies, s Service) {
-	listen(lc, deps.Log, deps.Settings.Metrics, metrics.NewMetricsHandler(deps.Registry))
-	listen(lc, deps.Log, s.Listen, s.Handler)
+	listen(lc, deps.Log, deps.Settings.Metrics, &http.Server{Handler: metrics.NewMetricsHandler(deps.Registry)})
+	listen(lc, deps.Log, s.Listen, &http.Server{Handler: s.Handler, ConnContext: s.ConnContext})
 	lc.Append(fx.Hook{OnStart: s.Component.Start, OnStop: s.Component.Stop})
 }
 
 // listen serves an HTTP interface while the program runs.
-func listen(lc fx.Lifecycle, log hclog.Logger, address netip.AddrPort, handler http.Handler) {
-	srv := &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: headerTimeout,
-		ReadTimeout:       bodyTimeout,
-		IdleTimeout:       idleTimeout,
-		ErrorLog:          log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
-	}
+func listen(lc fx.Lifecycle, log hclog.Logger, address netip.AddrPort, srv *http.Server) {
+	srv.ReadHeaderTimeout = headerTimeout
+	srv.ReadTimeout = bodyTimeout
+	srv.IdleTimeout = idleTimeout
+	srv.ErrorLog = log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			l, err := net.Listen("tcp", address.String())
--- a/internal/version/directory/digest_test.go
+++ b/internal/version/directory/digest_test.go
@@ -22,7 +22,7 @@
 
 func TestEndedUpstreamsAreSentToThoseThatKnowThem(t *testing.T) {
 	a, b := newServingDirectory(50), newServingDirectory(50)
-	b.Withdraw(0, "i-3")
+	b.Withdraw(0, "i-3", b.Get("i-3").StartMillis)
 	found := false
 	records, _ := b.Differing(a.Digests())
 	for _, r := range records {
@@ -66,7 +66,7 @@
 // that all others have forgotten.
 func TestForgottenUpstreamIsMissing(t *testing.T) {
 	a, b := newServingDirectory(50), newServingDirectory(50)
-	b.Withdraw(0, "i-3")
+	b.Withdraw(0, "i-3", b.Get("i-3").StartMillis)
 	for i := range 50 {
 		b.Confirm(retention, fmt.Sprint("i-", i))
 	}
--- a/internal/version/directory/directory.go
+++ b/internal/version/directory/directory.go
@@ -256,10 +256,11 @@
 	d.markChanged(e, true)
 }
 
-// Withdraw ends the current incarnation of an identifier.
-func (d *Directory) Withdraw(now time.Duration, id string) (changed bool) {
+// Withdraw ends the incarnation of an identifier that started at startMillis. It changes
+// nothing if another one is known.
+func (d *Directory) Withdraw(now time.Duration, id string, startMillis int64) (changed bool) {
 	e := d.entries[id]
-	if e == nil || e.State == Gone {
+	if e == nil || e.StartMillis != startMillis || e.State == Gone {
 		return false
 	}
 	d.end(now, e)
--- a/internal/version/directory/directory_test.go
+++ b/internal/version/directory/directory_test.go
@@ -48,8 +48,8 @@
 	must.True(t, d.Merge(0, leaving))
 	must.False(t, d.Merge(0, serving("a", 1, 10, 3)))
 	must.Eq(t, Leaving, d.Get("a").State)
-	must.True(t, d.Withdraw(0, "a"))
-	must.False(t, d.Withdraw(0, "a"))
+	must.True(t, d.Withdraw(0, "a", d.Get("a").StartMillis))
+	must.False(t, d.Withdraw(0, "a", d.Get("a").StartMillis))
 	leaving.Seq = 9
 	must.False(t, d.Merge(0, leaving))
 	must.Eq(t, Gone, d.Get("a").State)
@@ -65,7 +65,7 @@
 	must.Eq(t, Serving, d.Get("b").State)
 	// A delayed announcement arrives after its sender has ended, and after the
 	// successor of its sender has ended too.
-	d.Withdraw(0, "b")
+	d.Withdraw(0, "b", d.Get("b").StartMillis)
 	d.Merge(0, serving("c", 1, 15, 7))
 	must.Eq(t, Gone, d.Get("c").State)
 }
@@ -163,8 +163,8 @@
 	d := newServingDirectory(100)
 	before := d.Revision()
 	must.SliceEmpty(t, d.Since(before))
-	d.Withdraw(0, "i-7")
-	d.Withdraw(0, "i-3")
+	d.Withdraw(0, "i-7", d.Get("i-7").StartMillis)
+	d.Withdraw(0, "i-3", d.Get("i-3").StartMillis)
 	changed := d.Since(before)
 	must.Len(t, 2, changed)
 	must.Eq(t, "i-3", changed[0].ID)
@@ -186,7 +186,7 @@
 	d.suspect(0, "i-1", "a")
 	d.suspect(0, "i-1", "b")
 	must.Eq(t, urgent, d.UrgentRevision())
-	d.Withdraw(0, "i-2")
+	d.Withdraw(0, "i-2", d.Get("i-2").StartMillis)
 	must.Eq(t, d.Revision(), d.UrgentRevision())
 }
 
--- a/internal/version/directory/ejection_test.go
+++ b/internal/version/directory/ejection_test.go
@@ -83,7 +83,7 @@
 
 func TestSuspicionOfAnUnknownOrEndedUpstreamIsIgnored(t *testing.T) {
 	d := newServingDirectory(2)
-	d.Withdraw(0, "i-1")
+	d.Withdraw(0, "i-1", d.Get("i-1").StartMillis)
 	must.False(t, d.suspect(0, "i-1", "a"))
 	must.False(t, d.suspect(0, "i-1", "b"))
 	_, changed := d.ReportSuspicion(0, 0, 12345, "a")
--- a/internal/version/directory/silence_test.go
+++ b/internal/version/directory/silence_test.go
@@ -66,7 +66,7 @@
 		now := absence
 		withdrawn := func() *Directory {
 			d := servingDirectory(1)
-			must.True(t, d.Withdraw(time.Millisecond, "i-0"))
+			must.True(t, d.Withdraw(time.Millisecond, "i-0", d.Get("i-0").StartMillis))
 			d.Tick(now)
 			return d
 		}
@@ -105,7 +105,7 @@
 // time at which each process learned of it.
 func TestEndsAreForgottenEverywhere(t *testing.T) {
 	a, b := servingDirectory(1), servingDirectory(1)
-	a.Withdraw(0, "i-0")
+	a.Withdraw(0, "i-0", a.Get("i-0").StartMillis)
 	for now := time.Duration(0); now < 2*endedRetention; now += endedRetention / 4 {
 		exchange(now, a, b)
 	}
@@ -213,7 +213,7 @@
 				g.ended[id] = r.StartMillis
 				for i, d := range g.members {
 					if !g.cut[i] {
-						d.Withdraw(g.now, id)
+						d.Withdraw(g.now, id, r.StartMillis)
 					}
 				}
 			case "start":
