A voter whose disk was full for a moment votes again

What callers would see, after a report of other operators: the disks of voters are full for some seconds each, never two at once; afterwards no sheet is accepted any more, while all processes run.

Cause, in heatherport run: a replica that has failed kept its error for the life of the process. Two full disks at different times took the majority of three for good.

Change: a failed replica is closed and opened again every 0.5 s, as by a restart. It reads back what is durable and grants no vote within an election timeout of its start, so that it does not break a lease. It is never founded again from an empty folder.

--- a/internal/process/control/apply.go
+++ b/internal/process/control/apply.go
@@ -64,13 +64,14 @@
 	c.compact()
 }
 
-// handleStorageError gives up leadership. The VM continues as a balancer
-// without a vote.
+// handleStorageError gives up leadership. The VM continues as a balancer without a vote
+// until the data folder can be written again.
 func (c *Controller) handleStorageError(alreadyFailed bool, err error) {
 	if alreadyFailed {
 		return
 	}
-	c.log.Error("replicated log failed; this VM no longer votes", "error", err)
+	c.log.Error("replicated log failed; this VM does not vote until it is open again", "error", err)
+	c.reopenDue = c.now() + reopenInterval
 	c.record(audit.Record{Kind: api.AuditLeadership, Subject: c.cfg.Name, Cause: "storage", After: "no vote", Code: result.CodeOf(err)})
 	c.setSoftState(raft.SoftState{Term: c.softState.Term})
 }
--- a/internal/process/control/controller.go
+++ b/internal/process/control/controller.go
@@ -20,6 +20,7 @@
 	"heatherport/internal/process/audit"
 	"heatherport/internal/process/link"
 	"heatherport/internal/process/metrics"
+	"heatherport/internal/request/api"
 	"heatherport/internal/result"
 	"heatherport/internal/version"
 	"heatherport/internal/version/feed"
@@ -44,6 +45,9 @@
 	// leaderTimeout is the time without a reply of the leader after which this
 	// VM searches for another leader.
 	leaderTimeout = 1200 * time.Millisecond
+	// reopenInterval is the time between attempts to open the log after a storage
+	// failure.
+	reopenInterval = 500 * time.Millisecond
 )
 
 // Raft timing in ticks of raftTickInterval.
@@ -103,6 +107,8 @@
 	source    *feed.Source
 	sink      *feed.Sink
 	replica   *replica.Replica // nil on a VM that cannot vote
+	isClosed  bool             // the replica has failed and was closed
+	reopenDue time.Duration    // next attempt to open it again
 	softState raft.SoftState
 	// raftApplied is the index of the last log entry applied from replica.
 	raftApplied    uint64
@@ -183,6 +189,11 @@
 	if c.cfg.Folder == nil {
 		return nil
 	}
+	return c.openReplicaFor(c.cfg.Bootstrap)
+}
+
+// openReplicaFor opens the replica. initial lists the initial voters of a new fleet.
+func (c *Controller) openReplicaFor(initial []string) error {
 	opts := replica.Options{
 		Raft: raft.Config{
 			ID:             c.cfg.Name,
@@ -192,8 +203,8 @@
 		},
 		Folder: c.cfg.Folder,
 	}
-	if len(c.cfg.Bootstrap) > 0 {
-		opts.Bootstrap = &raft.Configuration{Voters: c.cfg.Bootstrap}
+	if len(initial) > 0 {
+		opts.Bootstrap = &raft.Configuration{Voters: initial}
 	}
 	r, err := replica.Open(opts)
 	if err != nil {
@@ -204,6 +215,28 @@
 	return c.restore(&recovered.Snapshot)
 }
 
+// reopenReplica opens a replica that has failed again, as a restart of the process would. A
+// disk that was full for a moment may have room again. A folder that was lost meanwhile is not
+// that of an initial voter any more.
+func (c *Controller) reopenReplica(now time.Duration) {
+	if c.replica == nil || c.replica.Err() == nil || now < c.reopenDue {
+		return
+	}
+	c.reopenDue = now + reopenInterval
+	if !c.isClosed {
+		c.closeReplica()
+		c.isClosed = true
+	}
+	if err := c.openReplicaFor(nil); err != nil {
+		c.log.Warn("failed to open replicated log again", "error", err, "retry", reopenInterval.String())
+		return
+	}
+	c.isClosed = false
+	c.lastRaftTick = now // the replica counts the time since its start
+	c.log.Info("replicated log open again", "applied", c.raftApplied, "index", c.machine.Index())
+	c.record(audit.Record{Kind: api.AuditLeadership, Subject: c.cfg.Name, Cause: "storage", After: "vote"})
+}
+
 // restore replaces the state with a snapshot of the log, unless the state is
 // already newer.
 func (c *Controller) restore(s *raft.Snapshot) error {
@@ -272,7 +305,7 @@
 }
 
 func (c *Controller) closeReplica() {
-	if c.replica == nil {
+	if c.replica == nil || c.isClosed {
 		return
 	}
 	if err := c.replica.Close(); err != nil {
@@ -324,6 +357,7 @@
 // tick runs the periodic tasks that are due.
 func (c *Controller) tick() {
 	now := c.now()
+	c.reopenReplica(now)
 	c.tickRaft(now)
 	if c.leader != nil || c.leaderName() != "" {
 		c.leaderLastKnown = now
--- a/internal/process/control/controller_test.go
+++ b/internal/process/control/controller_test.go
@@ -28,6 +28,12 @@
 func newSteppedController(t *testing.T, voters ...string) *steppedController {
 	folder, err := vfs.Dir(t.TempDir())
 	must.NoError(t, err)
+	return newControllerOn(t, folder, voters...)
+}
+
+// newControllerOn returns voter a-1 of a new fleet with a data folder.
+func newControllerOn(t *testing.T, folder vfs.FS, voters ...string) *steppedController {
+	var err error
 	m := &steppedController{t: t}
 	m.Controller, err = New(Config{
 		Name:        "a-1",
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -64,7 +64,7 @@
 	{StorageFailed, "storage_failed", "the disk failed a write or sync", "replace the disk"},
 	{StorageCorrupt, "storage_corrupt", "stored state is damaged", "replace the voter"},
 	{StorageLocked, "storage_locked", "another process uses the data folder", "stop it first"},
-	{StorageFull, "storage_full", "no space left in the data folder", "free space, restart"},
+	{StorageFull, "storage_full", "no space left in the data folder", "free space; the log is opened again by itself"},
 	{BuildTooOld, "build_too_old", "the replicated log holds an entry of a newer build; nothing was applied or written", "start the newer build on this VM"},
 
 	{BadCertificate, "bad_certificate", "a certificate was rejected", "issue a new one"},
--- a/internal/version/vfs/faultfs/faultfs.go
+++ b/internal/version/vfs/faultfs/faultfs.go
@@ -9,6 +9,7 @@
 	"slices"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 
 	"heatherport/internal/result"
 	"heatherport/internal/version/vfs"
@@ -45,6 +46,8 @@
 	FailWith error
 	// PartialWrites makes a failing write store the first half of its data.
 	PartialWrites bool
+	// Full makes all writes and new files fail, as on a disk without space.
+	Full bool
 }
 
 // New returns an empty folder.
@@ -89,6 +92,9 @@
 
 // Create implements vfs.FS.
 func (m *FS) Create(name string) (vfs.File, error) {
+	if m.Full {
+		return nil, unix.ENOSPC
+	}
 	if err := m.injectFault(); err != nil {
 		return nil, err
 	}
@@ -146,6 +152,9 @@
 
 func (f *memFile) WriteAt(p []byte, off int64) (int, error) {
 	err := f.m.injectFault()
+	if f.m.Full {
+		err = unix.ENOSPC
+	}
 	if err != nil && !f.m.PartialWrites {
 		return 0, err
 	}
