--- a/internal/process/controller/consensus.go
+++ b/internal/process/controller/consensus.go
@@ -50,6 +50,7 @@
 // consensusConfig configures a consensus.
 type consensusConfig struct {
 	DataDir             string
+	OpenFolder          func(path string) (vfs.FS, error)
 	Self                Member // its ID is not set
 	InitialVoters       []netip.AddrPort
 	ToleratedDiskLosses int
@@ -214,7 +215,7 @@
 }
 
 func (c *consensus) open() error {
-	folder, err := vfs.Dir(c.cfg.DataDir)
+	folder, err := c.cfg.OpenFolder(c.cfg.DataDir)
 	if err != nil {
 		return err
 	}
--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -26,6 +26,7 @@
 	"heatherport/internal/version/directory"
 	"heatherport/internal/version/register"
 	"heatherport/internal/version/routing"
+	"heatherport/internal/version/vfs"
 )
 
 const (
@@ -69,6 +70,8 @@
 	// Listener accepts links. If it is nil, Start listens at the link address of
 	// the settings.
 	Listener net.Listener
+	// OpenFolder opens the data folder. If it is nil, vfs.Dir does.
+	OpenFolder func(path string) (vfs.FS, error)
 }
 
 // Controller is the controller process.
@@ -124,6 +127,9 @@
 // New returns a controller that is not started.
 func New(cfg Config) *Controller {
 	s := cfg.Settings
+	if cfg.OpenFolder == nil {
+		cfg.OpenFolder = vfs.Dir
+	}
 	var c *Controller
 	c = &Controller{
 		cfg:       cfg,
@@ -131,8 +137,8 @@
 		self:      Member{Domain: s.VM.Domain, Link: s.Link.Advertise, API: s.API, Level: register.FeatureLevel},
 		started:   time.Now(),
 		peers:     newPeerTable(),
-		upstreams: newHintStore[directory.Record](s.VM.DataDir, upstreamsFile, s.Lifetime/2, cfg.Log.Named("upstreams")),
-		addresses: newHintStore[netip.Addr](s.VM.DataDir, balancersFile, 0, cfg.Log.Named("balancers")),
+		upstreams: newHintStore[directory.Record](cfg.OpenFolder, s.VM.DataDir, upstreamsFile, s.Lifetime/2, cfg.Log.Named("upstreams")),
+		addresses: newHintStore[netip.Addr](cfg.OpenFolder, s.VM.DataDir, balancersFile, 0, cfg.Log.Named("balancers")),
 		balancers: newBalancerTable(),
 		fleets:    fleetTable{byController: make(map[string]*Fleet)},
 		needs:     newGathered(gatherInterval, MergeNeeds),
@@ -159,7 +165,7 @@
 		initialVoters = nil
 	}
 	c.consensus = newConsensus(consensusConfig{
-		DataDir: s.VM.DataDir, Self: c.self, InitialVoters: initialVoters, ToleratedDiskLosses: s.ToleratedDiskLosses,
+		DataDir: s.VM.DataDir, OpenFolder: cfg.OpenFolder, Self: c.self, InitialVoters: initialVoters, ToleratedDiskLosses: s.ToleratedDiskLosses,
 		Log: cfg.Log.Named("log"), Metrics: cfg.Metrics, Send: c.sendLog, InForce: c.inForce, Evacuated: c.evacuated, Confirmed: c.confirm, Controllers: c.peers.candidates,
 	})
 	return c
--- a/internal/process/controller/group_test.go
+++ b/internal/process/controller/group_test.go
@@ -48,6 +48,7 @@
 	listener  net.Listener
 	dir       string
 	partition partition
+	disk      fullDisk
 }
 
 // cluster runs controllers in this process with real connections and data
@@ -109,7 +110,7 @@
 	for _, seed := range f.vms[:3] {
 		s.Seeds = append(s.Seeds, seed.address)
 	}
-	v.Controller = New(Config{Settings: s, Log: hclog.NewNullLogger(), ParseRoutes: f.parseRoutes, Listener: &partitionListener{v.listener, &v.partition}, Metrics: metrics.NewController(prometheus.NewRegistry())})
+	v.Controller = New(Config{Settings: s, Log: hclog.NewNullLogger(), ParseRoutes: f.parseRoutes, Listener: &partitionListener{v.listener, &v.partition}, Metrics: metrics.NewController(prometheus.NewRegistry()), OpenFolder: v.disk.open})
 	must.NoError(f.t, v.Start(context.Background()))
 }
 
--- a/internal/process/controller/hintstore.go
+++ b/internal/process/controller/hintstore.go
@@ -27,6 +27,7 @@
 // hintStore saves soft state to disk on its own goroutine, because the disk may
 // stall. The state is only a hint: nothing depends on its being up to date.
 type hintStore[T any] struct {
+	openFolder    func(path string) (vfs.FS, error)
 	dir, file     string
 	refresh       time.Duration // time after which unchanged entries are written again; zero for never
 	log           hclog.Logger
@@ -41,8 +42,8 @@
 	Entries  []T   `cbor:"2,keyasint"`
 }
 
-func newHintStore[T any](dir, file string, refresh time.Duration, log hclog.Logger) *hintStore[T] {
-	return &hintStore[T]{dir: dir, file: file, refresh: refresh, log: log, queue: make(chan []T, 1)}
+func newHintStore[T any](openFolder func(path string) (vfs.FS, error), dir, file string, refresh time.Duration, log hclog.Logger) *hintStore[T] {
+	return &hintStore[T]{openFolder: openFolder, dir: dir, file: file, refresh: refresh, log: log, queue: make(chan []T, 1)}
 }
 
 // load returns the entries that an earlier process saved, and the time since.
@@ -55,7 +56,7 @@
 }
 
 func (s *hintStore[T]) read() (entries []T, age time.Duration, err error) {
-	folder, err := vfs.Dir(s.dir)
+	folder, err := s.openFolder(s.dir)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -120,7 +121,7 @@
 }
 
 func (s *hintStore[T]) write(entries []T) error {
-	folder, err := vfs.Dir(s.dir)
+	folder, err := s.openFolder(s.dir)
 	if err != nil {
 		return err
 	}
--- a/internal/process/controller/stop_test.go
+++ b/internal/process/controller/stop_test.go
@@ -10,6 +10,7 @@
 
 	"heatherport/internal/result"
 	"heatherport/internal/version/directory"
+	"heatherport/internal/version/vfs"
 )
 
 // stopGracefully stops a controller as a signal does.
@@ -104,7 +105,7 @@
 // busy until then.
 func TestQueuedStateIsSavedAtAStop(t *testing.T) {
 	for range 20 {
-		s := newHintStore[int](t.TempDir(), upstreamsFile, 0, hclog.NewNullLogger())
+		s := newHintStore[int](vfs.Dir, t.TempDir(), upstreamsFile, 0, hclog.NewNullLogger())
 		s.saveLast([]int{7})
 		done := make(chan struct{})
 		close(done)
--- a/internal/process/controller/withdraw_test.go
+++ b/internal/process/controller/withdraw_test.go
@@ -64,7 +64,7 @@
 	const retention = time.Minute
 	for _, age := range []time.Duration{0, retention / 2, 2 * retention} {
 		dir := t.TempDir()
-		s := newHintStore[directory.Record](dir, upstreamsFile, retention, hclog.NewNullLogger())
+		s := newHintStore[directory.Record](vfs.Dir, dir, upstreamsFile, retention, hclog.NewNullLogger())
 		folder, err := vfs.Dir(dir)
 		must.NoError(t, err)
 		data, err := cbor.Marshal(savedEntries[directory.Record]{
@@ -90,7 +90,7 @@
 // announcement would bring the upstream back.
 func TestEndsSurviveARestart(t *testing.T) {
 	const retention = time.Minute
-	s := newHintStore[directory.Record](t.TempDir(), upstreamsFile, retention, hclog.NewNullLogger())
+	s := newHintStore[directory.Record](vfs.Dir, t.TempDir(), upstreamsFile, retention, hclog.NewNullLogger())
 	ended, silent := announcement(directory.Gone, 1), announcement(directory.Serving, 1)
 	silent.ID, silent.Address = "i-2", netip.MustParseAddrPort("192.0.2.10:80")
 	ended.SilentMillis, silent.SilentMillis = uint32(2*retention.Milliseconds()), uint32(2*retention.Milliseconds())
@@ -104,7 +104,7 @@
 // Guards against a saved directory that is lost for one record that cannot be read.
 func TestUnreadableSavedRecordLeavesTheOthers(t *testing.T) {
 	dir := t.TempDir()
-	s := newHintStore[directory.Record](dir, upstreamsFile, time.Minute, hclog.NewNullLogger())
+	s := newHintStore[directory.Record](vfs.Dir, dir, upstreamsFile, time.Minute, hclog.NewNullLogger())
 	odd := announcement(directory.Serving, 1)
 	odd.Service = "\xff"
 	must.NoError(t, s.write([]directory.Record{odd, announcement(directory.Serving, 1)}))
@@ -115,7 +115,7 @@
 
 // Without changes the saved state is written again, so that it does not count as old.
 func TestUnchangedStateIsSavedAgainWithinTheRetention(t *testing.T) {
-	s := newHintStore[int](t.TempDir(), upstreamsFile, time.Minute/2, hclog.NewNullLogger())
+	s := newHintStore[int](vfs.Dir, t.TempDir(), upstreamsFile, time.Minute/2, hclog.NewNullLogger())
 	saves := 0
 	for now := 2 * time.Second; now < 2*time.Minute; now += controlInterval {
 		s.save(now, 7, func() []int {
