--- a/internal/process/controller/calls.go
+++ b/internal/process/controller/calls.go
@@ -126,7 +126,7 @@
 		if !c.stall.IsOver(c.clock()) {
 			return false, result.Errorf(result.NotReady, "the process stood still; the announcement may be old")
 		}
-		if c.table != nil && !c.table.HasService(r.Service) {
+		if c.table != nil && !c.table.HasService(r.Service) && !c.isKnown(&r) {
 			return false, result.Errorf(result.BadAnnouncement, "upstream %s announces unknown service %q", r.ID, r.Service)
 		}
 		c.assignOwner(&r)
@@ -150,6 +150,13 @@
 	return nearerAPI, nil
 }
 
+// isKnown reports whether the incarnation of an announcement is known and has not ended. The
+// service of one that is known may be missing in the configuration for a while.
+func (c *Controller) isKnown(r *directory.Record) bool {
+	e := c.directory.Get(r.ID)
+	return e != nil && e.StartMillis == r.StartMillis && e.State != directory.Gone
+}
+
 // Withdraw ends the incarnation of an upstream that withdraws. The call does not name it: a
 // call that arrives late, or is read late, must not end an incarnation that started since.
 func (c *Controller) Withdraw(ctx context.Context, id string) (err error) {
