--- a/internal/connection/affinity/affinity.go
+++ b/internal/connection/affinity/affinity.go
@@ -10,7 +10,8 @@
 // upstream whose answer the caller acknowledges first, and the caller's first
 // packet after opening carries the cookie of that answer. A later answer of the
 // other upstream may change the cookie of the following packets. The engine
-// therefore pins a connection to the first cookie that it sees after opening.
+// therefore pins a connection to the first cookie that it sees after opening, and tells the
+// other balancers of the connections for which it matters (pins.go).
 //
 // # Reused ports
 //
@@ -113,6 +114,9 @@
 	// Cleared is the cookie of the upstream whose suspicion the packet ended,
 	// or zero.
 	Cleared uint32
+	// Pinned reports that the packet goes to the upstream of a pin, and not to that of its
+	// cookie.
+	Pinned bool
 }
 
 // Choice describes how an upstream was chosen.
@@ -170,6 +174,7 @@
 	tried      []uint32
 	cookie     uint32 // cookie of the connection's upstream
 	pinned     bool   // a packet after opening fixed the cookie
+	copied     bool   // the first opening packet seen here was a copy
 	counted    bool
 	permit     permit        // while counted
 	crowd      float64       // open connections per slot of the own share at the last placement
@@ -208,6 +213,7 @@
 	cold       coldStarts
 	unopened   unopened
 	openings   outlier.Observer
+	pins       pins
 }
 
 // New returns an engine with an empty table.
@@ -266,6 +272,7 @@
 	}
 	e.removeStale(now, v)
 	e.cold.expire(now)
+	e.expirePins(now)
 	e.tickPools(now, v)
 	out := e.suspicions
 	e.suspicions = nil
--- a/internal/connection/affinity/established.go
+++ b/internal/connection/affinity/established.go
@@ -11,11 +11,14 @@
 func (e *Engine) forwardEstablished(now time.Duration, v *View, p *Packet) Verdict {
 	k := key{p.Caller, p.Service}
 	c := e.table[k]
+	pinned := false
 	if c == nil {
-		if p.Cookie == 0 {
+		cookie := e.pinnedCookie(v, k, p)
+		if cookie == 0 {
 			return Verdict{Code: result.DropNoCookie}
 		}
-		c = &entry{cookie: p.Cookie, pinned: true, lastSeq: p.Sequence}
+		pinned = cookie != p.Cookie
+		c = &entry{cookie: cookie, pinned: true, lastSeq: p.Sequence}
 		if len(e.table) < e.cfg.Capacity {
 			e.table[k] = c
 		}
@@ -28,7 +31,11 @@
 	var opened time.Duration
 	var cleared uint32
 	if !c.pinned {
-		cleared = e.pin(now, c, v, p.Cookie)
+		placed, holder := c.cookie, e.pinnedCookie(v, k, p)
+		cleared = e.pin(now, c, v, holder)
+		if pinned = holder != p.Cookie; !pinned {
+			e.noteAmbiguous(now, k, c, placed, p)
+		}
 		e.unopened = unopened{}
 		opened = now - c.started
 		if len(c.tried) == 1 {
@@ -47,6 +54,7 @@
 	verdict.Opened = opened
 	verdict.Answered = answered
 	verdict.Cleared = cleared
+	verdict.Pinned = pinned
 	return verdict
 }
 
--- a/internal/connection/affinity/opening.go
+++ b/internal/connection/affinity/opening.go
@@ -58,7 +58,7 @@
 	if u == nil {
 		return refusal(v.refusalCause(route, service), v.Current && p.isFirst())
 	}
-	c = &entry{service: service, sequence: p.Sequence, began: now - p.Waited, started: now, earlier: earlier}
+	c = &entry{service: service, sequence: p.Sequence, began: now - p.Waited, started: now, earlier: earlier, copied: p.Copies > 0}
 	c.reported = p.mayBeGivenUp()
 	if len(e.table) < e.cfg.Capacity {
 		e.table[k] = c
@@ -84,7 +84,7 @@
 	// The opening may have waited here and been placed only just before its copy
 	// arrived.
 	tooSoon := silence < minSilence && u != nil && u.isEligible()
-	if c.pinned || tooSoon {
+	if c.pinned || tooSoon || e.wasLost(now, c, p, u) {
 		return forwardTo(v, p, u)
 	}
 	if p.Copies > 0 && e.openings.IsAtFault(&e.upstreamState(c.cookie).openings, c.placed) {
@@ -106,6 +106,14 @@
 	return verdict
 }
 
+// wasLost reports whether the first copy of an opening packet comes because a packet was lost
+// and not because its upstream does not answer. The copy then goes there again: at a second
+// upstream, both would answer, and the connection would carry the cookie of either. For later
+// copies a fault is more likely than another loss.
+func (e *Engine) wasLost(now time.Duration, c *entry, p *Packet, u *Upstream) bool {
+	return p.Copies == 1 && u != nil && u.isEligible() && !e.isSuspect(now, c.cookie) && e.upstreamState(c.cookie).openings.OpenedSince(c.placed)
+}
+
 // forwardTo returns the verdict that forwards a packet to the upstream of its
 // connection. Connections to an incarnation that has ended are reset, so that
 // callers need not wait for a timeout.
--- a/internal/connection/affinity/waiting.go
+++ b/internal/connection/affinity/waiting.go
@@ -87,7 +87,7 @@
 
 // placeIn places an opening packet at an upstream.
 func (e *Engine) placeIn(now time.Duration, pl *pool, found room, p *Packet) Verdict {
-	c := &entry{service: pl.service, sequence: p.Sequence, began: now - p.Waited, started: now, reported: p.mayBeGivenUp()}
+	c := &entry{service: pl.service, sequence: p.Sequence, began: now - p.Waited, started: now, reported: p.mayBeGivenUp(), copied: p.Copies > 0}
 	e.assign(now, c, found.upstream)
 	e.unopened.add(now)
 	choice := &Choice{Service: pl.service, Candidates: found.candidates, Load: found.load, Spillover: c.permit.spillover}
--- a/internal/load/outlier/outlier.go
+++ b/internal/load/outlier/outlier.go
@@ -102,11 +102,15 @@
 	return u.pending > 0 && !o.IsDelayed() && o.newest-u.oldest >= o.margin()
 }
 
+// OpenedSince reports whether a connection that was placed later than a time has opened at
+// the upstream: what was placed then and has not opened was lost on the way.
+func (u *Upstream) OpenedSince(placed time.Duration) bool { return u.newest > placed }
+
 // IsAtFault reports whether the upstream, and not the observer, is the likely reason
 // for which a connection has not opened.
 func (o *Observer) IsAtFault(u *Upstream, placed time.Duration) bool {
 	switch {
-	case o.IsDelayed(), u.newest > placed: // a later one opened here: the packet was lost
+	case o.IsDelayed(), u.OpenedSince(placed):
 		return false
 	case o.placed-placed < o.margin():
 		return true // there is nothing to compare with
--- a/internal/process/balancer/balancer.go
+++ b/internal/process/balancer/balancer.go
@@ -96,6 +96,8 @@
 	firstFeed      time.Duration    // when the first feed opened
 	lastRebalance  time.Duration
 	lastConfirm    time.Duration // of the upstreams
+	lastPins       time.Duration // report of pins
+	reportedPins   []affinity.Pin
 	lastPublish    time.Duration
 	nextPublish    time.Duration // earliest time of the next view
 	reported       []reportedSuspicion
@@ -247,6 +249,7 @@
 	b.reportSuspicions(b.forwarder.tick())
 	b.reportNeeds(b.now())
 	b.reportSpeeds(b.now())
+	b.reportPins(b.now())
 	b.updateIsolation(b.now())
 	b.updateGauges()
 	if now := b.now(); !b.ready.Load() || now-b.lastPublish > publishInterval {
--- a/internal/process/balancer/feeds.go
+++ b/internal/process/balancer/feeds.go
@@ -115,6 +115,7 @@
 	f.conn = conn
 	b.subscribe(f)
 	b.repeatSuspicions(conn)
+	b.repeatPins(conn)
 	if len(b.needs.sent) > 0 {
 		conn.Send(b.needsFrame())
 	}
@@ -243,6 +244,7 @@
 		b.resumeUpstreams(f, m)
 	}
 	b.applyUpstreams(f, m.Upstreams)
+	b.learnPins(now, m.Pins)
 	for _, c := range m.Controllers {
 		b.addSource(c.Link, c.Domain)
 	}
--- a/internal/process/balancer/feeds_test.go
+++ b/internal/process/balancer/feeds_test.go
@@ -37,6 +37,7 @@
 	listener   net.Listener
 	subscribed chan *stream.Conn
 	suspicions chan controller.SuspicionReport
+	pins       chan controller.Pins
 	last       atomic.Pointer[controller.Subscribe]
 }
 
@@ -54,11 +55,14 @@
 		l, err := net.Listen("tcp", address.String())
 		must.NoError(t, err)
 		ctx, cancel := context.WithCancel(context.Background())
-		f := &fakeController{t: t, address: address, stop: cancel, listener: l, subscribed: make(chan *stream.Conn, 10), suspicions: make(chan controller.SuspicionReport, 10)}
+		f := &fakeController{t: t, address: address, stop: cancel, listener: l, subscribed: make(chan *stream.Conn, 10), suspicions: make(chan controller.SuspicionReport, 10), pins: make(chan controller.Pins, 10)}
 		go stream.Serve(ctx, l, stream.Callbacks{Handle: func(c *stream.Conn, kind stream.Kind, body []byte) {
 			var d controller.SuspicionReport
 			var s controller.Subscribe
+			var p controller.Pins
 			switch {
+			case kind == controller.KindPins && stream.Decode(body, &p) == nil:
+				f.pins <- p
 			case kind == controller.KindSubscribe && stream.Decode(body, &s) == nil:
 				f.last.Store(&s)
 				f.subscribed <- c
--- a/internal/process/balancer/report.go
+++ b/internal/process/balancer/report.go
@@ -22,6 +22,12 @@
 	if v.Cleared != 0 {
 		f.log.Info("upstream answers again", "upstream", upstreamName(view, v.Cleared), "flow", flowID(p))
 	}
+	if v.Pinned {
+		f.metrics.PinsUsed.Inc()
+		if f.flowLog.Allow(time.Now()) {
+			f.flowLog.Info("pinned connection taken over", "flow", flowID(p), "upstream", upstreamName(view, upstreamCookie(v)), "cookie", p.Cookie, "cookie_of", upstreamName(view, p.Cookie))
+		}
+	}
 	if c := v.Choice; c != nil {
 		f.metrics.Placed.Inc()
 		if f.flowLog.Allow(time.Now()) {
@@ -89,6 +95,14 @@
 	return "connection opened late"
 }
 
+// upstreamCookie returns the cookie of the upstream of a verdict, or zero.
+func upstreamCookie(v *affinity.Verdict) uint32 {
+	if v.Upstream == nil {
+		return 0
+	}
+	return v.Upstream.Cookie
+}
+
 func upstreamName(view *affinity.View, cookie uint32) string {
 	if u := view.Upstream(cookie); u != nil {
 		return u.ID
--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -98,6 +98,7 @@
 	fleets              fleetTable
 	needs               gathered[*Needs]
 	speeds              gathered[*Speeds]
+	pins                *pinTable
 	ends                map[string]evacuationEnd // last end of an evacuation, by domain
 	confirmed           bool                     // table and evacuations hold all that was acknowledged
 	subscribers         map[*stream.Conn]*subscriber
@@ -143,6 +144,7 @@
 		fleets:    fleetTable{byController: make(map[string]*Fleet)},
 		needs:     newGathered(gatherInterval, MergeNeeds),
 		speeds:    newGathered(speedsInterval, MergeSpeeds),
+		pins:      newPinTable(s.Lifetime),
 		stall:     stall.NewDetector(stallLimit, stallDrain),
 		clock:     stall.Clock,
 		endedLog:  logging.NewRateLimited(cfg.Log),
--- a/internal/process/controller/exchange.go
+++ b/internal/process/controller/exchange.go
@@ -91,6 +91,9 @@
 		c.reply(conn, KindSpeeds, c.speeds.sent)
 	}
 	now := c.now()
+	if pins := c.pins.since(now, 0); len(pins) > 0 {
+		c.reply(conn, KindPins, Pins{Pins: pins})
+	}
 	for _, r := range suspicionReports(now, c.directory.Suspicions(now)) {
 		c.reply(conn, KindSuspicionReport, r)
 	}
@@ -190,6 +193,11 @@
 		if c.decode(conn, body, &s) {
 			c.post(func() { c.handleSpeeds(c.subscribers[conn], &s) })
 		}
+	case KindPins:
+		var p Pins
+		if c.decode(conn, body, &p) {
+			c.post(func() { c.handlePins(conn, p) })
+		}
 	case KindSubmit:
 		var s Submit
 		if c.decode(conn, body, &s) {
--- a/internal/process/controller/feed.go
+++ b/internal/process/controller/feed.go
@@ -44,7 +44,7 @@
 	}
 	now := feedState{
 		table: c.table, revision: c.directory.Revision(),
-		evacuations: c.evacuations, fleet: c.fleets.fed, needs: c.needs.fed, speeds: c.speeds.fed, confirmed: c.confirmed && c.stall.IsOver(c.clock()), controllers: append(c.peers.members(peerMaxAge), c.member()),
+		evacuations: c.evacuations, fleet: c.fleets.fed, needs: c.needs.fed, speeds: c.speeds.fed, pins: c.pins.revision, confirmed: c.confirmed && c.stall.IsOver(c.clock()), controllers: append(c.peers.members(peerMaxAge), c.member()),
 	}
 	for conn, s := range c.subscribers {
 		if !s.started {
@@ -91,7 +91,7 @@
 	case now.equal(last):
 		return false
 	case now.table != last.table, now.evacuations != last.evacuations, now.fleet != last.fleet, now.confirmed != last.confirmed, !slices.Equal(now.controllers, last.controllers),
-		c.directory.UrgentRevision() > last.revision:
+		c.directory.UrgentRevision() > last.revision, now.pins != last.pins:
 		return since >= urgentFeedInterval
 	case now.needs != last.needs, now.speeds != last.speeds:
 		return since >= gatherInterval
@@ -119,7 +119,7 @@
 	}
 	f := FeedUpdate{
 		Confirmed: now.confirmed, Controllers: now.controllers,
-		SameRoutes: s.Routes == now.table.Number, Resumed: true, Evacuations: now.evacuations, Fleet: now.fleet, Needs: now.needs, Speeds: now.speeds,
+		SameRoutes: s.Routes == now.table.Number, Resumed: true, Evacuations: now.evacuations, Fleet: now.fleet, Needs: now.needs, Speeds: now.speeds, Pins: c.pins.since(c.now(), 0),
 	}
 	f.Upstreams, f.DifferingBuckets = c.directory.Differing(s.Digests)
 	if !f.SameRoutes {
@@ -152,13 +152,14 @@
 	fleet       *Fleet       // replaced, never modified
 	needs       *Needs       // replaced, never modified
 	speeds      *Speeds      // replaced, never modified
+	pins        uint64       // revision of the pins
 	revision    uint64       // of the directory
 	confirmed   bool
 	controllers []Member
 }
 
 func (s *feedState) equal(o *feedState) bool {
-	return s.table == o.table && s.evacuations == o.evacuations && s.fleet == o.fleet && s.needs == o.needs && s.speeds == o.speeds && s.revision == o.revision && s.confirmed == o.confirmed && slices.Equal(s.controllers, o.controllers)
+	return s.table == o.table && s.evacuations == o.evacuations && s.fleet == o.fleet && s.needs == o.needs && s.speeds == o.speeds && s.pins == o.pins && s.revision == o.revision && s.confirmed == o.confirmed && slices.Equal(s.controllers, o.controllers)
 }
 
 // feedBase is what an update starts from, as far as its content depends on it.
@@ -168,6 +169,7 @@
 	fleet           *Fleet
 	needs           *Needs
 	speeds          *Speeds
+	pins            uint64
 	revision        uint64
 	sameControllers bool
 }
@@ -184,7 +186,7 @@
 	if !to.equal(&c.encoded.state) {
 		c.encoded = feedFrames{state: *to, frames: make(map[feedBase][]byte)}
 	}
-	base := feedBase{table: from.table, evacuations: from.evacuations, fleet: from.fleet, needs: from.needs, speeds: from.speeds, revision: from.revision, sameControllers: slices.Equal(from.controllers, to.controllers)}
+	base := feedBase{table: from.table, evacuations: from.evacuations, fleet: from.fleet, needs: from.needs, speeds: from.speeds, pins: from.pins, revision: from.revision, sameControllers: slices.Equal(from.controllers, to.controllers)}
 	if frame, ok := c.encoded.frames[base]; ok {
 		return frame
 	}
@@ -208,6 +210,9 @@
 	if from.speeds != to.speeds {
 		f.Speeds = to.speeds
 	}
+	if from.pins != to.pins {
+		f.Pins = c.pins.since(c.now(), from.pins)
+	}
 	frame, err := stream.Encode(KindFeedUpdate, f)
 	if err != nil {
 		c.log.Error("failed to encode feed update", "error", err)
--- a/internal/process/controller/message.go
+++ b/internal/process/controller/message.go
@@ -29,13 +29,14 @@
 	KindDiffering       stream.Kind = 15 // the reply: Differing
 	KindNeeds           stream.Kind = 16 // balancer to controller, and between controllers: Needs
 	KindSpeeds          stream.Kind = 17 // balancer to controller, and between controllers: Speeds
+	KindPins            stream.Kind = 18 // balancer to controller, and between controllers: Pins
 )
 
 // kindNames are the labels of the kinds in metrics.
 var kindNames = map[stream.Kind]string{
 	KindHello: "hello", KindRaft: "log", KindRecords: "records", KindRecordsAck: "records_ack", KindRenewals: "renewals",
 	KindSubmit: "submit", KindSubmitResult: "submit_result", KindFeedUpdate: "feed_update", KindSuspicionReport: "suspicions",
-	KindBalancers: "balancers", KindFleet: "fleet", KindDigests: "digests", KindDiffering: "differing", KindNeeds: "needs", KindSpeeds: "speeds",
+	KindBalancers: "balancers", KindFleet: "fleet", KindDigests: "digests", KindDiffering: "differing", KindNeeds: "needs", KindSpeeds: "speeds", KindPins: "pins",
 }
 
 // countSent counts the bytes of frames, without pings and the overhead of TCP.
@@ -154,6 +155,8 @@
 	Needs *Needs `cbor:"10,keyasint,omitempty"`
 	// Speeds is set when they changed.
 	Speeds *Speeds `cbor:"11,keyasint,omitempty"`
+	// Pins holds the pins since the last update, or in the first one all.
+	Pins []Pin `cbor:"12,keyasint,omitempty"`
 }
 
 // Evacuations lists the failure domains that get no new connections.
--- a/internal/process/metrics/programs.go
+++ b/internal/process/metrics/programs.go
@@ -75,6 +75,8 @@
 	ColdUpstreams       prometheus.Gauge
 	OwnedSlowStarts     prometheus.Gauge
 	LinkUse             prometheus.Gauge
+	PinsReported        prometheus.Counter
+	PinsUsed            prometheus.Counter
 	linkBytes           linkBytes
 
 	dropped *prometheus.CounterVec
@@ -93,6 +95,8 @@
 		Suspicions:          r.counterVec("cookie_suspicions_total", "Suspicions of upstreams by passive health checks, by cause.", "cause"),
 		FeedsLost:           r.counter("feeds_lost_total", "Lost feeds from controllers."),
 		InvalidRecords:      r.counter("invalid_records_total", "Records of upstreams from controllers that were skipped because they cannot be read or used."),
+		PinsReported:        r.counter("cookie_pins_reported_total", "Connections whose upstream was told to the other balancers, because their opening packets may have reached several."),
+		PinsUsed:            r.counter("cookie_pins_used_total", "Connections of other balancers that went to the upstream of their pin instead of that of their cookie."),
 		OmittedLogLines:     r.counter("log_lines_left_out_total", "Log lines about connections omitted by the rate limit."),
 		ViewTime:            r.histogram("view_seconds", "Time to build the view of routes and upstreams that decisions use."),
 		OpenTime:            r.histogram("cookie_open_seconds", "Time from the first opening packet to the caller's first packet after opening."),
