Soak: absences that outlast every belief

TestLongAbsences plays 13 absences with real processes and a lifetime of connections of 6 s: controllers (one, half, all) cut off, paused or down, a balancer or a failure domain that stands still, upstreams (one, all) that are silent, a service that is not listed, each for 9 s, while another upstream leaves. 3 s later all upstreams that live must be used, connections be served, and no open one be reset.

--- a/internal/soak/harness_test.go
+++ b/internal/soak/harness_test.go
@@ -50,7 +50,8 @@
 
 	controllers []*process
 	balancers   []*process
-	extras      []*process // balancers that join and leave
+	extras      []*process    // balancers that join and leave
+	lifetime    time.Duration // of a connection, in the settings; zero for the default
 	routers     *routers
 	caller      *caller
 	operator    *operator
--- a/internal/soak/operator_test.go
+++ b/internal/soak/operator_test.go
@@ -53,14 +53,26 @@
 		number, route("r1", "one", routeOne), route("r2", "two", routeTwo), service("one"), service("two"))
 }
 
+// withoutServiceOne returns a configuration without the first service and its route.
+func (o *operator) withoutServiceOne(number uint64) string {
+	c := o.configuration(number)
+	first, second := strings.Index(c, `{"name":"r1"`), strings.Index(c, `{"name":"r2"`)
+	c = c[:first] + c[second:]
+	first, second = strings.Index(c, `{"name":"one"`), strings.Index(c, `{"name":"two"`)
+	return c[:first] + c[second:]
+}
+
 // put sends a new configuration to a random controller. While the outcome is
 // unknown, it repeats the request at a random controller, up to the given number
 // of attempts. It reports whether the configuration was acknowledged.
-func (o *operator) put(attempts int) bool {
+func (o *operator) put(attempts int) bool { return o.putContent(attempts, o.configuration) }
+
+// putContent does the same with the configuration that content returns for a number.
+func (o *operator) putContent(attempts int, content func(number uint64) string) bool {
 	o.mu.Lock()
 	o.lastSent += 1 + uint64(rand.IntN(3))
 	number := o.lastSent
-	body := o.configuration(number)
+	body := content(number)
 	o.sent[number] = body
 	o.mu.Unlock()
 	for range attempts {
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -35,6 +35,8 @@
 	dir     string
 	proxy   *proxy
 	starts  int
+	// isolated makes calls to the process fail, and what others send on its links is lost.
+	isolated atomic.Bool
 
 	faultMu   sync.Mutex   // held by the fault that acts on the process
 	lastFault atomic.Int64 // start or end of the last fault that acted on it, Unix nanoseconds
@@ -58,6 +60,9 @@
 	s += fmt.Sprintf("[link]\nlisten = %s:%d\nadvertise = %s:%d\n", p.linkIP, linkPort, p.ip, linkPort)
 	s += fmt.Sprintf("[metrics]\nlisten = %s:%d\n", p.ip, metricsPort)
 	s += fmt.Sprintf("[controllers]\nseeds = %s\nfirst_start = %t\nlosses_borne = 1\n", p.h.seedControllers(), p.starts == 0)
+	if p.h.lifetime > 0 {
+		s += fmt.Sprintf("[connections]\nlifetime = %s\n", p.h.lifetime)
+	}
 	return s + fmt.Sprintf("[upstreams]\nheartbeat = %s\ncold_excess = 1.5\ncold_slack = %d\n[load]\nshares = true\n[log]\nformat = json\n", heartbeatInterval, coldLimit)
 }
 
@@ -106,6 +111,16 @@
 // recordFault records that a fault that acts on the process starts or ends.
 func (p *process) recordFault() { p.lastFault.Store(time.Now().UnixNano()) }
 
+// isolate cuts a controller off from upstreams and from what others send, or joins it again.
+func (p *process) isolate(isolated bool) {
+	p.isolated.Store(isolated)
+	if isolated {
+		p.proxy.setMode(modeBlackhole)
+	} else {
+		p.proxy.setMode(modePass)
+	}
+}
+
 // kill kills the process and waits until it has exited.
 func (p *process) kill() {
 	p.signal(syscall.SIGCONT)
--- a/internal/soak/upstream_test.go
+++ b/internal/soak/upstream_test.go
@@ -45,6 +45,7 @@
 	coldUntil   time.Time
 	conn        *net.UDPConn
 	cancel      context.CancelFunc
+	silent      atomic.Bool // announces nothing
 	hung        atomic.Bool // accepts connections but answers no requests
 
 	mu         sync.Mutex
@@ -123,7 +124,9 @@
 
 func (u *upstream) announceLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		u.announce(ctx)
+		if !u.silent.Load() {
+			u.announce(ctx)
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(heartbeatInterval):
@@ -269,6 +272,9 @@
 }
 
 func (h *harness) callController(ctx context.Context, p *process, method, path string, body []byte) (status int, answer []byte) {
+	if p.isolated.Load() {
+		return 0, nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%s:%d%s", p.ip, apiPort, path), bytes.NewReader(body))
