Ends are known for 3 minutes; lists decode at once unless a record is odd

An end that is known for 20 minutes also keeps out, for as long, an upstream that starts again under its identifier or address with an earlier clock: it is taken for its predecessor. TCP gives up a connection that its sender has closed within about 100 s, and silent upstreams are known for a minute, so 3 minutes cover what the retention is for. Announcements of earlier incarnations are logged with those of ended ones, with both start times.

--- a/internal/process/controller/beliefs.go
+++ b/internal/process/controller/beliefs.go
@@ -8,9 +8,11 @@
 	"heatherport/internal/version/directory"
 )
 
-// endedRetention is the time for which ended upstreams stay known. It exceeds the time for
-// which TCP retransmits the bytes of an announcement that a partition holds up.
-const endedRetention = 20 * time.Minute
+// endedRetention is the time for which ended upstreams stay known. It exceeds the 100 s for
+// which TCP retransmits the bytes of an announcement whose sender has given it up. It is no
+// longer than that needs, because an upstream that starts again with an earlier clock is taken
+// for its ended predecessor.
+const endedRetention = 3 * time.Minute
 
 // maxForgottenNames bounds the upstreams that a log line names. A controller that is cut off
 // forgets all at about the same time.
@@ -42,17 +44,18 @@
 	return err == nil
 }
 
-// noteEndedAnnouncement records an announcement of an incarnation that has ended. It is
-// acknowledged and changes nothing: it may have been delayed. One that comes again and again
-// is of an upstream that lives although it withdrew, or another one took its address.
+// noteEndedAnnouncement records an announcement of an incarnation that has ended or has a
+// successor. It is acknowledged and changes nothing: it may have been delayed. One that comes
+// again and again is of an upstream that lives although it withdrew, whose address another one
+// took, or whose clock was set back before it started.
 func (c *Controller) noteEndedAnnouncement(r *directory.Record) {
 	e := c.directory.Get(r.ID)
-	if e == nil || e.State != directory.Gone || e.StartMillis != r.StartMillis {
+	if e == nil || r.StartMillis > e.StartMillis || r.StartMillis == e.StartMillis && e.State != directory.Gone {
 		return
 	}
 	c.cfg.Metrics.EndedAnnouncements.Inc()
 	if c.endedLog.Allow(time.Now()) {
-		c.endedLog.Info("announcement of an ended upstream", "upstream", r.ID, "born", r.StartMillis, "seq", r.Seq, "ended_for", (c.now() - e.Ended).String())
+		c.endedLog.Info("announcement of an ended upstream", "upstream", r.ID, "born", r.StartMillis, "seq", r.Seq, "known_born", e.StartMillis, "state", e.State.String())
 	}
 }
 
--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -152,7 +152,7 @@
 		calls:     newCallTracker(),
 		directory: directory.New(directory.Config{
 			LapseAfter: lapseHeartbeats * s.Heartbeat,
-			Retention:  s.Lifetime, EndedRetention: max(endedRetention, s.Lifetime), Forgotten: func(e *directory.Entry) { c.noteForgotten(e) },
+			Retention:  s.Lifetime, EndedRetention: max(endedRetention, 2*s.Lifetime), Forgotten: func(e *directory.Entry) { c.noteForgotten(e) },
 		}),
 		subscribers: make(map[*stream.Conn]*subscriber),
 		ackWaiters:  make(map[uint64][]chan struct{}),
--- a/internal/process/controller/hintstore.go
+++ b/internal/process/controller/hintstore.go
@@ -64,11 +64,19 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	var saved savedEntries[T]
+	var saved savedEntries[cbor.RawMessage]
 	if err := cbor.Unmarshal(data, &saved); err != nil {
 		return nil, 0, result.Wrapf(err, result.StorageCorrupt, "decode %s", s.file)
 	}
-	return saved.Entries, max(time.Since(time.UnixMilli(saved.AtMillis)), 0), nil
+	for _, item := range saved.Entries {
+		var entry T
+		if err := cbor.Unmarshal(item, &entry); err != nil {
+			s.log.Warn("saved entry skipped", "file", s.file, "error", err)
+			continue
+		}
+		entries = append(entries, entry)
+	}
+	return entries, max(time.Since(time.UnixMilli(saved.AtMillis)), 0), nil
 }
 
 // save queues the entries of a revision for writing if it has changed, or if those on
--- a/internal/process/controller/message.go
+++ b/internal/process/controller/message.go
@@ -90,8 +90,8 @@
 // Records are changes of the directory. The first Records message on a link
 // carries what Differing asked for and all changes since the Digests message.
 type Records struct {
-	Number  uint64             `cbor:"1,keyasint"` // set by the sender, returned in RecordsAck
-	Records []directory.Record `cbor:"2,keyasint"`
+	Number  uint64            `cbor:"1,keyasint"` // set by the sender, returned in RecordsAck
+	Records directory.Records `cbor:"2,keyasint"`
 }
 
 // RecordsAck acknowledges the Records message with this number and all earlier
@@ -135,10 +135,10 @@
 type FeedUpdate struct {
 	// Confirmed reports that the controller has recently been in contact with a
 	// leader, so that the state is as new as any that was acknowledged.
-	Confirmed   bool               `cbor:"1,keyasint"`
-	Routes      *routing.Delta     `cbor:"2,keyasint,omitempty"`
-	Upstreams   []directory.Record `cbor:"3,keyasint,omitempty"`
-	Controllers []Member           `cbor:"4,keyasint,omitempty"`
+	Confirmed   bool              `cbor:"1,keyasint"`
+	Routes      *routing.Delta    `cbor:"2,keyasint,omitempty"`
+	Upstreams   directory.Records `cbor:"3,keyasint,omitempty"`
+	Controllers []Member          `cbor:"4,keyasint,omitempty"`
 	// SameRoutes reports, in the first update, that the table of the Subscribe
 	// message is in force.
 	SameRoutes bool `cbor:"5,keyasint,omitempty"`
--- a/internal/version/directory/record.go
+++ b/internal/version/directory/record.go
@@ -102,16 +102,25 @@
 	return mode
 }()
 
-// UnmarshalCBOR decodes a record. A record that cannot be decoded becomes the zero Record,
-// which Check rejects, so that it does not make the message or file that carries it
-// unreadable.
-func (r *Record) UnmarshalCBOR(data []byte) error {
-	type fields Record // without this method
-	var f fields
-	if err := lenient.Unmarshal(data, &f); err != nil {
-		f = fields{}
+// Records is a list of records in a message or file.
+type Records []Record
+
+// UnmarshalCBOR decodes a list. A record that cannot be decoded becomes the zero Record, which
+// Check rejects, so that it does not make the others unreadable.
+func (r *Records) UnmarshalCBOR(data []byte) error {
+	if cbor.Unmarshal(data, (*[]Record)(r)) == nil {
+		return nil
+	}
+	var items []cbor.RawMessage
+	if err := cbor.Unmarshal(data, &items); err != nil {
+		return result.Wrapf(err, result.BadMessage, "decode list of upstreams")
+	}
+	*r = make(Records, len(items))
+	for i, item := range items {
+		if lenient.Unmarshal(item, &(*r)[i]) != nil {
+			(*r)[i] = Record{}
+		}
 	}
-	*r = Record(f)
 	return nil
 }
 
