An old end still ends what a paused process knows

A balancer that was paused for over a minute would go on using an upstream that withdrew meanwhile: its feeds named the upstream, in state gone, and it was taken as heard of. Such a record, or an old record of a successor, now ends what it supersedes.

Tests: TestOldEndStillEndsWhatIsKnown and TestBalancerThatWasPausedLearnsOfAnOldEnd fail before.

--- a/internal/process/balancer/silence_test.go
+++ b/internal/process/balancer/silence_test.go
@@ -18,7 +18,7 @@
 	b.directory = directory.New(directory.Config{Retention: time.Minute, Forgotten: b.noteForgotten})
 	heard, silent := upstreamRecord(false), upstreamRecord(true)
 	silent.ID, silent.Address = "i-2", netip.MustParseAddrPort("192.0.2.2:80")
-	b.feeds = []*feed{{confirmed: true, lapsed: map[string]bool{heard.ID: false, silent.ID: true}, ejected: map[string]bool{silent.ID: false}}}
+	b.feeds = []*feed{{source: &source{}, confirmed: true, lapsed: map[string]bool{heard.ID: false, silent.ID: true}, ejected: map[string]bool{silent.ID: false}}}
 	b.directory.Merge(0, heard)
 	b.directory.Merge(0, silent)
 	return b
@@ -58,3 +58,16 @@
 		must.Eq(t, 2, b.directory.Len())
 	}
 }
+
+// Guards against a balancer that was paused and goes on using an upstream that has ended for
+// longer than the balancer keeps ends.
+func TestBalancerThatWasPausedLearnsOfAnOldEnd(t *testing.T) {
+	b := hearingBalancer()
+	b.started = time.Now()
+	ended := upstreamRecord(false)
+	ended.State, ended.SilentMillis = directory.Gone, uint32(2*time.Minute.Milliseconds())
+	b.applyUpstreams(b.feeds[0], []directory.Record{ended})
+	must.Eq(t, directory.Gone, b.directory.Get(ended.ID).State)
+	b.pass(time.Minute + 2*confirmInterval)
+	must.Nil(t, b.directory.Get(ended.ID))
+}
--- a/internal/version/directory/directory.go
+++ b/internal/version/directory/directory.go
@@ -138,10 +138,13 @@
 	d.now = now
 	heard := now - r.age()
 	r.SilentMillis = 0
-	if r.Check() != nil || d.isExpired(now, r.State, heard) {
+	if r.Check() != nil {
 		return false
 	}
 	old := d.entries[r.ID]
+	if d.isExpired(now, r.State, heard) {
+		return d.endSuperseded(now, old, &r)
+	}
 	if old != nil && !r.supersedes(&old.Record) {
 		return false
 	}
@@ -163,10 +166,20 @@
 	return true
 }
 
+// endSuperseded ends a known incarnation if a record that is too old to be kept says that it
+// has ended or has a successor.
+func (d *Directory) endSuperseded(now time.Duration, old *Entry, r *Record) (changed bool) {
+	if old == nil || old.State == Gone || r.StartMillis < old.StartMillis || r.StartMillis == old.StartMillis && r.State != Gone {
+		return false
+	}
+	d.end(now, old)
+	return true
+}
+
 // Restore takes a record that this process saved. The upstream has a new time to announce
 // itself before it lapses: while the process was down, it could not.
 func (d *Directory) Restore(now time.Duration, r Record) {
-	if d.Merge(now, r) {
+	if e := d.entries[r.ID]; d.Merge(now, r) && d.entries[r.ID] != e {
 		d.entries[r.ID].LastUpdate = now
 	}
 }
--- a/internal/version/directory/silence_test.go
+++ b/internal/version/directory/silence_test.go
@@ -101,6 +101,28 @@
 	}
 }
 
+// Guards against a process that was paused for longer than ends are known and keeps using an
+// upstream because the record of its end, or of its successor, is too old to be taken.
+func TestOldEndStillEndsWhatIsKnown(t *testing.T) {
+	for _, successor := range []bool{false, true} {
+		d := servingDirectory(2)
+		r := serving("i-0", 0, 1, 1)
+		r.State = Gone
+		if successor {
+			r = serving("i-0", 0, 2, 1)
+		}
+		r.SilentMillis = uint32(2 * endedRetention.Milliseconds())
+		must.True(t, d.Merge(0, r))
+		must.Eq(t, Gone, d.Get("i-0").State)
+		must.False(t, d.Merge(0, r))
+		// An old record of what is known says nothing new.
+		same := serving("i-1", 1, 1, 9)
+		same.SilentMillis = r.SilentMillis
+		must.False(t, d.Merge(0, same))
+		must.Eq(t, Serving, d.Get("i-1").State)
+	}
+}
+
 // Guards against an end that is passed on in circles: it counts from the end, not from the
 // time at which each process learned of it.
 func TestEndsAreForgottenEverywhere(t *testing.T) {
