--- a/internal/process/control/controller.go
+++ b/internal/process/control/controller.go
@@ -103,13 +103,13 @@
 	view      atomic.Pointer[View]
 
 	// All fields below belong to the control goroutine.
-	machine   *state.Machine
-	source    *feed.Source
-	sink      *feed.Sink
-	replica   *replica.Replica // nil on a VM that cannot vote
-	isClosed  bool             // the replica has failed and was closed
-	reopenDue time.Duration    // next attempt to open it again
-	softState raft.SoftState
+	machine       *state.Machine
+	source        *feed.Source
+	sink          *feed.Sink
+	replica       *replica.Replica // nil on a VM that cannot vote
+	replicaClosed bool             // the replica has failed and was closed
+	reopenDue     time.Duration    // next attempt to open it again
+	softState     raft.SoftState
 	// raftApplied is the index of the last log entry applied from replica.
 	raftApplied    uint64
 	compactedIndex uint64
@@ -223,15 +223,15 @@
 		return
 	}
 	c.reopenDue = now + reopenInterval
-	if !c.isClosed {
+	if !c.replicaClosed {
 		c.closeReplica()
-		c.isClosed = true
+		c.replicaClosed = true
 	}
 	if err := c.openReplicaFor(nil); err != nil {
 		c.log.Warn("failed to open replicated log again", "error", err, "retry", reopenInterval.String())
 		return
 	}
-	c.isClosed = false
+	c.replicaClosed = false
 	c.lastRaftTick = now // the replica counts the time since its start
 	c.log.Info("replicated log open again", "applied", c.raftApplied, "index", c.machine.Index())
 	c.record(audit.Record{Kind: api.AuditLeadership, Subject: c.cfg.Name, Cause: "storage", After: "vote"})
@@ -305,7 +305,7 @@
 }
 
 func (c *Controller) closeReplica() {
-	if c.replica == nil || c.isClosed {
+	if c.replica == nil || c.replicaClosed {
 		return
 	}
 	if err := c.replica.Close(); err != nil {
--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -131,34 +131,32 @@
 	if cfg.OpenFolder == nil {
 		cfg.OpenFolder = vfs.Dir
 	}
-	var c *Controller
-	c = &Controller{
-		cfg:       cfg,
-		log:       cfg.Log,
-		self:      Member{Domain: s.VM.Domain, Link: s.Link.Advertise, API: s.API, Level: register.FeatureLevel},
-		started:   time.Now(),
-		peers:     newPeerTable(),
-		upstreams: newHintStore[directory.Record](cfg.OpenFolder, s.VM.DataDir, upstreamsFile, s.Lifetime/2, cfg.Log.Named("upstreams")),
-		addresses: newHintStore[netip.Addr](cfg.OpenFolder, s.VM.DataDir, balancersFile, 0, cfg.Log.Named("balancers")),
-		balancers: newBalancerTable(),
-		fleets:    fleetTable{byController: make(map[string]*Fleet)},
-		needs:     newGathered(gatherInterval, MergeNeeds),
-		speeds:    newGathered(speedsInterval, MergeSpeeds),
-		pins:      newPinTable(s.Lifetime),
-		stall:     stall.NewDetector(stallLimit, stallDrain),
-		clock:     stall.Clock,
-		endedLog:  logging.NewRateLimited(cfg.Log),
-		events:    make(chan func(), eventQueue),
-		calls:     newCallTracker(),
-		directory: directory.New(directory.Config{
-			LapseAfter: lapseHeartbeats * s.Heartbeat,
-			Retention:  s.Lifetime, EndedRetention: max(endedRetention, 2*s.Lifetime), Forgotten: func(e *directory.Entry) { c.noteForgotten(e) },
-		}),
+	c := &Controller{
+		cfg:         cfg,
+		log:         cfg.Log,
+		self:        Member{Domain: s.VM.Domain, Link: s.Link.Advertise, API: s.API, Level: register.FeatureLevel},
+		started:     time.Now(),
+		peers:       newPeerTable(),
+		upstreams:   newHintStore[directory.Record](cfg.OpenFolder, s.VM.DataDir, upstreamsFile, s.Lifetime/2, cfg.Log.Named("upstreams")),
+		addresses:   newHintStore[netip.Addr](cfg.OpenFolder, s.VM.DataDir, balancersFile, 0, cfg.Log.Named("balancers")),
+		balancers:   newBalancerTable(),
+		fleets:      fleetTable{byController: make(map[string]*Fleet)},
+		needs:       newGathered(gatherInterval, MergeNeeds),
+		speeds:      newGathered(speedsInterval, MergeSpeeds),
+		pins:        newPinTable(s.Lifetime),
+		stall:       stall.NewDetector(stallLimit, stallDrain),
+		clock:       stall.Clock,
+		endedLog:    logging.NewRateLimited(cfg.Log),
+		events:      make(chan func(), eventQueue),
+		calls:       newCallTracker(),
 		subscribers: make(map[*stream.Conn]*subscriber),
 		ackWaiters:  make(map[uint64][]chan struct{}),
 		ends:        make(map[string]evacuationEnd),
 		unacked:     make(map[string]uint64),
 	}
+	c.directory = directory.New(directory.Config{
+		LapseAfter: lapseHeartbeats * s.Heartbeat, Retention: s.Lifetime, EndedRetention: max(endedRetention, 2*s.Lifetime), Forgotten: c.noteForgotten,
+	})
 	var initialVoters []netip.AddrPort
 	if s.FirstStart {
 		initialVoters = seedLinks(s)
--- a/internal/process/controller/exchange.go
+++ b/internal/process/controller/exchange.go
@@ -234,7 +234,7 @@
 }
 
 func (c *Controller) mergeRecords(conn *stream.Conn, r Records) {
-	if c.isHeldUp(conn) {
+	if c.isDelayedByStall(conn) {
 		return
 	}
 	for _, record := range r.Records {
--- a/internal/process/controller/liveness.go
+++ b/internal/process/controller/liveness.go
@@ -60,15 +60,15 @@
 }
 
 func (c *Controller) renew(conn *stream.Conn, r Renewals) {
-	if !c.isHeldUp(conn) {
+	if !c.isDelayedByStall(conn) {
 		c.directory.Renew(c.now(), r.Tags)
 	}
 }
 
-// isHeldUp reports whether a message about upstreams waited unread while this process stood
+// isDelayedByStall reports whether a message about upstreams waited unread while this process stood
 // still, and then closes its connection, which both ends have to set up again from what they
 // hold. The message may be older than what all others have forgotten since.
-func (c *Controller) isHeldUp(conn *stream.Conn) bool {
+func (c *Controller) isDelayedByStall(conn *stream.Conn) bool {
 	if c.stall.IsOver(c.clock()) || conn.OpenedAt().After(c.stallEnded) && !c.stallEnded.IsZero() {
 		return false
 	}
