--- a/internal/version/state/machine_test.go
+++ b/internal/version/state/machine_test.go
@@ -254,6 +254,26 @@
 	must.Nil(t, r.Version().UpstreamByID(id))
 }
 
+// Guards against an upstream that was removed because of its silence, or left out of a sheet, and
+// that is not taken back although the same incarnation announces itself again.
+func TestSilentUpstreamIsTakenBack(t *testing.T) {
+	r := newReplica(t)
+	r.mustApply(result.OK, submit(t, 1, rowA, rowA1, rowA2))
+	announced := register("a", "a1", "10.0.0.1:5555", 5)
+	id := r.mustApply(result.OK, announced).Upstream
+	r.mustApply(result.OK, state.Command{RemoveUpstream: &state.RemoveUpstream{ID: id, Cause: state.CauseLeaseLapsed}})
+	must.SliceEmpty(t, r.Version().Services[0].Current)
+	r.mustApply(result.OK, announced)
+	must.Len(t, 1, r.Version().Services[0].Current)
+
+	r.mustApply(result.OK, submit(t, 2, rowA, rowA2))
+	id = r.Version().UpstreamByID(r.Version().Upstreams[0].ID).ID
+	r.mustApply(result.OK, status(state.StatusUpdate{ID: id, Leased: new(false)}))
+	r.mustApply(result.OK, submit(t, 3, rowA, rowA1, rowA2))
+	r.mustApply(result.OK, announced)
+	must.Len(t, 1, r.Version().Services[0].Current)
+}
+
 func TestBaseFollowsCurrentInTwoSteps(t *testing.T) {
 	r := newReplica(t)
 	r.mustApply(result.OK, submit(t, 1, rowA, rowA1, rowA2))
