--- a/internal/soak/absence_test.go
+++ b/internal/soak/absence_test.go
@@ -121,17 +121,9 @@
 	h := newHarness(t, seed)
 	h.lifetime = shortLifetime
 	defer h.shutdown()
-	for _, p := range append(h.controllers, h.balancers...) {
-		p.start()
+	if !h.startAll() {
+		return
 	}
-	for range 4 {
-		h.newUpstream("one", 0)
-		h.newUpstream("two", 0)
-	}
-	h.caller = h.startCaller(h.networks[0].Host(5))
-	go h.probeBalancers()
-	h.eventually(recoveryTimeout, "a first configuration is accepted", func() bool { return h.operator.put(1) })
-	h.eventually(recoveryTimeout, "balancers are ready", h.allReady)
 	h.eventually(recoveryTimeout, "all upstreams are used", func() bool { return h.usesAllUpstreams() })
 
 	end := begin(h)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -69,6 +69,19 @@
 func run(t *testing.T, seed uint64, duration time.Duration) {
 	h := newHarness(t, seed)
 	defer h.shutdown()
+	if !h.startAll() {
+		return
+	}
+	go h.generateTraffic()
+	go h.operator.run()
+	h.operator.ordering.Go(h.operator.runLongEvacuations)
+	h.operator.ordering.Go(h.operator.runShortEvacuations)
+	h.injectFaults(duration)
+	h.checkRecovery()
+}
+
+// startAll starts all programs and upstreams, and waits until connections can be served.
+func (h *harness) startAll() bool {
 	for _, p := range append(h.controllers, h.balancers...) {
 		p.start()
 	}
@@ -78,16 +91,8 @@
 	}
 	h.caller = h.startCaller(h.networks[0].Host(5))
 	go h.probeBalancers()
-	if !h.eventually(recoveryTimeout, "a first configuration is accepted", func() bool { return h.operator.put(1) }) {
-		return
-	}
-	h.eventually(recoveryTimeout, "balancers are ready", h.allReady)
-	go h.generateTraffic()
-	go h.operator.run()
-	h.operator.ordering.Go(h.operator.runLongEvacuations)
-	h.operator.ordering.Go(h.operator.runShortEvacuations)
-	h.injectFaults(duration)
-	h.checkRecovery()
+	return h.eventually(recoveryTimeout, "a first configuration is accepted", func() bool { return h.operator.put(1) }) &&
+		h.eventually(recoveryTimeout, "balancers are ready", h.allReady)
 }
 
 func (h *harness) allReady() bool {
