Pins of all balancers together are bounded

Each balancer sent up to five pins a second, which all others receive from two feeds: 70 balancers would have filled a link with 28 KB a second, 6,600 with megabytes. All together now send 50 a second at most, 2 KB/s a feed (43 bytes in a feed update, as encoded).

Test: TestPinsOfAFleetAreBounded.

--- a/internal/process/balancer/pins.go
+++ b/internal/process/balancer/pins.go
@@ -10,11 +10,14 @@
 )
 
 const (
-	// pinInterval is the time between two reports of pins, pinsPerReport the number in each.
-	// All balancers receive them: 70 balancers that each report as much as they may send
-	// 10 KB a second to each.
-	pinInterval   = 200 * time.Millisecond
-	pinsPerReport = 1
+	// minPinInterval is the shortest time between two reports of pins, pinsPerReport the number
+	// in each.
+	minPinInterval = 200 * time.Millisecond
+	pinsPerReport  = 1
+	// fleetPinInterval is the shortest time between two pins of all balancers together. Each
+	// balancer receives the pins of all others from each of its feeds: at 43 bytes, 2 KB a
+	// second.
+	fleetPinInterval = 20 * time.Millisecond
 	// maxReportedPins bounds the pins that are repeated to new feeds.
 	maxReportedPins = 256
 )
@@ -23,7 +26,7 @@
 // whose opening packets may have reached several.
 func (b *Balancer) reportPins(now time.Duration) {
 	stopping := b.stopping.Load()
-	if now-b.lastPins < pinInterval && !stopping {
+	if now-b.lastPins < b.pinInterval() && !stopping {
 		return
 	}
 	b.lastPins = now
@@ -42,6 +45,11 @@
 	}
 }
 
+// pinInterval returns the time between two reports of pins of this balancer.
+func (b *Balancer) pinInterval() time.Duration {
+	return max(minPinInterval, time.Duration(len(b.balancers))*fleetPinInterval)
+}
+
 // repeatPins reports recent pins to a controller that has just become a feed.
 func (b *Balancer) repeatPins(conn *stream.Conn) {
 	now := b.now()
--- a/internal/process/balancer/pins_test.go
+++ b/internal/process/balancer/pins_test.go
@@ -8,6 +8,7 @@
 	"github.com/shoenig/test/must"
 
 	"heatherport/internal/connection/affinity"
+	"heatherport/internal/load/share"
 	"heatherport/internal/process/controller"
 	"heatherport/internal/version/directory"
 	"heatherport/internal/version/routing"
@@ -60,6 +61,16 @@
 	}
 }
 
+// The pins of a large fleet take no more of a link than those of a small one.
+func TestPinsOfAFleetAreBounded(t *testing.T) {
+	for _, balancers := range []int{1, 8, 70, 6600} {
+		b := &Balancer{balancers: make([]share.Balancer, balancers)}
+		perSecond := float64(balancers) * pinsPerReport / b.pinInterval().Seconds()
+		must.LessEq(t, 50, perSecond)
+		must.GreaterEq(t, minPinInterval, b.pinInterval())
+	}
+}
+
 // Guards against a balancer that forwards a connection by a cookie which the balancer that
 // saw it open has overruled.
 func TestFedPinsAreUsed(t *testing.T) {
