review: case 8, a balancer that is cut off floods an upstream in its slow start

Cause: a balancer without a feed uses its last state without a limit of age, and the handle in front of a packet names the identifier of an upstream, not the incarnation.

Tried: one balancer of eight is cut off from all controllers for 5.5 s; an upstream that it uses crashes while idle and is back after 1.5 s under its identifier, cold.

--- a/review/standins-2/case_cold.go
+++ b/review/standins-2/case_cold.go
@@ -64,7 +64,7 @@
 	answered, other := wait()
 	w.rec.log("%d requests were answered, %d not", answered, other)
 	_, ran := again.seen()
-	most, from := 0, time.Time{}
+	most, from := 0, again.born
 	for i, r := range ran {
 		if r.at.Sub(again.born) > again.cold {
 			break
