--- a/review/standins-2/case_evacuation.go
+++ b/review/standins-2/case_evacuation.go
@@ -19,6 +19,11 @@
 
 // newFleet starts the system with a configuration and endpoints of one service in each zone.
 func newFleet(w *world, perZone int, services []service, routes ...route) (op *caller, ends []*endpoint, err error) {
+	return newUnevenFleet(w, []int{perZone, perZone, perZone, perZone}, services, routes...)
+}
+
+// newUnevenFleet starts the system with some endpoints in each zone.
+func newUnevenFleet(w *world, perZone []int, services []service, routes ...route) (op *caller, ends []*endpoint, err error) {
 	w.deploy()
 	if err := w.start(); err != nil {
 		return nil, nil, err
@@ -28,8 +33,8 @@
 		return nil, nil, errors.New("the first configuration was not accepted")
 	}
 	n := 0
-	for _, zone := range zones {
-		for range perZone {
+	for i, zone := range zones {
+		for range perZone[i] {
 			n++
 			e, err := w.startEndpoint(fmt.Sprintf("i-%08x", 0x7f3a9100+n), services[0].Name, zone, netip.AddrPortFrom(w.ip(byte(100+n)), 8080), 0, 20*time.Millisecond)
 			if err != nil {
--- a/review/standins-2/endpoint.go
+++ b/review/standins-2/endpoint.go
@@ -35,6 +35,7 @@
 	state  string
 	seq    int
 	full   bool // accepts no flow and sends nothing to openings
+	next   int  // node that it calls next after a failure
 	mute   bool // its calls reach no controller
 	flows  map[netip.AddrPort]*serverFlow
 	opens  []opening
@@ -117,10 +118,17 @@
 }
 
 func (e *endpoint) beat() {
-	at := rand.IntN(len(e.w.cores))
+	at := 0 // the node of its own zone, which the answers to heartbeats name
+	for i, c := range e.w.cores {
+		if c.zone == e.zone {
+			at = i
+		}
+	}
 	for {
 		if !e.heartbeat(at) {
-			at = (at + 1) % len(e.w.cores)
+			e.mu.Lock()
+			at, e.next = e.next, (e.next+1)%len(e.w.cores)
+			e.mu.Unlock()
 			select {
 			case <-e.done:
 				return
@@ -160,6 +168,13 @@
 	return status/100 == 2
 }
 
+// setNext sets the node that the endpoint calls next after a heartbeat has failed.
+func (e *endpoint) setNext(i int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.next = i
+}
+
 func (e *endpoint) setMute(mute bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
