--- a/review/standins-2/case_cold.go
+++ b/review/standins-2/case_cold.go
@@ -63,6 +63,12 @@
 	close(stop)
 	answered, other := wait()
 	w.rec.log("%d requests were answered, %d not", answered, other)
+	return w.coldBroken(again), nil
+}
+
+// coldBroken reports whether an endpoint got more requests in a second of its slow start than
+// the limit.
+func (w *world) coldBroken(again *endpoint) bool {
 	_, ran := again.seen()
 	most, from := 0, again.born
 	for i, r := range ran {
@@ -81,7 +87,7 @@
 		}
 	}
 	w.rec.log("the cold endpoint got %d requests in the second from %s; the limit is %.0f", most, w.rec.at(from), coldLimit)
-	return float64(most) > coldLimit, nil
+	return float64(most) > coldLimit
 }
 
 // mainFront returns the front by which an endpoint got most of its flows.
--- a/review/standins-2/client.go
+++ b/review/standins-2/client.go
@@ -31,6 +31,8 @@
 	sent time.Time // first opening packet
 	via  func() *machine
 	in   chan packet
+	// first is the front that took the first packet.
+	first string
 
 	// The fields below are valid after done is closed.
 	done   chan struct{}
@@ -100,6 +102,9 @@
 	if m == nil {
 		return nil
 	}
+	if f.first == "" {
+		f.first = m.name
+	}
 	_, _ = f.c.conn.WriteToUDPAddrPort(p.encode(), netip.AddrPortFrom(m.ip, packetPort))
 	return m
 }
@@ -111,6 +116,7 @@
 		f.c.mu.Lock()
 		delete(f.c.flows, f.src.Port())
 		f.c.mu.Unlock()
+		f.c.w.rec.log("request %s to %v, sent at %s from %v by %s: %s %v", f.id, f.dst, f.c.w.rec.at(f.sent), f.src, f.first, f.result, f.resets)
 		close(f.done)
 	}()
 	isn := rand.Uint32()
--- a/review/standins-2/endpoint.go
+++ b/review/standins-2/endpoint.go
@@ -305,6 +305,7 @@
 		id = string(m[1])
 	}
 	e.ran = append(e.ran, run{opening: f.opening, id: id, at: time.Now()})
+	e.w.rec.log("endpoint %s in %s runs request %s to %v, by %s", e.id, e.zone, id, f.dst, via)
 	text := []byte(fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Heatherport-Server-Stamp: %s/%s\r\nContent-Length: 2\r\n\r\nok", e.id, id))
 	e.busy++
 	go func() {
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -30,6 +30,7 @@
 	"evacuation": playEvacuation,
 	"copy":       playCopy,
 	"gossip":     playGossip,
+	"reborn":     playReborn,
 	"cold":       playCold,
 	"invalid":    playInvalid,
 }
